Found the workspace: crates, shared types and checks

The crate boundaries and the shared types (names, keys, configuration, commands, packets, CoAP messages, frames, events and actions) are fixed before the work is split. Every decision will live in crates/policy and crates/consensus, without I/O.

--- /dev/null
+++ b/crates/consensus/src/lib.rs
@@ -0,0 +1,1 @@
+//! consensus
--- /dev/null
+++ b/crates/control/src/main.rs
@@ -0,0 +1,3 @@
+//! `oriole-control`: the daemon of a control VM.
+
+fn main() {}
--- /dev/null
+++ b/crates/entry/src/main.rs
@@ -0,0 +1,3 @@
+//! entry
+
+fn main() {}
--- /dev/null
+++ b/crates/model/src/config/apply.rs
@@ -0,0 +1,398 @@
+//! Applies commands of the replicated log to a configuration.
+
+use std::collections::BTreeMap;
+
+use displaydoc::Display;
+use serde::{Deserialize, Serialize};
+
+use super::{
+    Change, ChangeKind, ChangeState, Config, Domain, DomainState, Generation, MAX_ANSWERS,
+    MAX_FINISHED_CHANGES, MAX_GENERATIONS, Service, Stage, Upstream, UpstreamState,
+};
+use crate::{
+    command::{Command, Entry},
+    name::Name,
+};
+
+/// The first answer to a command, as a resend gets it again.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Applied {
+    /// Index at which the command was applied.
+    pub index: u64,
+    /// What came of it.
+    pub outcome: Outcome,
+}
+
+/// What came of a command.
+pub type Outcome = Result<(), Refusal>;
+
+/// Why a command changed nothing.
+#[derive(Debug, Display, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Refusal {
+    /// expected version {expected}, but the configuration is at {actual}: read it again, then resend with a new request id
+    Version {
+        /// Version that the command named.
+        expected: u64,
+        /// Version in force.
+        actual: u64,
+    },
+    /// service {0} is unknown: put it first
+    UnknownService(Name),
+    /// failure domain {0} is unknown: put it first
+    UnknownDomain(Name),
+    /// upstream {0} is not admitted: see `oriolectl upstream list`
+    UnknownUpstream(Name),
+    /// field `address`: {0} already belongs to service {1}: choose another address
+    AddressTaken(String, Name),
+    /// service {0} still has upstreams: drain and remove them first
+    NotEmpty(Name),
+    /// field `{field}`: {reason}
+    Field {
+        /// Field of the command.
+        field: String,
+        /// What is wrong and what to do.
+        reason: String,
+    },
+    /// upstream {0} is the last one of its service that takes new work: admit another first
+    LastUpstream(Name),
+    /// service {0} retains its limit of table generations: wait until old flows end
+    TooManyGenerations(Name),
+    /// the step is out of date: nothing to do
+    Stale,
+}
+
+impl std::error::Error for Refusal {}
+
+impl Config {
+    /// Applies the command at `index` of the replicated log.
+    ///
+    /// A resend gets the first answer and changes nothing.
+    ///
+    /// # Errors
+    ///
+    /// The refusal, which is recorded for resends as well.
+    pub fn apply(&mut self, index: u64, entry: &Entry) -> Outcome {
+        self.index = index;
+        let key = (entry.operator.clone(), entry.request.clone());
+        if let Some(first) = self.answers.get(&key) {
+            return first.outcome.clone();
+        }
+        let outcome = self.check_version(entry).and_then(|()| {
+            // A refused command must leave no trace, so it is tried on a copy.
+            let mut next = self.clone();
+            next.change(entry)?;
+            next.version = index;
+            *self = next;
+            Ok(())
+        });
+        self.remember(key, index, &outcome);
+        outcome
+    }
+
+    /// The first answer to a command that was applied before.
+    #[must_use]
+    pub fn answer(&self, operator: &str, request: &str) -> Option<&Applied> {
+        self.answers.get(&(operator.to_owned(), request.to_owned()))
+    }
+
+    fn check_version(&self, entry: &Entry) -> Outcome {
+        match entry.expected {
+            Some(expected) if expected != self.version => Err(Refusal::Version {
+                expected,
+                actual: self.version,
+            }),
+            _ => Ok(()),
+        }
+    }
+
+    fn remember(&mut self, key: (String, String), index: u64, outcome: &Outcome) {
+        let outcome = outcome.clone();
+        self.answers.insert(key, Applied { index, outcome });
+        while self.answers.len() > MAX_ANSWERS {
+            let oldest = self.answers.iter().min_by_key(|(_, a)| a.index);
+            let Some(key) = oldest.map(|(key, _)| key.clone()) else {
+                break;
+            };
+            self.answers.remove(&key);
+        }
+    }
+
+    fn change(&mut self, entry: &Entry) -> Outcome {
+        match &entry.command {
+            Command::Found { cluster } => self.found(*cluster),
+            Command::PutDomain { name } => {
+                self.domains.entry(name.clone()).or_default();
+                Ok(())
+            }
+            Command::PutService { name, service } => self.put_service(entry, name, service),
+            Command::RemoveService { name } => self.remove_service(entry, name),
+            Command::Admit {
+                service,
+                upstream,
+                announced,
+            } => self.admit(entry, service, upstream, announced),
+            Command::Drain { service, upstream } => self.drain(entry, service, upstream),
+            Command::DomainOut { name } => self.move_domain(entry, name, DomainState::Out),
+            Command::DomainIn { name } => self.move_domain(entry, name, DomainState::In),
+            Command::Activate {
+                service,
+                generation,
+            } => self.activate(service, *generation),
+            Command::Retire { service, keep } => self.retire(service, *keep),
+        }
+    }
+
+    fn found(&mut self, cluster: u64) -> Outcome {
+        if self.cluster != 0 {
+            return Err(Refusal::Stale);
+        }
+        self.cluster = cluster;
+        Ok(())
+    }
+
+    fn put_service(&mut self, entry: &Entry, name: &Name, wanted: &Service) -> Outcome {
+        let taken = self
+            .services
+            .iter()
+            .find(|(other, s)| *other != name && s.address == wanted.address);
+        if let Some((other, _)) = taken {
+            let address = wanted.address.to_string();
+            return Err(Refusal::AddressTaken(address, other.clone()));
+        }
+        check_positive("deadline_ms", wanted.deadline_ms)?;
+        check_positive("idle_ms", wanted.idle_ms)?;
+        let service = self
+            .services
+            .entry(name.clone())
+            .or_insert_with(|| Service::at(wanted.address));
+        service.address = wanted.address;
+        service.deadline_ms = wanted.deadline_ms;
+        service.idle_ms = wanted.idle_ms;
+        self.record(entry, ChangeKind::Service(name.clone()), BTreeMap::new());
+        Ok(())
+    }
+
+    fn remove_service(&mut self, entry: &Entry, name: &Name) -> Outcome {
+        let service = self.service_mut(name)?;
+        if !service.upstreams.is_empty() {
+            return Err(Refusal::NotEmpty(name.clone()));
+        }
+        self.services.remove(name);
+        self.record(entry, ChangeKind::Service(name.clone()), BTreeMap::new());
+        Ok(())
+    }
+
+    fn admit(
+        &mut self,
+        entry: &Entry,
+        service: &Name,
+        upstream: &Name,
+        announced: &Upstream,
+    ) -> Outcome {
+        if !self.domains.contains_key(&announced.domain) {
+            return Err(Refusal::UnknownDomain(announced.domain.clone()));
+        }
+        check_positive("slots", u32::from(announced.slots))?;
+        check_positive("connections", announced.connections)?;
+        let admitted = Upstream {
+            state: UpstreamState::Admitted,
+            ..announced.clone()
+        };
+        self.service_mut(service)?
+            .upstreams
+            .insert(upstream.clone(), admitted);
+        let awaits = self.regenerate([service.clone()])?;
+        let kind = ChangeKind::Admit(service.clone(), upstream.clone());
+        self.record(entry, kind, awaits);
+        Ok(())
+    }
+
+    fn drain(&mut self, entry: &Entry, service: &Name, upstream: &Name) -> Outcome {
+        let state = self.service_mut(service)?;
+        let Some(leaving) = state.upstreams.get_mut(upstream) else {
+            return Err(Refusal::UnknownUpstream(upstream.clone()));
+        };
+        leaving.state = UpstreamState::Draining;
+        let awaits = self.regenerate([service.clone()])?;
+        if self.weights(service).is_empty() {
+            return Err(Refusal::LastUpstream(upstream.clone()));
+        }
+        let kind = ChangeKind::Drain(service.clone(), upstream.clone());
+        self.record(entry, kind, awaits);
+        Ok(())
+    }
+
+    fn move_domain(&mut self, entry: &Entry, name: &Name, state: DomainState) -> Outcome {
+        let Some(domain) = self.domains.get_mut(name) else {
+            return Err(Refusal::UnknownDomain(name.clone()));
+        };
+        *domain = Domain { state };
+        let affected: Vec<Name> = self
+            .services
+            .iter()
+            .filter(|(_, s)| s.upstreams.values().any(|u| u.domain == *name))
+            .map(|(service, _)| service.clone())
+            .collect();
+        let awaits = self.regenerate(affected)?;
+        let kind = match state {
+            DomainState::Out => ChangeKind::DomainOut(name.clone()),
+            DomainState::In => ChangeKind::DomainIn(name.clone()),
+        };
+        self.record(entry, kind, awaits);
+        Ok(())
+    }
+
+    fn activate(&mut self, service: &Name, number: u64) -> Outcome {
+        let state = self.service_mut(service)?;
+        let Some(last) = state.generations.last_mut() else {
+            return Err(Refusal::Stale);
+        };
+        if last.number != number || last.stage == Stage::Active {
+            return Err(Refusal::Stale);
+        }
+        last.stage = Stage::Active;
+        self.finish_changes();
+        Ok(())
+    }
+
+    fn retire(&mut self, service: &Name, keep: u64) -> Outcome {
+        let state = self.service_mut(service)?;
+        let kept = state
+            .generations
+            .iter()
+            .any(|g| g.number == keep && g.stage == Stage::Active);
+        if !kept || state.generations[0].number >= keep {
+            return Err(Refusal::Stale);
+        }
+        state.generations.retain(|g| g.number >= keep);
+        let needed: Vec<Name> = state
+            .generations
+            .iter()
+            .flat_map(|g| g.weights.keys().cloned())
+            .collect();
+        // A drained upstream whose last flow has ended needs no entry any longer.
+        state
+            .upstreams
+            .retain(|name, u| u.state == UpstreamState::Admitted || needed.contains(name));
+        Ok(())
+    }
+
+    /// Prepares a new generation for each service whose weights changed, and says which.
+    fn regenerate(
+        &mut self,
+        services: impl IntoIterator<Item = Name>,
+    ) -> Result<BTreeMap<Name, u64>, Refusal> {
+        let mut awaits = BTreeMap::new();
+        for name in services {
+            let weights = self.weights(&name);
+            let service = self.service_mut(&name)?;
+            if let Some(number) = service.prepare(weights) {
+                awaits.insert(name.clone(), number);
+            }
+            if service.generations.len() > MAX_GENERATIONS {
+                return Err(Refusal::TooManyGenerations(name));
+            }
+        }
+        Ok(awaits)
+    }
+
+    /// Weights of the upstreams of `service` that take new work.
+    fn weights(&self, service: &Name) -> BTreeMap<Name, u32> {
+        let Some(service) = self.services.get(service) else {
+            return BTreeMap::new();
+        };
+        let is_in = |domain: &Name| {
+            self.domains
+                .get(domain)
+                .is_some_and(|d| d.state == DomainState::In)
+        };
+        service
+            .upstreams
+            .iter()
+            .filter(|(_, u)| u.state == UpstreamState::Admitted && is_in(&u.domain))
+            .map(|(name, u)| (name.clone(), u.connections))
+            .collect()
+    }
+
+    fn record(&mut self, entry: &Entry, kind: ChangeKind, awaits: BTreeMap<Name, u64>) {
+        let change = Change {
+            kind,
+            state: ChangeState::Accepted,
+            operator: entry.operator.clone(),
+            awaits,
+            done_index: None,
+        };
+        self.changes.insert(self.index, change);
+        self.finish_changes();
+    }
+
+    /// Marks the changes in force whose generations are all active.
+    fn finish_changes(&mut self) {
+        let index = self.index;
+        let services = &self.services;
+        let reached = |(service, number): (&Name, &u64)| {
+            services.get(service).is_none_or(|s| s.is_active(*number))
+        };
+        for change in self.changes.values_mut() {
+            if change.state == ChangeState::Accepted && change.awaits.iter().all(reached) {
+                change.state = ChangeState::InForce;
+                change.done_index = Some(index);
+            }
+        }
+        while self.changes.len() > MAX_FINISHED_CHANGES {
+            self.changes.pop_first();
+        }
+    }
+
+    fn service_mut(&mut self, name: &Name) -> Result<&mut Service, Refusal> {
+        self.services
+            .get_mut(name)
+            .ok_or_else(|| Refusal::UnknownService(name.clone()))
+    }
+}
+
+impl Service {
+    /// Adds a prepared generation unless the last one already has these weights.
+    ///
+    /// A generation that was prepared but not activated is replaced: no choice was made by it.
+    fn prepare(&mut self, weights: BTreeMap<Name, u32>) -> Option<u64> {
+        let last = self.generations.last();
+        if last.is_some_and(|g| g.weights == weights) {
+            return last
+                .filter(|g| g.stage == Stage::Prepared)
+                .map(|g| g.number);
+        }
+        let number = last.map_or(1, |g| g.number + 1);
+        self.generations.retain(|g| g.stage == Stage::Active);
+        let same = self
+            .generations
+            .last()
+            .is_some_and(|g| g.weights == weights);
+        if same {
+            return None;
+        }
+        self.generations.push(Generation {
+            number,
+            weights,
+            stage: Stage::Prepared,
+        });
+        Some(number)
+    }
+
+    /// Whether `number`, or a later generation, is active.
+    fn is_active(&self, number: u64) -> bool {
+        self.generations
+            .iter()
+            .any(|g| g.number >= number && g.stage == Stage::Active)
+    }
+}
+
+fn check_positive(field: &str, value: u32) -> Outcome {
+    if value > 0 {
+        return Ok(());
+    }
+    Err(Refusal::Field {
+        field: field.to_owned(),
+        reason: "is 0: give at least 1".to_owned(),
+    })
+}
--- /dev/null
+++ b/crates/model/src/lib.rs
@@ -0,0 +1,25 @@
+//! The vocabulary that every process of the system shares: names, addresses, keys of flows and
+//! requests, and the cluster configuration with the commands that change it.
+//!
+//! The crate does no I/O. A configuration is a plain value: the control VMs build it by applying
+//! committed commands in order, and the entry VMs receive it whole.
+//!
+//! ```
+//! use model::{command, config, name::Name};
+//!
+//! let mut config = config::Config::default();
+//! let command = command::Command::PutService {
+//!     name: Name::new("booking")?,
+//!     service: config::Service::at("10.9.0.1:443".parse()?),
+//! };
+//! let outcome = config.apply(1, &command::Entry::new("op", "req-1", None, command));
+//! assert!(outcome.is_ok());
+//! # Ok::<(), Box<dyn std::error::Error>>(())
+//! ```
+
+pub mod announce;
+pub mod command;
+pub mod config;
+pub mod delivery;
+pub mod key;
+pub mod name;
--- /dev/null
+++ b/crates/model/src/name.rs
@@ -0,0 +1,91 @@
+//! Names of VMs, failure domains, services and upstreams.
+
+use std::{fmt, str::FromStr, sync::Arc};
+
+use displaydoc::Display;
+use serde::{Deserialize, Serialize};
+
+/// Longest name, in bytes.
+pub const MAX_LEN: usize = 63;
+
+/// A checked name: 1 to 63 characters out of `a-z`, `0-9` and `-`, with no `-` at either end.
+///
+/// Cloning shares the string.
+#[derive(Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(try_from = "String", into = "String")]
+pub struct Name(Arc<str>);
+
+/// Why a string is no name.
+#[derive(Debug, Display, Clone, PartialEq, Eq)]
+pub enum Error {
+    /// name is empty: use 1 to 63 characters out of a-z, 0-9 and '-'
+    Empty,
+    /// name {0:?} is longer than 63 characters: shorten it
+    TooLong(String),
+    /// name {0:?} holds other characters than a-z, 0-9 and inner '-': rename it
+    BadCharacter(String),
+}
+
+impl std::error::Error for Error {}
+
+impl Name {
+    /// Checks `text` and makes a name of it.
+    ///
+    /// # Errors
+    ///
+    /// Says which rule `text` breaks.
+    pub fn new(text: impl AsRef<str>) -> Result<Self, Error> {
+        let text = text.as_ref();
+        if text.is_empty() {
+            return Err(Error::Empty);
+        }
+        if text.len() > MAX_LEN {
+            return Err(Error::TooLong(text.to_owned()));
+        }
+        let legal = |c: u8| c.is_ascii_lowercase() || c.is_ascii_digit() || c == b'-';
+        if !text.bytes().all(legal) || text.starts_with('-') || text.ends_with('-') {
+            return Err(Error::BadCharacter(text.to_owned()));
+        }
+        Ok(Self(text.into()))
+    }
+
+    /// The name as a string.
+    #[must_use]
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+}
+
+impl TryFrom<String> for Name {
+    type Error = Error;
+
+    fn try_from(text: String) -> Result<Self, Error> {
+        Self::new(text)
+    }
+}
+
+impl From<Name> for String {
+    fn from(name: Name) -> Self {
+        name.0.as_ref().to_owned()
+    }
+}
+
+impl FromStr for Name {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Self, Error> {
+        Self::new(text)
+    }
+}
+
+impl fmt::Display for Name {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+impl fmt::Debug for Name {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
--- /dev/null
+++ b/crates/policy/src/node.rs
@@ -0,0 +1,252 @@
+//! The machines of one entry VM together.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    sync::Arc,
+};
+
+use model::{
+    announce::Announcement,
+    config::{Config, DomainState},
+    name::Name,
+};
+
+use crate::{
+    flow::Flows,
+    io::{Action, Context, Counter, Event, Message},
+    load::Load,
+    membership::Membership,
+    request::Requests,
+    time::Instant,
+    view::{View, Vm},
+};
+
+/// What a VM is told of itself.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Settings {
+    /// Its name.
+    pub name: Name,
+    /// Its failure domain.
+    pub domain: Name,
+    /// Where it takes datagrams of other entry VMs.
+    pub address: SocketAddr,
+    /// Addresses of peers to ask for the others.
+    pub seeds: Vec<SocketAddr>,
+    /// Grows with each start of the process.
+    pub incarnation: u64,
+    /// Seed of the random generators.
+    pub seed: u64,
+}
+
+impl Settings {
+    /// Settings of a VM without peers.
+    #[must_use]
+    pub fn new(name: Name, domain: Name, address: SocketAddr) -> Self {
+        Self {
+            name,
+            domain,
+            address,
+            seeds: Vec::new(),
+            incarnation: 1,
+            seed: 0,
+        }
+    }
+}
+
+/// The machines of one entry VM.
+#[derive(Debug)]
+pub struct Node {
+    view: View,
+    config: Arc<Config>,
+    membership: Membership,
+    flows: Flows,
+    load: Load,
+    requests: Requests,
+    stopping: bool,
+}
+
+impl Node {
+    /// Starts the machines.
+    #[must_use]
+    pub fn new(settings: Settings, _now: Instant) -> Self {
+        let me = Vm::new(settings.name.clone(), settings.domain, settings.address);
+        Self {
+            view: View::new(me),
+            config: Arc::new(Config::default()),
+            membership: Membership::new(&settings.name, settings.seeds),
+            flows: Flows::default(),
+            load: Load::default(),
+            requests: Requests::default(),
+            stopping: false,
+        }
+    }
+
+    /// The configuration by which this VM decides.
+    #[must_use]
+    pub fn config(&self) -> &Arc<Config> {
+        &self.config
+    }
+
+    /// The live entry VMs.
+    #[must_use]
+    pub fn view(&self) -> &View {
+        &self.view
+    }
+
+    /// For each service, the oldest generation that a flow known here still needs.
+    #[must_use]
+    pub fn needed(&self, now: Instant) -> BTreeMap<Name, u64> {
+        let config = self.config.clone();
+        self.flows.needed(context(now, &self.view, &config))
+    }
+
+    /// Whether the process may exit after [`Event::Stop`].
+    #[must_use]
+    pub fn is_finished(&self) -> bool {
+        self.stopping
+            && self.flows.is_handed_over()
+            && self.load.is_idle()
+            && self.requests.is_idle()
+    }
+
+    /// Handles one event; what is to be done is added to `out`, in order.
+    pub fn handle(&mut self, now: Instant, event: Event, out: &mut Vec<Action>) {
+        let config = self.config.clone();
+        let context = context(now, &self.view, &config);
+        match event {
+            Event::Tick => self.on_tick(now, out),
+            Event::Config(new) => self.on_config(now, new, out),
+            Event::ControlCurrent => {}
+            Event::Announce(announcement) => {
+                out.push(Action::Report(announcement.clone()));
+                self.on_announce(now, announcement, out);
+            }
+            Event::Packet(packet) => {
+                self.flows.on_packet(context, &mut self.load, packet, out);
+            }
+            Event::Request { caller, request } => {
+                self.requests
+                    .on_request(context, &mut self.load, caller, request, out);
+            }
+            Event::Reply { upstream, response } => {
+                self.load.on_reply(context, upstream, response, out);
+            }
+            Event::Message { from, message } => self.on_message(now, from, message, out),
+            Event::Stop => {
+                self.stopping = true;
+                self.flows.on_stop(context, out);
+                self.requests.on_stop(context, out);
+            }
+        }
+    }
+
+    fn on_tick(&mut self, now: Instant, out: &mut Vec<Action>) {
+        if self.membership.on_tick(now, &mut self.view, out) {
+            self.on_view(now, out);
+        }
+        let config = self.config.clone();
+        let context = context(now, &self.view, &config);
+        self.load.on_tick(context, out);
+        self.flows.on_tick(context, &mut self.load, out);
+        self.requests.on_tick(context, &mut self.load, out);
+    }
+
+    /// Takes a configuration that is newer than this VM's own; an older one changes nothing.
+    fn on_config(&mut self, now: Instant, new: Arc<Config>, out: &mut Vec<Action>) {
+        let same_cluster = self.config.cluster == 0 || self.config.cluster == new.cluster;
+        if !same_cluster || new.index <= self.config.index {
+            return;
+        }
+        let old = std::mem::replace(&mut self.config, new.clone());
+        let excluded: BTreeSet<Name> = new
+            .domains
+            .iter()
+            .filter(|(_, domain)| domain.state == DomainState::Out)
+            .map(|(name, _)| name.clone())
+            .collect();
+        let view_changes = excluded != self.view.out;
+        if view_changes {
+            self.view.out = excluded;
+            self.view.number += 1;
+        }
+        let context = context(now, &self.view, &new);
+        self.load.on_config(context, &old, out);
+        self.flows.on_config(context, &old, out);
+        self.requests.on_config(context, &old, out);
+        if view_changes {
+            self.on_view(now, out);
+        }
+    }
+
+    fn on_view(&mut self, now: Instant, out: &mut Vec<Action>) {
+        let config = self.config.clone();
+        let context = context(now, &self.view, &config);
+        self.load.on_view(context, out);
+        self.flows.on_view(context, out);
+        self.requests.on_view(context, &mut self.load, out);
+    }
+
+    fn on_announce(&mut self, now: Instant, announcement: Announcement, out: &mut Vec<Action>) {
+        let config = self.config.clone();
+        let context = context(now, &self.view, &config);
+        let steward = self
+            .view
+            .steward(&announcement.service, &announcement.domain);
+        match steward {
+            Some(vm) if self.view.is_me(vm) => self.load.on_announce(context, &announcement, out),
+            Some(vm) => out.push(Action::Send {
+                to: vm.address,
+                message: Message::Announce(announcement),
+            }),
+            None => {}
+        }
+    }
+
+    fn on_message(
+        &mut self,
+        now: Instant,
+        from: SocketAddr,
+        message: Message,
+        out: &mut Vec<Action>,
+    ) {
+        if let Message::Membership(message) = message {
+            if self
+                .membership
+                .on_message(now, &mut self.view, from, message, out)
+            {
+                self.on_view(now, out);
+            }
+            return;
+        }
+        let Some(vm) = self.view.vms.values().find(|vm| vm.address == from) else {
+            out.push(Action::Count(Counter::MessageUnknownPeer));
+            return;
+        };
+        let vm = vm.clone();
+        let config = self.config.clone();
+        let context = context(now, &self.view, &config);
+        match message {
+            Message::Membership(_) => {}
+            Message::Flow(message) => {
+                self.flows
+                    .on_message(context, &mut self.load, &vm, message, out);
+            }
+            Message::Load(message) => self.load.on_message(context, &vm, message, out),
+            Message::Request(message) => {
+                self.requests
+                    .on_message(context, &mut self.load, &vm, message, out);
+            }
+            Message::Announce(announcement) => self.on_announce(now, announcement, out),
+            Message::WantConfig => out.push(Action::Send {
+                to: from,
+                message: Message::Config(config),
+            }),
+            Message::Config(new) => self.on_config(now, new, out),
+        }
+    }
+}
+
+fn context<'a>(now: Instant, view: &'a View, config: &'a Config) -> Context<'a> {
+    Context { now, view, config }
+}
--- /dev/null
+++ b/crates/settings/src/lib.rs
@@ -0,0 +1,1 @@
+//! settings
--- /dev/null
+++ b/crates/standin/src/bin/oriole-load.rs
@@ -0,0 +1,3 @@
+//! oriole-load
+
+fn main() {}
--- /dev/null
+++ b/crates/standin/src/bin/oriole-standin.rs
@@ -0,0 +1,3 @@
+//! oriole-standin
+
+fn main() {}
--- /dev/null
+++ b/crates/standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! standin
--- /dev/null
+++ b/xtask/src/main.rs
@@ -0,0 +1,3 @@
+//! xtask
+
+fn main() {}
