Keep flows on their upstream: table, home, backup, marks and pins

Any packet of a flow reaches any entry VM. The bounded rendezvous table tells the upstream where all retained generations agree; elsewhere the home and the backup hold a record before the upstream sees the first packet.

Context gains 'fresh', which the node clears when the process stood still for longer than the lease, and sets on a confirmed configuration.

--- a/crates/policy/src/flow.rs
+++ b/crates/policy/src/flow.rs
@@ -1,68 +1,366 @@
 //! Flows: every packet of a flow reaches the upstream that the flow was opened on, whichever
 //! entry VM the fabric hands it to.
+//!
+//! A flow's bucket has one choice in each retained generation of its service. Where all choices
+//! agree and nothing bars the upstream, the bucket is direct: any VM forwards later packets by
+//! the table alone, and flows need no copy. Where they don't, later packets go through the flow's
+//! home, and each flow that opens is recorded at home and backup before its first packet reaches
+//! an upstream. A flow without a record therefore belongs to the oldest retained generation.
+//!
+//! - [`table`]: the choices of one generation.
+//! - [`message`]: what VMs tell each other.
+//! - `route`: the choices of a service, and which buckets are direct.
+//! - `packet`: the path of a packet through home, backup and steward.
+//! - `miss`: flows that the home has no record of.
+//! - `handover`: records move as the view changes.
+//! - `mark` and `pin`: what bars direct forwarding, agreed among VMs.
+//! - `sweep`: expiry, counts, and which generations are still needed.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+};
 
 use model::{config::Config, name::Name};
-use serde::{Deserialize, Serialize};
-use std::collections::BTreeMap;
 
 use crate::{
-    io::{Action, Context, Packet},
+    io::{Action, Context, Counter, Message as Envelope, Packet},
     load::Load,
+    time::Instant,
     view::Vm,
 };
 
-/// A message between the flow machines of two VMs.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Message {}
+mod handover;
+mod mark;
+pub mod message;
+mod miss;
+mod packet;
+mod pin;
+mod record;
+mod route;
+mod sweep;
+pub mod table;
+
+pub use message::Message;
+
+use record::{Record, Records};
+use route::{Bar, Service, Upstream};
+
+/// Which way of keeping flows together is used; all but the default serve comparison.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Mode {
+    /// Records only where the table alone doesn't tell the upstream.
+    #[default]
+    Positive,
+    /// Every packet goes through the home.
+    RelayAll,
+    /// Every flow is copied to every VM as it opens.
+    CopyAll,
+}
 
 /// The flow machine of one VM.
 #[derive(Debug, Default)]
-pub struct Flows {}
+pub struct Flows {
+    mode: Mode,
+    /// Services by position. Invariant: positions never change.
+    services: Vec<Service>,
+    /// Positions of the listed services by address.
+    addresses: BTreeMap<SocketAddr, u16>,
+    /// Records of flows by fingerprint.
+    records: Records,
+    /// Opening packets admitted lately, by fingerprint, as steward: when the last one came.
+    admitted: BTreeMap<u64, Instant>,
+    /// Records to confirm to their homes.
+    confirming: BTreeMap<Name, Vec<u32>>,
+    /// Flows whose records the backup has yet to confirm, by the low half of the fingerprint.
+    unconfirmed: BTreeMap<u32, u64>,
+    misses: miss::Misses,
+    handover: handover::Handover,
+    marks: mark::Marks,
+    pins: pin::Pins,
+    sweep: sweep::Sweep,
+    /// When anything last happened.
+    last_event: Option<Instant>,
+}
+
+/// The address of an upstream's service and the upstream, as positions.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct Target {
+    service: u16,
+    upstream: u16,
+}
+
+/// What one call of the machine works with.
+struct Turn<'a, 'b> {
+    context: Context<'a>,
+    load: &'b mut Load,
+    out: &'b mut Vec<Action>,
+}
+
+impl Turn<'_, '_> {
+    fn now(&self) -> Instant {
+        self.context.now
+    }
+
+    fn send(&mut self, to: &Vm, message: Message) {
+        send(self.out, to, message);
+    }
+
+    fn count(&mut self, counter: Counter) {
+        self.out.push(Action::Count(counter));
+    }
+}
+
+/// Sends a message of flows.
+fn send(out: &mut Vec<Action>, to: &Vm, message: Message) {
+    out.push(Action::Send {
+        to: to.address,
+        message: Envelope::Flow(message),
+    });
+}
 
 impl Flows {
+    /// A machine that keeps flows together in another way than the default, for comparison.
+    #[must_use]
+    pub fn with_mode(mode: Mode) -> Self {
+        Self {
+            mode,
+            ..Self::default()
+        }
+    }
+
     /// Takes a packet from the fabric.
     pub fn on_packet(
         &mut self,
-        _context: Context<'_>,
-        _load: &mut Load,
-        _packet: Packet,
-        _out: &mut Vec<Action>,
+        context: Context<'_>,
+        load: &mut Load,
+        packet: Packet,
+        out: &mut Vec<Action>,
     ) {
+        let turn = &mut Turn { context, load, out };
+        self.check_clock(turn);
+        self.take(turn, packet);
     }
 
     /// Takes a message of another VM.
     pub fn on_message(
         &mut self,
-        _context: Context<'_>,
-        _load: &mut Load,
-        _from: &Vm,
+        context: Context<'_>,
+        load: &mut Load,
+        from: &Vm,
         message: Message,
-        _out: &mut Vec<Action>,
+        out: &mut Vec<Action>,
     ) {
-        match message {}
+        let turn = &mut Turn { context, load, out };
+        self.check_clock(turn);
+        match message {
+            Message::Home { hops, bytes } => self.on_home(turn, hops, bytes),
+            Message::Backup {
+                upstream,
+                confirm,
+                bytes,
+            } => self.on_backup(turn, from, &upstream, confirm, bytes),
+            Message::Held(halves) => self.on_held(turn, from, &halves),
+            Message::Steward { upstream, bytes } => self.on_steward(turn, &upstream, bytes),
+            Message::Refused { upstream, bytes } => self.on_refused(turn, &upstream, bytes),
+            Message::Ask { fingerprint } => self.on_ask(turn, from, fingerprint),
+            Message::Answer { fingerprint, found } => {
+                self.on_answer(turn, from, fingerprint, found);
+            }
+            Message::Copy {
+                batch,
+                service,
+                upstream,
+                fingerprints,
+            } => self.on_copy(turn, from, batch, (&service, &upstream), &fingerprints),
+            Message::CopyHeld { batch } => self.handover.on_held(&from.name, batch),
+            Message::Moved(lost) => self.handover.on_moved(&from.name, &lost),
+            Message::Mark(mark) => self.on_mark(turn, from, mark),
+            Message::MarkDone(mark) => self.on_mark_done(turn, from, &mark),
+            Message::Pins { version, pins } => self.on_pins(turn, from, version, &pins),
+            Message::PinsHeld { version } => self.pins.on_held(&from.name, version),
+            Message::Want => self.on_want(turn, from),
+            Message::Known { marks, pins, cut } => self.on_known(turn, from, &marks, &pins, &cut),
+            Message::Counts { service, flows } => {
+                for (upstream, count) in flows {
+                    turn.load
+                        .count_flows(&from.name, &service, &upstream, count);
+                }
+            }
+        }
     }
 
     /// The configuration has become `context.config`; it was `old`.
-    pub fn on_config(&mut self, _context: Context<'_>, _old: &Config, _out: &mut Vec<Action>) {}
+    pub fn on_config(&mut self, context: Context<'_>, _old: &Config, _out: &mut Vec<Action>) {
+        let config = context.config;
+        self.addresses.clear();
+        for service in &mut self.services {
+            service.is_listed = config.services.contains_key(&service.name);
+        }
+        for (name, settings) in &config.services {
+            let position = self.position_or_insert(name);
+            self.addresses.insert(settings.address, position);
+            self.services[usize::from(position)].update(context.now, config, settings);
+        }
+        self.refresh(context);
+    }
 
     /// The view has changed: hand over and copy records as responsibilities have moved.
-    pub fn on_view(&mut self, _context: Context<'_>, _out: &mut Vec<Action>) {}
+    pub fn on_view(&mut self, context: Context<'_>, out: &mut Vec<Action>) {
+        self.move_records(context, context.view.clone());
+        self.move_marks(context);
+        self.move_pins(context, out);
+        self.sweep.count_soon();
+        self.refresh(context);
+    }
 
     /// Time has passed.
-    pub fn on_tick(&mut self, _context: Context<'_>, _load: &mut Load, _out: &mut Vec<Action>) {}
+    pub fn on_tick(&mut self, context: Context<'_>, load: &mut Load, out: &mut Vec<Action>) {
+        let turn = &mut Turn { context, load, out };
+        self.check_clock(turn);
+        self.confirm(turn);
+        self.repeat_asks(turn);
+        self.repeat_copies(turn);
+        self.repeat_marks(turn);
+        self.repeat_pins(turn);
+        self.sweep(turn);
+    }
 
     /// Hands every record over before this VM stops.
-    pub fn on_stop(&mut self, _context: Context<'_>, _out: &mut Vec<Action>) {}
+    pub fn on_stop(&mut self, context: Context<'_>, _out: &mut Vec<Action>) {
+        let mut next = context.view.clone();
+        if let Some(me) = next.vms.get_mut(&context.view.me) {
+            me.leaving = true;
+        }
+        self.handover.hurry();
+        self.move_records(context, next);
+    }
 
     /// Whether nothing is left to hand over.
     #[must_use]
     pub fn is_handed_over(&self) -> bool {
-        true
+        self.handover.is_empty()
     }
 
     /// For each service, the oldest generation that a flow known here still needs.
     #[must_use]
     pub fn needed(&self, _context: Context<'_>) -> BTreeMap<Name, u64> {
-        BTreeMap::new()
+        let listed = self.services.iter().filter(|s| s.is_listed);
+        listed.map(|s| (s.name.clone(), s.keep)).collect()
+    }
+
+    /// Number of records held here.
+    #[must_use]
+    pub fn record_count(&self) -> usize {
+        self.records.len()
+    }
+
+    /// Number of records held here on which a flow depends.
+    #[must_use]
+    pub fn positive_count(&self) -> usize {
+        self.records.values().filter(|r| r.is_positive).count()
+    }
+
+    /// Number of marks that this VM applies.
+    #[must_use]
+    pub fn mark_count(&self) -> usize {
+        self.marks.count()
+    }
+
+    /// Whether this VM has heard from each peer what bars direct forwarding.
+    #[must_use]
+    pub fn is_synced(&self) -> bool {
+        self.pins.is_synced()
+    }
+
+    /// Share of the buckets of a service that later packets pass without the home.
+    #[must_use]
+    pub fn direct_share(&self, service: &Name) -> f64 {
+        let Some(service) = self.services.iter().find(|s| s.name == *service) else {
+            return 0.0;
+        };
+        let buckets = u32::try_from(service.bucket_count()).unwrap_or(u32::MAX);
+        let direct = (0..buckets).filter(|b| service.direct(u64::from(*b)).is_some());
+        f64::from(u32::try_from(direct.count()).unwrap_or(u32::MAX)) / f64::from(buckets.max(1))
+    }
+
+    fn position_or_insert(&mut self, name: &Name) -> u16 {
+        if let Some(position) = self.position(name) {
+            return position;
+        }
+        self.services.push(Service::new(name));
+        u16::try_from(self.services.len() - 1).unwrap_or(u16::MAX)
+    }
+
+    fn position(&self, name: &Name) -> Option<u16> {
+        let found = self.services.iter().position(|s| s.name == *name)?;
+        u16::try_from(found).ok()
+    }
+
+    fn service(&self, position: u16) -> Option<&Service> {
+        self.services.get(usize::from(position))
+    }
+
+    fn upstream(&self, target: Target) -> Option<&Upstream> {
+        self.service(target.service)?.upstream(target.upstream)
+    }
+
+    fn target(&self, service: &Name, upstream: &Name) -> Option<Target> {
+        let service = self.position(service)?;
+        self.target_in(service, upstream)
+    }
+
+    fn target_in(&self, service: u16, upstream: &Name) -> Option<Target> {
+        let upstream = self.service(service)?.position(upstream)?;
+        Some(Target { service, upstream })
+    }
+
+    /// Works out anew which buckets are direct, after anything changed that bars some.
+    fn refresh(&mut self, context: Context<'_>) {
+        for position in 0..self.services.len() {
+            let position = u16::try_from(position).unwrap_or(u16::MAX);
+            let bar = Bar {
+                marked: self.marks.of(position),
+                cut: self.cut(context),
+                pinned: self.pins.union(position),
+            };
+            if let Some(service) = self.services.get_mut(usize::from(position)) {
+                service.refresh(&bar);
+            }
+        }
+    }
+
+    /// Failure domains that bar direct forwarding: those that can't be reached, and those of which
+    /// not every live VM has said that it reaches them again.
+    fn cut(&self, context: Context<'_>) -> BTreeSet<Name> {
+        let listed = self.services.iter().filter(|s| s.is_listed);
+        let domains = listed.flat_map(|s| s.upstreams.iter().map(|u| &u.domain));
+        let unreachable = domains.filter(|d| !context.view.reaches(d)).cloned();
+        let mut cut: BTreeSet<Name> = unreachable.collect();
+        cut.extend(self.pins.healing().cloned());
+        cut
+    }
+
+    /// Starts anew where this process stood still for longer than its lease, since the other VMs
+    /// may have taken over its flows meanwhile.
+    fn check_clock(&mut self, turn: &mut Turn<'_, '_>) {
+        let now = turn.now();
+        let last = self.last_event.replace(now);
+        let stood_still = last.is_some_and(|last| now.ms_since(last) > model::delivery::LEASE_MS);
+        if stood_still {
+            self.records.clear();
+            self.admitted.clear();
+            self.misses.clear();
+            self.rejoin(turn.context);
+        }
+    }
+}
+
+impl Record {
+    fn target(&self) -> Target {
+        Target {
+            service: self.service,
+            upstream: self.upstream,
+        }
     }
 }
--- /dev/null
+++ b/crates/policy/src/flow/handover.rs
@@ -0,0 +1,427 @@
+//! Records move as the view changes.
+//!
+//! For each flow that needs its record, the old home, or the old backup where the home is gone,
+//! copies the record to the VMs that became responsible, within a budget. Meanwhile a home asks
+//! for records that it misses, so that copies may take their time.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use model::name::Name;
+
+use super::{
+    Flows, Message, Mode, Target, Turn,
+    record::{Moment, Record, Stage},
+};
+use crate::{
+    io::Context,
+    time::Instant,
+    view::{View, Vm},
+};
+
+/// Time for which a home asks the VMs of an earlier view, in milliseconds.
+const HORIZON_MS: u64 = 120_000;
+
+/// Most earlier views that are kept.
+const MAX_PAST: usize = 8;
+
+/// Budget for copies, in bytes a second.
+const COPY_BYTES_PER_S: u64 = 1_200;
+
+/// Budget for copies while this VM stops, in bytes a second.
+const STOP_BYTES_PER_S: u64 = 16_000;
+
+/// Bytes of a copied record on the wire.
+const RECORD_BYTES: u64 = 9;
+
+/// Bytes of a batch of copies on the wire besides the records.
+const BATCH_BYTES: u64 = 32;
+
+/// Most records in one batch.
+const MAX_BATCH: usize = 100;
+
+/// Time after which a batch is sent again, in milliseconds.
+const REPEAT_MS: u64 = 500;
+
+/// How often a VM says that it has copied what the loss of another made necessary.
+const MOVED_REPEATS: u8 = 3;
+
+/// Time between two of these messages, in milliseconds.
+const MOVED_MS: u64 = 500;
+
+/// What a VM has to copy, and what it remembers of earlier views.
+#[derive(Debug, Default)]
+pub(super) struct Handover {
+    /// The current view. `None` before the first change.
+    current: Option<View>,
+    /// Earlier views, oldest first. Invariant: at most [`MAX_PAST`].
+    past: Vec<Past>,
+    /// Fingerprints to copy, by VM.
+    queues: BTreeMap<Name, BTreeMap<Target, Vec<u64>>>,
+    /// Batches on their way, by VM. Invariant: one for each VM.
+    sent: BTreeMap<Name, Batch>,
+    /// Number of the last batch.
+    last_batch: u32,
+    /// Bytes that may be sent now.
+    credit: u64,
+    /// When credit was last added.
+    credited: Instant,
+    /// Whether this VM stops.
+    is_hurried: bool,
+    /// VMs whose loss is to be answered with [`Message::Moved`] once the queues are empty: how
+    /// often yet, and when last.
+    losses: BTreeMap<Name, (u8, Instant)>,
+}
+
+/// An earlier view.
+#[derive(Debug)]
+struct Past {
+    view: View,
+    /// When it ended.
+    ended: Instant,
+    /// Its VMs that have crashed since.
+    lost: BTreeSet<Name>,
+    /// Pairs of a lost VM and one that said that it has copied what the loss made necessary.
+    moved: BTreeSet<(Name, Name)>,
+}
+
+#[derive(Debug)]
+struct Batch {
+    number: u32,
+    target: Target,
+    fingerprints: Vec<u64>,
+    sent: Instant,
+}
+
+impl Handover {
+    /// Whether nothing is left to copy.
+    pub(super) fn is_empty(&self) -> bool {
+        self.queues.is_empty() && self.sent.is_empty()
+    }
+
+    /// Spends more on copies from now on.
+    pub(super) fn hurry(&mut self) {
+        self.is_hurried = true;
+    }
+
+    /// Takes the acknowledgement of a batch.
+    pub(super) fn on_held(&mut self, from: &Name, batch: u32) {
+        if self.sent.get(from).is_some_and(|b| b.number == batch) {
+            self.sent.remove(from);
+        }
+    }
+
+    /// Forgets earlier views, since this process stood still: any of the other VMs may have been
+    /// responsible meanwhile.
+    pub(super) fn rejoin(&mut self, context: Context<'_>) {
+        self.queues.clear();
+        self.sent.clear();
+        let mut without_me = context.view.clone();
+        without_me.vms.remove(&context.view.me);
+        self.remember(without_me, context.now);
+    }
+
+    fn remember(&mut self, view: View, now: Instant) {
+        self.past.push(Past {
+            view,
+            ended: now,
+            lost: BTreeSet::new(),
+            moved: BTreeSet::new(),
+        });
+        if self.past.len() > MAX_PAST {
+            self.past.remove(0);
+        }
+    }
+
+    /// Live VMs other than this one that may hold the record of a flow.
+    pub(super) fn holders(&self, context: Context<'_>, fingerprint: u64) -> BTreeSet<Name> {
+        // Where this VM was the home, it holds what there was to know.
+        let is_other = |view: &&View| view.home(fingerprint).is_some_and(|vm| vm.name != view.me);
+        let past = self.past.iter().map(|past| &past.view);
+        let mut views: Vec<&View> = past.filter(is_other).collect();
+        if views.is_empty() {
+            return BTreeSet::new();
+        }
+        views.push(context.view);
+        let responsible = views
+            .into_iter()
+            .flat_map(|v| [v.home(fingerprint), v.backup(fingerprint)]);
+        let others = responsible.flatten().filter(|vm| !context.view.is_me(vm));
+        let live = others.filter(|vm| context.view.get(&vm.name).is_some());
+        live.map(|vm| vm.name.clone()).collect()
+    }
+
+    /// Whether both VMs that held the record of a flow have crashed before either was replaced.
+    pub(super) fn may_be_lost(&self, fingerprint: u64) -> bool {
+        self.past.iter().any(|past| past.has_lost(fingerprint))
+    }
+
+    /// Notes which VMs have crashed since each earlier view.
+    fn note_losses(&mut self, old: &View, new: &View) {
+        let is_crash = |vm: &&Vm| new.get(&vm.name).is_none() && !vm.leaving;
+        for vm in old.vms.values().filter(is_crash) {
+            for past in &mut self.past {
+                if past.view.get(&vm.name).is_some() {
+                    past.lost.insert(vm.name.clone());
+                }
+            }
+            self.losses
+                .insert(vm.name.clone(), (MOVED_REPEATS, Instant::ZERO));
+        }
+    }
+
+    /// Notes that a VM has copied what the loss of another made necessary.
+    pub(super) fn on_moved(&mut self, from: &Name, lost: &Name) {
+        for past in &mut self.past {
+            past.moved.insert((lost.clone(), from.clone()));
+        }
+    }
+
+    fn push(&mut self, vm: &Name, target: Target, fingerprint: u64) {
+        let queue = self.queues.entry(vm.clone()).or_default();
+        queue.entry(target).or_default().push(fingerprint);
+    }
+
+    fn add_credit(&mut self, now: Instant) {
+        let rate = if self.is_hurried {
+            STOP_BYTES_PER_S
+        } else {
+            COPY_BYTES_PER_S
+        };
+        let ms = now.ms_since(self.credited);
+        let added = rate * ms / 1_000;
+        if added > 0 {
+            self.credit = (self.credit + added).min(rate);
+            self.credited = now;
+        }
+    }
+
+    /// Takes the next batch for a VM out of its queue.
+    fn next_batch(&mut self, vm: &Name, now: Instant) -> Option<Batch> {
+        let queue = self.queues.get_mut(vm)?;
+        let mut entry = queue.first_entry()?;
+        let affordable = self.credit.checked_sub(BATCH_BYTES)? / RECORD_BYTES;
+        let most = usize::try_from(affordable).unwrap_or(0).min(MAX_BATCH);
+        let target = *entry.key();
+        let waiting = entry.get_mut();
+        let count = waiting.len().min(most);
+        if count == 0 {
+            return None;
+        }
+        let fingerprints = waiting.split_off(waiting.len() - count);
+        if waiting.is_empty() {
+            entry.remove();
+        }
+        if queue.is_empty() {
+            self.queues.remove(vm);
+        }
+        let records = u64::try_from(fingerprints.len()).unwrap_or(0);
+        self.credit -= BATCH_BYTES + records * RECORD_BYTES;
+        self.last_batch = self.last_batch.wrapping_add(1);
+        Some(Batch {
+            number: self.last_batch,
+            target,
+            fingerprints,
+            sent: now,
+        })
+    }
+}
+
+impl Past {
+    fn has_lost(&self, fingerprint: u64) -> bool {
+        if self.lost.is_empty() {
+            return false;
+        }
+        let Some(home) = self.view.home(fingerprint) else {
+            return false;
+        };
+        let is_lost = |vm: &Vm| self.lost.contains(&vm.name);
+        let Some(backup) = self.view.backup(fingerprint) else {
+            return is_lost(home);
+        };
+        let is_moved =
+            |lost: &Vm, by: &Vm| self.moved.contains(&(lost.name.clone(), by.name.clone()));
+        let is_saved = is_moved(home, backup) || is_moved(backup, home);
+        is_lost(home) && is_lost(backup) && !is_saved
+    }
+}
+
+impl Flows {
+    /// Queues the records whose home or backup differs in `new` from the last view.
+    pub(super) fn move_records(&mut self, context: Context<'_>, new: View) {
+        let now = context.now;
+        let Some(old) = self.handover.current.replace(new.clone()) else {
+            // A process that has just started: others were responsible before.
+            self.handover.rejoin(context);
+            return;
+        };
+        if old.vms == new.vms && old.out == new.out {
+            return;
+        }
+        self.handover.remember(old.clone(), now);
+        self.handover.note_losses(&old, &new);
+        if self.mode != Mode::Positive {
+            return;
+        }
+        let me = &context.view.me;
+        for (fingerprint, record) in &mut self.records {
+            let home = new.home(*fingerprint);
+            record.is_home = home.is_some_and(|vm| vm.name == *me);
+            if !record.is_positive {
+                continue;
+            }
+            let backup = new.backup(*fingerprint);
+            let old_home = old.home(*fingerprint);
+            let old_backup = old.backup(*fingerprint);
+            let is_old = |vm: &Vm| {
+                [old_home, old_backup]
+                    .iter()
+                    .flatten()
+                    .any(|o| o.name == vm.name)
+            };
+            let home_lives = old_home.is_some_and(|o| new.get(&o.name).is_some());
+            let sender = if home_lives { old_home } else { old_backup };
+            let added: Vec<&Vm> = [home, backup]
+                .into_iter()
+                .flatten()
+                .filter(|vm| !is_old(vm) && vm.name != *me)
+                .collect();
+            if backup.is_some_and(|vm| old_backup.is_none_or(|o| o.name != vm.name)) {
+                record.is_confirmed = false;
+            }
+            if sender.is_none_or(|vm| vm.name != *me) {
+                continue;
+            }
+            for vm in added {
+                self.handover.push(&vm.name, record.target(), *fingerprint);
+            }
+        }
+    }
+
+    /// Copies a new flow to every VM, in the mode that does so.
+    pub(super) fn copy_to_all(&mut self, turn: &Turn<'_, '_>, fingerprint: u64, record: Record) {
+        if self.mode != Mode::CopyAll {
+            return;
+        }
+        for vm in turn.context.view.others() {
+            self.handover.push(&vm.name, record.target(), fingerprint);
+        }
+    }
+
+    /// Sends what the budget allows, repeats what was not acknowledged, and forgets old views.
+    pub(super) fn repeat_copies(&mut self, turn: &mut Turn<'_, '_>) {
+        let now = turn.now();
+        let view = turn.context.view;
+        self.handover.queues.retain(|vm, _| view.get(vm).is_some());
+        self.handover.sent.retain(|vm, _| view.get(vm).is_some());
+        if self.mode == Mode::CopyAll {
+            self.handover.credit = u64::MAX / 2;
+        } else {
+            self.handover.add_credit(now);
+        }
+        let idle_ms = self.services.iter().map(|s| s.idle_ms).max().unwrap_or(0);
+        self.handover.past.retain(|past| {
+            let age_ms = now.ms_since(past.ended);
+            let horizon_ms = if past.lost.len() > 1 {
+                HORIZON_MS.max(idle_ms)
+            } else {
+                HORIZON_MS
+            };
+            age_ms < horizon_ms
+        });
+        let names: Vec<Name> = self.handover.queues.keys().cloned().collect();
+        for name in names {
+            if self.handover.sent.contains_key(&name) {
+                continue;
+            }
+            if let Some(batch) = self.handover.next_batch(&name, now) {
+                self.send_batch(turn, &name, &batch);
+                self.handover.sent.insert(name, batch);
+            }
+        }
+        self.repeat_batches(turn);
+        self.say_moved(turn);
+    }
+
+    fn repeat_batches(&mut self, turn: &mut Turn<'_, '_>) {
+        let now = turn.now();
+        let mut late = std::mem::take(&mut self.handover.sent);
+        for (name, batch) in &mut late {
+            if now.ms_since(batch.sent) >= REPEAT_MS {
+                batch.sent = now;
+                self.send_batch(turn, name, batch);
+            }
+        }
+        self.handover.sent = late;
+    }
+
+    fn send_batch(&self, turn: &mut Turn<'_, '_>, name: &Name, batch: &Batch) {
+        let Some(vm) = turn.context.view.get(name) else {
+            return;
+        };
+        let Some(service) = self.service(batch.target.service) else {
+            return;
+        };
+        let Some(upstream) = service.upstream(batch.target.upstream) else {
+            return;
+        };
+        let message = Message::Copy {
+            batch: batch.number,
+            service: service.name.clone(),
+            upstream: upstream.name.clone(),
+            fingerprints: batch.fingerprints.clone(),
+        };
+        turn.send(vm, message);
+    }
+
+    /// Says that the losses of VMs need no more copies from here.
+    fn say_moved(&mut self, turn: &mut Turn<'_, '_>) {
+        if !self.handover.is_empty() {
+            return;
+        }
+        let now = turn.now();
+        for (lost, (repeats, sent)) in &mut self.handover.losses {
+            if now.ms_since(*sent) < MOVED_MS {
+                continue;
+            }
+            *sent = now;
+            *repeats -= 1;
+            for vm in turn.context.view.others() {
+                turn.send(vm, Message::Moved(lost.clone()));
+            }
+        }
+        self.handover.losses.retain(|_, (repeats, _)| *repeats > 0);
+    }
+
+    /// Takes records that another VM hands over.
+    pub(super) fn on_copy(
+        &mut self,
+        turn: &mut Turn<'_, '_>,
+        from: &Vm,
+        batch: u32,
+        upstream: (&Name, &Name),
+        fingerprints: &[u64],
+    ) {
+        // Without the upstream in the configuration the records can't be kept yet: the sender
+        // repeats the batch.
+        let Some(target) = self.target(upstream.0, upstream.1) else {
+            return;
+        };
+        let now = Moment::from(turn.now());
+        let view = turn.context.view;
+        for fingerprint in fingerprints {
+            let home = view.home(*fingerprint);
+            let record = Record {
+                seen: now,
+                touched: now,
+                service: target.service,
+                upstream: target.upstream,
+                is_home: home.is_some_and(|vm| view.is_me(vm)),
+                is_positive: self.mode == Mode::Positive,
+                is_confirmed: false,
+                stage: Stage::Established,
+            };
+            self.records.entry(*fingerprint).or_insert(record);
+        }
+        turn.send(from, Message::CopyHeld { batch });
+    }
+}
--- /dev/null
+++ b/crates/policy/src/flow/message.rs
@@ -0,0 +1,135 @@
+//! Messages between the flow machines of two VMs.
+//!
+//! Packets carry the records: an opening packet and the first later packet of a flow that needs a
+//! record at the backup travel through the backup, so that the record costs no message of its own
+//! and is there before the upstream sees the packet.
+
+use model::name::Name;
+use serde::{Deserialize, Serialize};
+use wire::blob::Blob;
+
+/// A message between the flow machines of two VMs.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Message {
+    /// A packet on its way to the flow's home.
+    Home {
+        /// How many VMs have passed it on because their views name another home.
+        hops: u8,
+        /// The caller's IP packet.
+        bytes: Blob,
+    },
+    /// A packet through the backup, which records the flow and sends the packet on.
+    Backup {
+        /// Upstream that the flow is on.
+        upstream: Name,
+        /// Whether the home waits for [`Message::Held`].
+        confirm: bool,
+        /// The caller's IP packet.
+        bytes: Blob,
+    },
+    /// The backup holds records of these flows: the low halves of their fingerprints.
+    Held(Vec<u32>),
+    /// An opening or closing packet on its way to the upstream's steward.
+    Steward {
+        /// Upstream that the flow is on.
+        upstream: Name,
+        /// The caller's IP packet.
+        bytes: Blob,
+    },
+    /// An opening packet back to the home: the upstream can't take the flow, every live VM knows
+    /// its mark, and the home may choose another.
+    Refused {
+        /// The upstream.
+        upstream: Name,
+        /// The caller's IP packet.
+        bytes: Blob,
+    },
+    /// Asks for the record of a flow.
+    Ask {
+        /// Fingerprint of the flow.
+        fingerprint: u64,
+    },
+    /// What is recorded of a flow.
+    Answer {
+        /// Fingerprint of the flow.
+        fingerprint: u64,
+        /// Service and upstream, where there is a record.
+        found: Option<(Name, Name)>,
+    },
+    /// Records that a home or backup hands to a VM that became responsible.
+    Copy {
+        /// Number of the batch, for its acknowledgement.
+        batch: u32,
+        /// Service of the flows.
+        service: Name,
+        /// Upstream of the flows.
+        upstream: Name,
+        /// Fingerprints of the flows.
+        fingerprints: Vec<u64>,
+    },
+    /// A batch of [`Message::Copy`] arrived.
+    CopyHeld {
+        /// Number of the batch.
+        batch: u32,
+    },
+    /// The sender has copied all records that the crash of this VM made necessary to copy.
+    Moved(Name),
+    /// A step of a mark, repeated until each live VM answered.
+    Mark(Mark),
+    /// The step of a mark is done at the sender.
+    MarkDone(Mark),
+    /// Buckets in which the sender holds records that differ from the table, whole.
+    Pins {
+        /// Grows with each change.
+        version: u64,
+        /// Bits by service.
+        pins: Vec<(Name, Blob)>,
+    },
+    /// The sender applies the pins of this version.
+    PinsHeld {
+        /// The version.
+        version: u64,
+    },
+    /// Asks for all that bars direct forwarding.
+    Want,
+    /// All that bars direct forwarding, as far as the sender knows.
+    Known {
+        /// Marks that the sender applies.
+        marks: Vec<Mark>,
+        /// Its own pins.
+        pins: Vec<(Name, Blob)>,
+        /// Failure domains that it can't reach.
+        cut: Vec<Name>,
+    },
+    /// How many flows the sender is home of, for the steward.
+    Counts {
+        /// Service of the upstreams.
+        service: Name,
+        /// Flows by upstream.
+        flows: Vec<(Name, u32)>,
+    },
+}
+
+/// A mark of an upstream that can't take new flows: later packets of its buckets go through homes.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Mark {
+    /// Service of the upstream.
+    pub service: Name,
+    /// The upstream.
+    pub upstream: Name,
+    /// Grows with each mark of the upstream.
+    pub epoch: u64,
+    /// What is to be done, or was done.
+    pub step: Step,
+}
+
+/// Steps in the life of a mark.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum Step {
+    /// Later packets of the upstream's buckets go through homes from now on.
+    Set,
+    /// Flows that homes placed elsewhere have ended, or their buckets are pinned everywhere.
+    Clear,
+    /// The mark ends.
+    Unset,
+}
--- /dev/null
+++ b/crates/policy/src/flow/route.rs
@@ -0,0 +1,290 @@
+//! What a VM derives from the configuration for one service: the choices of the retained
+//! generations, and for which buckets it may forward later packets without asking the home.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+};
+
+use model::{
+    config::{Config, DomainState, Service as Settings, Stage},
+    name::Name,
+};
+
+use super::table::{self, Table, bucket};
+use crate::time::Instant;
+
+/// Position of an upstream in [`Service::upstreams`] that stands for none.
+const NO_UPSTREAM: u16 = u16::MAX;
+
+/// An upstream that flows may be on, also after operators have drained it.
+#[derive(Debug, Clone)]
+pub(super) struct Upstream {
+    /// Its name.
+    pub(super) name: Name,
+    /// Its failure domain.
+    pub(super) domain: Name,
+    /// Where it takes packets of flows.
+    pub(super) address: SocketAddr,
+    /// Whether operators have taken its failure domain out.
+    pub(super) is_out: bool,
+    /// Until when the home passes it over, since its steward refused a flow.
+    pub(super) refused_until: Instant,
+}
+
+/// A retained generation with its choices.
+#[derive(Debug, Clone)]
+pub(super) struct Generation {
+    /// Its number.
+    pub(super) number: u64,
+    /// Whether homes choose by it.
+    pub(super) stage: Stage,
+    /// Weights of its upstreams.
+    pub(super) weights: BTreeMap<Name, u32>,
+    /// Since when this VM has seen it active.
+    pub(super) active_since: Option<Instant>,
+    /// Position in [`Service::upstreams`] by bucket.
+    choices: Vec<u16>,
+}
+
+impl Generation {
+    /// Position of the upstream that it chooses for a fingerprint.
+    pub(super) fn choice(&self, fingerprint: u64) -> Option<u16> {
+        self.choices
+            .get(bucket(fingerprint, self.choices.len()))
+            .copied()
+            .filter(|position| *position != NO_UPSTREAM)
+    }
+}
+
+/// What bars direct forwarding to an upstream or a bucket of one service.
+#[derive(Debug, Default)]
+pub(super) struct Bar {
+    /// Positions of upstreams that are marked.
+    pub(super) marked: BTreeSet<u16>,
+    /// Failure domains that can't be reached, or could not until lately.
+    pub(super) cut: BTreeSet<Name>,
+    /// Buckets in which flows with records remain, one bit each.
+    pub(super) pinned: Vec<u8>,
+}
+
+/// One service as this VM routes it.
+#[derive(Debug)]
+pub(super) struct Service {
+    /// Its name.
+    pub(super) name: Name,
+    /// Time without a packet after which a flow counts as ended, in milliseconds.
+    pub(super) idle_ms: u64,
+    /// Whether the configuration still has it.
+    pub(super) is_listed: bool,
+    /// Retained generations, oldest first.
+    pub(super) generations: Vec<Generation>,
+    /// Every upstream that was ever in the configuration. Invariant: positions never change.
+    pub(super) upstreams: Vec<Upstream>,
+    /// Oldest generation that flows known here need once every VM holds this VM's pins.
+    /// Invariant: never falls.
+    pub(super) candidate: u64,
+    /// Oldest generation that this VM reports as needed. Invariant: at most `candidate`.
+    pub(super) keep: u64,
+    /// Position by bucket of the upstream that any VM may forward to; [`NO_UPSTREAM`] where later
+    /// packets go through the home.
+    direct: Vec<u16>,
+}
+
+impl Service {
+    pub(super) fn new(name: &Name) -> Self {
+        Self {
+            name: name.clone(),
+            idle_ms: 0,
+            is_listed: true,
+            generations: Vec::new(),
+            upstreams: Vec::new(),
+            candidate: 0,
+            keep: 0,
+            direct: Vec::new(),
+        }
+    }
+
+    /// Takes over the configuration of the service; `refresh` must follow.
+    pub(super) fn update(&mut self, now: Instant, config: &Config, settings: &Settings) {
+        self.idle_ms = u64::from(settings.idle_ms);
+        for (name, upstream) in &settings.upstreams {
+            let position = self.position_or_insert(name, upstream);
+            let known = &mut self.upstreams[usize::from(position)];
+            known.domain = upstream.domain.clone();
+            known.address = upstream.flow_address;
+        }
+        for upstream in &mut self.upstreams {
+            let domain = config.domains.get(&upstream.domain);
+            upstream.is_out = domain.is_some_and(|d| d.state == DomainState::Out);
+        }
+        let mut old = std::mem::take(&mut self.generations);
+        for wanted in &settings.generations {
+            let same = old
+                .iter()
+                .position(|g| g.number == wanted.number && g.weights == wanted.weights);
+            let mut generation = match same {
+                Some(at) => old.swap_remove(at),
+                None => self.derive(wanted.number, &wanted.weights),
+            };
+            generation.stage = wanted.stage;
+            if wanted.stage == Stage::Active && generation.active_since.is_none() {
+                generation.active_since = Some(now);
+            }
+            self.generations.push(generation);
+        }
+        let first = self.generations.first().map_or(0, |g| g.number);
+        self.candidate = self.candidate.max(first);
+        self.keep = self.keep.max(first);
+    }
+
+    fn derive(&self, number: u64, weights: &BTreeMap<Name, u32>) -> Generation {
+        let table = Table::new(weights);
+        let keys = (0..table.len()).map(|b| u64::try_from(b).unwrap_or(0));
+        let choices = keys
+            .map(|key| table.choice(key).and_then(|name| self.position(name)))
+            .map(|position| position.unwrap_or(NO_UPSTREAM))
+            .collect();
+        Generation {
+            number,
+            stage: Stage::Prepared,
+            weights: weights.clone(),
+            active_since: None,
+            choices,
+        }
+    }
+
+    fn position_or_insert(&mut self, name: &Name, upstream: &model::config::Upstream) -> u16 {
+        if let Some(position) = self.position(name) {
+            return position;
+        }
+        self.upstreams.push(Upstream {
+            name: name.clone(),
+            domain: upstream.domain.clone(),
+            address: upstream.flow_address,
+            is_out: false,
+            refused_until: Instant::ZERO,
+        });
+        u16::try_from(self.upstreams.len() - 1).unwrap_or(NO_UPSTREAM)
+    }
+
+    /// Position of the upstream with this name.
+    pub(super) fn position(&self, name: &Name) -> Option<u16> {
+        let found = self.upstreams.iter().position(|u| u.name == *name)?;
+        u16::try_from(found).ok()
+    }
+
+    /// The upstream at a position.
+    pub(super) fn upstream(&self, position: u16) -> Option<&Upstream> {
+        self.upstreams.get(usize::from(position))
+    }
+
+    /// Works out anew which buckets are direct.
+    pub(super) fn refresh(&mut self, bar: &Bar) {
+        let buckets = self.bucket_count();
+        self.direct.clear();
+        for number in 0..buckets {
+            let choice = agreed(&self.generations, u64::try_from(number).unwrap_or(0));
+            let direct = choice.filter(|p| self.is_open(*p, bar) && !is_set(&bar.pinned, number));
+            self.direct.push(direct.unwrap_or(NO_UPSTREAM));
+        }
+    }
+
+    /// Number of buckets of the largest retained generation.
+    pub(super) fn bucket_count(&self) -> usize {
+        let sizes = self.generations.iter().map(|g| g.choices.len());
+        sizes.max().unwrap_or(0)
+    }
+
+    fn is_open(&self, position: u16, bar: &Bar) -> bool {
+        let Some(upstream) = self.upstream(position) else {
+            return false;
+        };
+        !upstream.is_out && !bar.marked.contains(&position) && !bar.cut.contains(&upstream.domain)
+    }
+
+    /// The upstream that later packets go to from any VM, where the bucket is direct.
+    pub(super) fn direct(&self, fingerprint: u64) -> Option<u16> {
+        self.direct
+            .get(bucket(fingerprint, self.direct.len()))
+            .copied()
+            .filter(|position| *position != NO_UPSTREAM)
+    }
+
+    /// Notes that flows known here need no generation before the one at `first`.
+    pub(super) fn spare_before(&mut self, first: usize) {
+        let number = self.generations.get(first).map_or(0, |g| g.number);
+        self.candidate = self.candidate.max(number);
+    }
+
+    /// The retained generations without those before `candidate`.
+    fn needed(&self) -> &[Generation] {
+        let first = self
+            .generations
+            .iter()
+            .position(|g| g.number >= self.candidate);
+        self.generations
+            .get(first.unwrap_or(0)..)
+            .unwrap_or_default()
+    }
+
+    /// The choice of all needed generations, where they agree.
+    pub(super) fn settled(&self, fingerprint: u64) -> Option<u16> {
+        agreed(self.needed(), fingerprint)
+    }
+
+    /// The choice of the oldest needed generation.
+    pub(super) fn next_base(&self, fingerprint: u64) -> Option<u16> {
+        self.needed().first()?.choice(fingerprint)
+    }
+
+    /// The upstream of flows without a record: the choice of the oldest retained generation.
+    pub(super) fn base(&self, fingerprint: u64) -> Option<u16> {
+        let oldest = self.generations.first()?;
+        if oldest.stage != Stage::Active {
+            return None;
+        }
+        oldest.choice(fingerprint)
+    }
+
+    /// The newest generation that homes choose by.
+    pub(super) fn active(&self) -> Option<&Generation> {
+        let mut newest_first = self.generations.iter().rev();
+        newest_first.find(|g| g.stage == Stage::Active)
+    }
+
+    /// Upstreams for a new flow in the order in which they are tried.
+    pub(super) fn candidates(&self, fingerprint: u64) -> Vec<u16> {
+        let Some(active) = self.active() else {
+            return Vec::new();
+        };
+        let first = active.choice(fingerprint);
+        let order = table::order(&active.weights, fingerprint);
+        let rest = order.into_iter().filter_map(|name| self.position(name));
+        let rest = rest.filter(|position| Some(*position) != first);
+        first.into_iter().chain(rest).collect()
+    }
+}
+
+/// The choice of all given generations, where they agree.
+fn agreed(generations: &[Generation], fingerprint: u64) -> Option<u16> {
+    let choice = generations.first()?.choice(fingerprint)?;
+    let agree = generations
+        .iter()
+        .all(|g| g.choice(fingerprint) == Some(choice));
+    agree.then_some(choice)
+}
+
+/// Whether the bit of a bucket is set.
+pub(super) fn is_set(bits: &[u8], bucket: usize) -> bool {
+    bits.get(bucket / 8)
+        .is_some_and(|byte| byte & (1 << (bucket % 8)) != 0)
+}
+
+/// Sets the bit of a bucket.
+pub(super) fn set(bits: &mut Vec<u8>, bucket: usize) {
+    if bits.len() <= bucket / 8 {
+        bits.resize(bucket / 8 + 1, 0);
+    }
+    bits[bucket / 8] |= 1 << (bucket % 8);
+}
--- a/crates/policy/src/io.rs
+++ b/crates/policy/src/io.rs
@@ -134,6 +134,9 @@
     pub view: &'a View,
     /// The configuration by which to decide.
     pub config: &'a Config,
+    /// Whether the configuration was confirmed since this process last stood still for longer
+    /// than its lease. Without it, nothing is decided by this VM's own knowledge.
+    pub fresh: bool,
 }
 
 impl Context<'_> {
--- a/crates/policy/src/node.rs
+++ b/crates/policy/src/node.rs
@@ -9,6 +9,7 @@
 use model::{
     announce::Announcement,
     config::{Config, DomainState},
+    delivery,
     name::Name,
 };
 
@@ -64,12 +65,16 @@
     load: Load,
     requests: Requests,
     stopping: bool,
+    /// Whether the configuration was confirmed since this process last stood still.
+    fresh: bool,
+    /// When the last event came.
+    last_event: Instant,
 }
 
 impl Node {
     /// Starts the machines.
     #[must_use]
-    pub fn new(settings: Settings, _now: Instant) -> Self {
+    pub fn new(settings: Settings, now: Instant) -> Self {
         let me = Vm::new(settings.name.clone(), settings.domain, settings.address);
         Self {
             view: View::new(me),
@@ -79,6 +84,8 @@
             load: Load::default(),
             requests: Requests::default(),
             stopping: false,
+            fresh: true,
+            last_event: now,
         }
     }
 
@@ -98,7 +105,8 @@
     #[must_use]
     pub fn needed(&self, now: Instant) -> BTreeMap<Name, u64> {
         let config = self.config.clone();
-        self.flows.needed(context(now, &self.view, &config))
+        self.flows
+            .needed(context(now, &self.view, &config, self.fresh))
     }
 
     /// Whether the process may exit after [`Event::Stop`].
@@ -112,12 +120,16 @@
 
     /// Handles one event; what is to be done is added to `out`, in order.
     pub fn handle(&mut self, now: Instant, event: Event, out: &mut Vec<Action>) {
+        let still_ms = now.ms_since(std::mem::replace(&mut self.last_event, now));
+        if still_ms > delivery::LEASE_MS {
+            self.fresh = false;
+        }
         let config = self.config.clone();
-        let context = context(now, &self.view, &config);
+        let context = context(now, &self.view, &config, self.fresh);
         match event {
             Event::Tick => self.on_tick(now, out),
             Event::Config(new) => self.on_config(now, new, out),
-            Event::ControlCurrent => {}
+            Event::ControlCurrent => self.fresh = true,
             Event::Announce(announcement) => {
                 out.push(Action::Report(announcement.clone()));
                 self.on_announce(now, announcement, out);
@@ -146,7 +158,7 @@
             self.on_view(now, out);
         }
         let config = self.config.clone();
-        let context = context(now, &self.view, &config);
+        let context = context(now, &self.view, &config, self.fresh);
         self.load.on_tick(context, out);
         self.flows.on_tick(context, &mut self.load, out);
         self.requests.on_tick(context, &mut self.load, out);
@@ -158,6 +170,7 @@
         if !same_cluster || new.index <= self.config.index {
             return;
         }
+        self.fresh = true;
         let old = std::mem::replace(&mut self.config, new.clone());
         let excluded: BTreeSet<Name> = new
             .domains
@@ -170,7 +183,7 @@
             self.view.out = excluded;
             self.view.number += 1;
         }
-        let context = context(now, &self.view, &new);
+        let context = context(now, &self.view, &new, self.fresh);
         self.load.on_config(context, &old, out);
         self.flows.on_config(context, &old, out);
         self.requests.on_config(context, &old, out);
@@ -181,7 +194,7 @@
 
     fn on_view(&mut self, now: Instant, out: &mut Vec<Action>) {
         let config = self.config.clone();
-        let context = context(now, &self.view, &config);
+        let context = context(now, &self.view, &config, self.fresh);
         self.load.on_view(context, out);
         self.flows.on_view(context, out);
         self.requests.on_view(context, &mut self.load, out);
@@ -189,7 +202,7 @@
 
     fn on_announce(&mut self, now: Instant, announcement: Announcement, out: &mut Vec<Action>) {
         let config = self.config.clone();
-        let context = context(now, &self.view, &config);
+        let context = context(now, &self.view, &config, self.fresh);
         let steward = self
             .view
             .steward(&announcement.service, &announcement.domain);
@@ -225,7 +238,7 @@
         };
         let vm = vm.clone();
         let config = self.config.clone();
-        let context = context(now, &self.view, &config);
+        let context = context(now, &self.view, &config, self.fresh);
         match message {
             Message::Membership(_) => {}
             Message::Flow(message) => {
@@ -247,6 +260,11 @@
     }
 }
 
-fn context<'a>(now: Instant, view: &'a View, config: &'a Config) -> Context<'a> {
-    Context { now, view, config }
+fn context<'a>(now: Instant, view: &'a View, config: &'a Config, fresh: bool) -> Context<'a> {
+    Context {
+        now,
+        view,
+        config,
+        fresh,
+    }
 }
