Test flows while VMs and failure domains fail

Deaths of home, backup and both, joins, a cut-off domain, a frozen VM and the same fault twice, on an in-memory network with seeded loss, delay and uneven views. Found and mended on the way: a VM that starts forwarded by the table before it had found a peer; after a partition a home did not ask the VMs of the far side; VMs that were cut off counted as having lost their records when they came back.

During a partition a VM can't know of flows that were opened on the other side, so the test hands packets across only once views have healed.

--- a/crates/policy/src/flow.rs
+++ b/crates/policy/src/flow.rs
@@ -46,6 +46,9 @@
 use record::{Record, Records};
 use route::{Bar, Service, Upstream};
 
+/// Time after which a process that has found no peer counts as alone, in milliseconds.
+const ALONE_MS: u64 = 3_000;
+
 /// Which way of keeping flows together is used; all but the default serve comparison.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Mode {
@@ -79,6 +82,8 @@
     marks: mark::Marks,
     pins: pin::Pins,
     sweep: sweep::Sweep,
+    /// Since when every record is remembered.
+    remembers_since: Option<Instant>,
     /// When anything last happened.
     last_event: Option<Instant>,
 }
@@ -180,7 +185,7 @@
             Message::Pins { version, pins } => self.on_pins(turn, from, version, &pins),
             Message::PinsHeld { version } => self.pins.on_held(&from.name, version),
             Message::Want => self.on_want(turn, from),
-            Message::Known { marks, pins, cut } => self.on_known(turn, from, &marks, &pins, &cut),
+            Message::Known(known) => self.on_known(turn, from, &known),
             Message::Counts { service, flows } => {
                 for (upstream, count) in flows {
                     turn.load
@@ -267,10 +272,12 @@
         self.marks.count()
     }
 
-    /// Whether this VM has heard from each peer what bars direct forwarding.
+    /// Whether this VM has heard from each peer what bars direct forwarding; one that has found no
+    /// peer counts as alone after a while.
     #[must_use]
-    pub fn is_synced(&self) -> bool {
-        self.pins.is_synced()
+    pub fn is_synced(&self, now: Instant) -> bool {
+        let is_alone = self.memory_ms(now) >= ALONE_MS;
+        self.pins.is_synced() && (self.handover.has_view() || is_alone)
     }
 
     /// Share of the buckets of a service that later packets pass without the home.
@@ -315,6 +322,19 @@
         Some(Target { service, upstream })
     }
 
+    /// For how long every record is remembered, in milliseconds.
+    fn memory_ms(&self, now: Instant) -> u64 {
+        self.remembers_since.map_or(0, |since| now.ms_since(since))
+    }
+
+    /// The upstream that any VM may send later packets of a flow to, where this VM knows one.
+    fn direct(&self, context: Context<'_>, service: u16, fingerprint: u64) -> Option<u16> {
+        if !self.is_synced(context.now) {
+            return None;
+        }
+        self.service(service)?.direct(fingerprint)
+    }
+
     /// Works out anew which buckets are direct, after anything changed that bars some.
     fn refresh(&mut self, context: Context<'_>) {
         for position in 0..self.services.len() {
@@ -345,12 +365,14 @@
     /// may have taken over its flows meanwhile.
     fn check_clock(&mut self, turn: &mut Turn<'_, '_>) {
         let now = turn.now();
+        self.remembers_since.get_or_insert(now);
         let last = self.last_event.replace(now);
         let stood_still = last.is_some_and(|last| now.ms_since(last) > model::delivery::LEASE_MS);
         if stood_still {
             self.records.clear();
             self.admitted.clear();
             self.misses.clear();
+            self.remembers_since = Some(now);
             self.rejoin(turn.context);
         }
     }
--- a/crates/policy/src/flow/handover.rs
+++ b/crates/policy/src/flow/handover.rs
@@ -42,6 +42,9 @@
 /// Time after which a batch is sent again, in milliseconds.
 const REPEAT_MS: u64 = 500;
 
+/// Longest time between a crash and the moment at which others see it, in milliseconds.
+const DETECTION_MS: u64 = 10_000;
+
 /// How often a VM says that it has copied what the loss of another made necessary.
 const MOVED_REPEATS: u8 = 3;
 
@@ -78,8 +81,8 @@
     view: View,
     /// When it ended.
     ended: Instant,
-    /// Its VMs that have crashed since.
-    lost: BTreeSet<Name>,
+    /// Its VMs that have gone without notice since, and when that was seen.
+    lost: BTreeMap<Name, Instant>,
     /// Pairs of a lost VM and one that said that it has copied what the loss made necessary.
     moved: BTreeSet<(Name, Name)>,
 }
@@ -93,6 +96,11 @@
 }
 
 impl Handover {
+    /// Whether a view was ever set.
+    pub(super) fn has_view(&self) -> bool {
+        self.current.is_some()
+    }
+
     /// Whether nothing is left to copy.
     pub(super) fn is_empty(&self) -> bool {
         self.queues.is_empty() && self.sent.is_empty()
@@ -124,7 +132,7 @@
         self.past.push(Past {
             view,
             ended: now,
-            lost: BTreeSet::new(),
+            lost: BTreeMap::new(),
             moved: BTreeSet::new(),
         });
         if self.past.len() > MAX_PAST {
@@ -156,12 +164,12 @@
     }
 
     /// Notes which VMs have crashed since each earlier view.
-    fn note_losses(&mut self, old: &View, new: &View) {
+    fn note_losses(&mut self, now: Instant, old: &View, new: &View) {
         let is_crash = |vm: &&Vm| new.get(&vm.name).is_none() && !vm.leaving;
         for vm in old.vms.values().filter(is_crash) {
             for past in &mut self.past {
                 if past.view.get(&vm.name).is_some() {
-                    past.lost.insert(vm.name.clone());
+                    past.lost.insert(vm.name.clone(), now);
                 }
             }
             self.losses
@@ -176,6 +184,15 @@
         }
     }
 
+    /// Notes that a VM is back that remembers everything since a moment: it was cut off rather than
+    /// started anew if that was well before it was missed.
+    pub(super) fn on_return(&mut self, vm: &Name, remembers_since: Instant) {
+        for past in &mut self.past {
+            past.lost
+                .retain(|name, at| name != vm || at.ms_since(remembers_since) < DETECTION_MS);
+        }
+    }
+
     fn push(&mut self, vm: &Name, target: Target, fingerprint: u64) {
         let queue = self.queues.entry(vm.clone()).or_default();
         queue.entry(target).or_default().push(fingerprint);
@@ -226,6 +243,18 @@
     }
 }
 
+/// The view that VMs had on the far side of a partition that has healed: whoever was responsible
+/// there may have the records of flows that were opened there.
+fn far_side(old: &View, new: &View) -> Option<View> {
+    let is_healed = |vm: &Vm| !old.reaches(&vm.domain);
+    if !new.vms.values().any(is_healed) {
+        return None;
+    }
+    let mut view = new.clone();
+    view.vms.retain(|name, _| old.get(name).is_none());
+    Some(view)
+}
+
 impl Past {
     fn has_lost(&self, fingerprint: u64) -> bool {
         if self.lost.is_empty() {
@@ -234,7 +263,7 @@
         let Some(home) = self.view.home(fingerprint) else {
             return false;
         };
-        let is_lost = |vm: &Vm| self.lost.contains(&vm.name);
+        let is_lost = |vm: &Vm| self.lost.contains_key(&vm.name);
         let Some(backup) = self.view.backup(fingerprint) else {
             return is_lost(home);
         };
@@ -258,7 +287,10 @@
             return;
         }
         self.handover.remember(old.clone(), now);
-        self.handover.note_losses(&old, &new);
+        if let Some(far_side) = far_side(&old, &new) {
+            self.handover.remember(far_side, now);
+        }
+        self.handover.note_losses(now, &old, &new);
         if self.mode != Mode::Positive {
             return;
         }
--- a/crates/policy/src/flow/message.rs
+++ b/crates/policy/src/flow/message.rs
@@ -93,14 +93,7 @@
     /// Asks for all that bars direct forwarding.
     Want,
     /// All that bars direct forwarding, as far as the sender knows.
-    Known {
-        /// Marks that the sender applies.
-        marks: Vec<Mark>,
-        /// Its own pins.
-        pins: Vec<(Name, Blob)>,
-        /// Failure domains that it can't reach.
-        cut: Vec<Name>,
-    },
+    Known(Known),
     /// How many flows the sender is home of, for the steward.
     Counts {
         /// Service of the upstreams.
@@ -133,3 +126,16 @@
     /// The mark ends.
     Unset,
 }
+
+/// All that bars direct forwarding, as far as one VM knows.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Known {
+    /// Marks that it applies.
+    pub marks: Vec<Mark>,
+    /// Its own pins.
+    pub pins: Vec<(Name, Blob)>,
+    /// Failure domains that it can't reach.
+    pub cut: Vec<Name>,
+    /// For how long it has remembered every record, in milliseconds.
+    pub memory_ms: u64,
+}
--- a/crates/policy/src/flow/miss.rs
+++ b/crates/policy/src/flow/miss.rs
@@ -54,9 +54,8 @@
     ///
     /// Returns false where there is nobody to ask.
     pub(super) fn ask(&mut self, turn: &mut Turn<'_, '_>, packet: &Placed) -> bool {
-        let service = self.service(packet.service);
-        let is_direct = service.is_some_and(|s| s.direct(packet.fingerprint).is_some());
-        if is_direct || self.mode != Mode::Positive {
+        let direct = self.direct(turn.context, packet.service, packet.fingerprint);
+        if direct.is_some() || self.mode != Mode::Positive {
             return false;
         }
         if let Some(miss) = self.misses.0.get_mut(&packet.fingerprint) {
--- a/crates/policy/src/flow/packet.rs
+++ b/crates/policy/src/flow/packet.rs
@@ -73,10 +73,10 @@
                 return Some(record.target());
             }
         }
-        if !self.pins.is_synced() || self.is_refresh_due(turn.now(), packet) {
+        if self.is_refresh_due(turn.now(), packet) {
             return None;
         }
-        let upstream = self.service(packet.service)?.direct(packet.fingerprint)?;
+        let upstream = self.direct(turn.context, packet.service, packet.fingerprint)?;
         Some(Target {
             service: packet.service,
             upstream,
@@ -167,8 +167,9 @@
 
     fn choose(&self, turn: &Turn<'_, '_>, packet: &Placed) -> Option<u16> {
         let service = self.service(packet.service)?;
-        if let Some(upstream) = service.direct(packet.fingerprint) {
-            return Some(upstream);
+        let direct = self.direct(turn.context, packet.service, packet.fingerprint);
+        if direct.is_some() {
+            return direct;
         }
         let takes_flows = |position: &u16| {
             service.upstream(*position).is_some_and(|u| {
@@ -187,8 +188,8 @@
         upstream: u16,
         stage: Stage,
     ) -> Record {
-        let service = self.service(packet.service);
-        let is_direct = service.is_some_and(|s| s.direct(packet.fingerprint) == Some(upstream));
+        let direct = self.direct(turn.context, packet.service, packet.fingerprint);
+        let is_direct = direct == Some(upstream);
         let now = Moment::from(turn.now());
         Record {
             seen: now,
@@ -207,7 +208,7 @@
     /// Handles a later packet of a flow that nobody has a record of.
     fn adopt(&mut self, turn: &mut Turn<'_, '_>, packet: Placed) {
         let service = self.service(packet.service);
-        let direct = service.and_then(|s| s.direct(packet.fingerprint));
+        let direct = self.direct(turn.context, packet.service, packet.fingerprint);
         let base = service.and_then(|s| s.base(packet.fingerprint));
         let may_be_lost =
             self.mode == Mode::Positive && self.handover.may_be_lost(packet.fingerprint);
@@ -242,8 +243,8 @@
         }
         record.seen = turn.now().into();
         record.is_home = true;
-        let service = self.service(record.service);
-        let is_direct = service.is_some_and(|s| s.direct(packet.fingerprint).is_some());
+        let direct = self.direct(turn.context, record.service, packet.fingerprint);
+        let is_direct = direct == Some(record.upstream);
         if !is_direct && !record.is_positive && self.mode == Mode::Positive {
             record.is_positive = true;
             record.is_confirmed = false;
@@ -495,8 +496,8 @@
         }
         let record = self.records.get(&packet.fingerprint);
         let waits = record.is_some_and(|r| r.stage == Stage::Opening && r.target() == refused);
-        let service = self.service(packet.service);
-        let is_direct = service.is_some_and(|s| s.direct(packet.fingerprint).is_some());
+        let direct = self.direct(turn.context, packet.service, packet.fingerprint);
+        let is_direct = direct.is_some();
         if waits && !is_direct && turn.context.fresh {
             self.open(turn, packet);
         } else {
--- a/crates/policy/src/flow/pin.rs
+++ b/crates/policy/src/flow/pin.rs
@@ -5,13 +5,17 @@
 //! that they displaced go on for hours. A VM that joins asks every peer for its pins and marks
 //! before it forwards anything directly.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 use model::name::Name;
 use wire::blob::Blob;
 
 use super::{
     Flows, Message, Target, Turn,
+    message::Known,
     route::{is_set, set},
     table::bucket,
 };
@@ -233,28 +237,24 @@
         }
         self.pin(turn.context);
         let cut = self.unreachable(turn.context).into_iter().collect();
-        let message = Message::Known {
+        let known = Known {
             marks: self.known_marks(),
             pins: self.my_pins(),
             cut,
+            memory_ms: self.memory_ms(turn.now()),
         };
-        turn.send(from, message);
+        turn.send(from, Message::Known(known));
     }
 
     /// Takes what a peer said.
-    pub(super) fn on_known(
-        &mut self,
-        turn: &mut Turn<'_, '_>,
-        from: &Vm,
-        marks: &[super::message::Mark],
-        pins: &[(Name, Blob)],
-        cut: &[Name],
-    ) {
-        self.take_pins(from, pins);
-        self.take_marks(turn.context, from, marks);
+    pub(super) fn on_known(&mut self, turn: &mut Turn<'_, '_>, from: &Vm, known: &Known) {
+        self.take_pins(from, &known.pins);
+        self.take_marks(turn.context, from, &known.marks);
+        let memory = Duration::from_millis(known.memory_ms);
+        self.handover.on_return(&from.name, turn.now() - memory);
         self.pins.unsynced.remove(&from.name);
         for (domain, asked) in &mut self.pins.healing {
-            if !cut.contains(domain) {
+            if !known.cut.contains(domain) {
                 asked.remove(&from.name);
             }
         }
--- a/crates/policy/tests/flow_support/mod.rs
+++ b/crates/policy/tests/flow_support/mod.rs
@@ -1,6 +1,11 @@
 //! An in-memory network of flow machines with a fabric, callers and a configuration, seeded.
 
-#![allow(dead_code, unreachable_pub, missing_docs)]
+#![expect(clippy::unwrap_used, reason = "a failure here fails the test")]
+#![allow(
+    dead_code,
+    unreachable_pub,
+    reason = "each test file uses another part"
+)]
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -429,6 +434,18 @@
         key.fingerprint()
     }
 
+    /// Home of a flow, as the first VM sees it.
+    pub fn home(&self, flow: usize) -> Name {
+        let view = &self.machines.values().next().unwrap().view;
+        view.home(Self::fingerprint(flow)).unwrap().name.clone()
+    }
+
+    /// Backup of a flow, as the first VM sees it.
+    pub fn backup(&self, flow: usize) -> Name {
+        let view = &self.machines.values().next().unwrap().view;
+        view.backup(Self::fingerprint(flow)).unwrap().name.clone()
+    }
+
     /// Hands a packet to any live VM.
     pub fn hand(&mut self, flow: usize, segment: Segment) {
         let live: Vec<Name> = self
