--- /dev/null
+++ b/crates/daemon/src/args.rs
@@ -0,0 +1,62 @@
+//! The command line that both daemons share.
+
+use std::path::PathBuf;
+
+use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+
+/// The arguments of a daemon.
+#[must_use]
+pub fn command(name: &'static str, about: &'static str) -> Command {
+    Command::new(name)
+        .version(env!("CARGO_PKG_VERSION"))
+        .about(about)
+        .arg(
+            Arg::new("settings")
+                .long("settings")
+                .short('s')
+                .value_name("FILE")
+                .required(true)
+                .value_parser(value_parser!(PathBuf))
+                .help("Read settings from this YAML file"),
+        )
+        .arg(
+            Arg::new("check-settings")
+                .long("check-settings")
+                .action(ArgAction::SetTrue)
+                .help("Check the settings, print the first fault or \"ok\", and exit"),
+        )
+        .arg(
+            Arg::new("log")
+                .long("log")
+                .value_name("LEVEL")
+                .value_parser(["error", "warn", "info", "debug", "trace"])
+                .default_value("info")
+                .help("Log this level and those above it"),
+        )
+        .after_help(
+            "SIGTERM and SIGINT stop the process gracefully: it takes no new work, finishes what \
+             is under way and exits with 0.",
+        )
+}
+
+/// Path of the settings file.
+#[must_use]
+pub fn settings_path(matches: &ArgMatches) -> PathBuf {
+    let path: Option<&PathBuf> = matches.get_one("settings");
+    path.cloned().unwrap_or_default()
+}
+
+/// Whether only to check the settings.
+#[must_use]
+pub fn only_checks(matches: &ArgMatches) -> bool {
+    matches.get_flag("check-settings")
+}
+
+/// Level of the log.
+#[must_use]
+pub fn log_level(matches: &ArgMatches) -> log::LevelFilter {
+    let level: Option<&String> = matches.get_one("log");
+    level
+        .and_then(|level| level.parse().ok())
+        .unwrap_or(log::LevelFilter::Info)
+}
--- /dev/null
+++ b/crates/daemon/src/http.rs
@@ -0,0 +1,122 @@
+//! Metrics, health and the state dump over HTTP.
+//!
+//! - `GET /metrics`: Prometheus text format.
+//! - `GET /health`: 200 and `ok` once the process is in service, 503 with the reason before.
+//! - `GET /dump`: the process's whole state as JSON.
+
+use std::{net::SocketAddr, time::Duration};
+
+use displaydoc::Display;
+use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
+use ntex::{
+    time::Seconds,
+    web::{self, App, HttpResponse},
+};
+use tokio::sync::{mpsc, oneshot};
+use tokio_util::sync::CancellationToken;
+
+/// Longest wait for the process to answer a question about itself.
+const ANSWER_WAIT: Duration = Duration::from_secs(2);
+
+/// A question to the task that owns the state.
+#[derive(Debug)]
+pub enum Question {
+    /// The whole state as JSON.
+    Dump(oneshot::Sender<serde_json::Value>),
+    /// Whether the process is in service; the reason where it isn't.
+    Health(oneshot::Sender<Result<(), String>>),
+}
+
+/// Where questions go.
+pub type Questions = mpsc::Sender<Question>;
+
+/// Why the HTTP server can't run.
+#[derive(Debug, Display)]
+pub enum Error {
+    /// HTTP can't listen at {0}: {1}; choose another `http_listen`
+    Listen(SocketAddr, std::io::Error),
+    /// metrics can't be recorded: {0}
+    Recorder(String),
+}
+
+impl std::error::Error for Error {}
+
+/// Starts to record metrics in this process.
+///
+/// # Errors
+///
+/// Fails when the process records already.
+pub fn record_metrics() -> Result<PrometheusHandle, Error> {
+    PrometheusBuilder::new()
+        .install_recorder()
+        .map_err(|e| Error::Recorder(e.to_string()))
+}
+
+/// Serves until `token` is cancelled.
+///
+/// # Errors
+///
+/// Fails when the address can't be listened at.
+pub async fn serve(
+    listen: SocketAddr,
+    metrics: PrometheusHandle,
+    questions: Questions,
+    token: CancellationToken,
+) -> Result<(), Error> {
+    let server = web::server(async move || {
+        App::new()
+            .state(metrics.clone())
+            .state(questions.clone())
+            .service((
+                web::resource("/metrics").route(web::get().to(get_metrics)),
+                web::resource("/health").route(web::get().to(get_health)),
+                web::resource("/dump").route(web::get().to(get_dump)),
+            ))
+    })
+    .workers(1)
+    .disable_signals()
+    .shutdown_timeout(Seconds(1))
+    .bind(listen)
+    .map_err(|e| Error::Listen(listen, e))?
+    .run();
+    token.cancelled().await;
+    server.stop(true).await;
+    Ok(())
+}
+
+async fn get_metrics(metrics: web::types::State<PrometheusHandle>) -> HttpResponse {
+    HttpResponse::Ok()
+        .content_type("text/plain; version=0.0.4")
+        .body(metrics.render())
+}
+
+async fn get_health(questions: web::types::State<Questions>) -> HttpResponse {
+    match ask(&questions, Question::Health).await {
+        Some(Ok(())) => HttpResponse::Ok().body("ok\n"),
+        Some(Err(reason)) => HttpResponse::ServiceUnavailable().body(format!("{reason}\n")),
+        None => no_answer(),
+    }
+}
+
+async fn get_dump(questions: web::types::State<Questions>) -> HttpResponse {
+    match ask(&questions, Question::Dump).await {
+        Some(dump) => HttpResponse::Ok()
+            .content_type("application/json")
+            .body(dump.to_string()),
+        None => no_answer(),
+    }
+}
+
+/// Asks the task that owns the state; `None` when it doesn't answer in time.
+pub async fn ask<T>(
+    questions: &Questions,
+    question: impl FnOnce(oneshot::Sender<T>) -> Question,
+) -> Option<T> {
+    let (answer, answered) = oneshot::channel();
+    questions.try_send(question(answer)).ok()?;
+    tokio::time::timeout(ANSWER_WAIT, answered).await.ok()?.ok()
+}
+
+fn no_answer() -> HttpResponse {
+    HttpResponse::ServiceUnavailable().body("the process is busy or stops: try again\n")
+}
