--- a/crates/policy/src/node.rs
+++ b/crates/policy/src/node.rs
@@ -16,7 +16,7 @@
     flow::Flows,
     io::{Action, Context, Counter, Event, Message},
     load::Load,
-    membership::Membership,
+    membership::{self, Membership},
     request::Requests,
     time::Instant,
     view::{View, Vm},
@@ -64,21 +64,30 @@
     load: Load,
     requests: Requests,
     stopping: bool,
+    /// When a control VM or a peer last confirmed that it has no newer configuration.
+    confirmed: Instant,
+    /// When a peer may next be asked for its configuration.
+    next_ask: Instant,
 }
 
+/// Time between two requests for a peer's configuration, in milliseconds.
+const ASK_CONFIG_MS: u64 = 200;
+
 impl Node {
     /// Starts the machines.
     #[must_use]
-    pub fn new(settings: Settings, _now: Instant) -> Self {
+    pub fn new(settings: Settings, now: Instant) -> Self {
         let me = Vm::new(settings.name.clone(), settings.domain, settings.address);
         Self {
-            view: View::new(me),
             config: Arc::new(Config::default()),
-            membership: Membership::new(&settings.name, settings.seeds),
+            membership: Membership::new(&me, settings.incarnation, settings.seeds, settings.seed),
+            view: View::new(me),
             flows: Flows::default(),
             load: Load::default(),
             requests: Requests::default(),
             stopping: false,
+            confirmed: now,
+            next_ask: now,
         }
     }
 
@@ -117,10 +126,10 @@
         match event {
             Event::Tick => self.on_tick(now, out),
             Event::Config(new) => self.on_config(now, new, out),
-            Event::ControlCurrent => {}
+            Event::ControlCurrent => self.confirmed = now,
             Event::Announce(announcement) => {
                 out.push(Action::Report(announcement.clone()));
-                self.on_announce(now, announcement, out);
+                self.on_announce(now, announcement, Hop::First, out);
             }
             Event::Packet(packet) => {
                 self.flows.on_packet(context, &mut self.load, packet, out);
@@ -135,16 +144,16 @@
             Event::Message { from, message } => self.on_message(now, from, message, out),
             Event::Stop => {
                 self.stopping = true;
-                self.flows.on_stop(context, out);
-                self.requests.on_stop(context, out);
+                self.membership.leave(&mut self.view, out);
+                self.on_view(now, out);
+                self.on_stop(now, out);
             }
         }
     }
 
     fn on_tick(&mut self, now: Instant, out: &mut Vec<Action>) {
-        if self.membership.on_tick(now, &mut self.view, out) {
-            self.on_view(now, out);
-        }
+        let change = self.membership.on_tick(now, &mut self.view, out);
+        self.on_membership(now, change, None, out);
         let config = self.config.clone();
         let context = context(now, &self.view, &config);
         self.load.on_tick(context, out);
@@ -152,6 +161,38 @@
         self.requests.on_tick(context, &mut self.load, out);
     }
 
+    fn on_membership(
+        &mut self,
+        now: Instant,
+        change: membership::Change,
+        from: Option<SocketAddr>,
+        out: &mut Vec<Action>,
+    ) {
+        if change.view {
+            self.on_view(now, out);
+        }
+        let (Some(from), Some(index)) = (from, change.peer_index) else {
+            return;
+        };
+        if index > self.config.index {
+            self.ask_config(now, from, out);
+        } else {
+            self.confirmed = now;
+        }
+    }
+
+    /// Asks a peer for its newer configuration, a few times a second at most.
+    fn ask_config(&mut self, now: Instant, from: SocketAddr, out: &mut Vec<Action>) {
+        if now < self.next_ask {
+            return;
+        }
+        self.next_ask = now.plus_ms(ASK_CONFIG_MS);
+        out.push(Action::Send {
+            to: from,
+            message: Message::WantConfig,
+        });
+    }
+
     /// Takes a configuration that is newer than this VM's own; an older one changes nothing.
     fn on_config(&mut self, now: Instant, new: Arc<Config>, out: &mut Vec<Action>) {
         let same_cluster = self.config.cluster == 0 || self.config.cluster == new.cluster;
@@ -159,6 +200,8 @@
             return;
         }
         let old = std::mem::replace(&mut self.config, new.clone());
+        self.confirmed = now;
+        self.membership.set_index(new.index);
         let excluded: BTreeSet<Name> = new
             .domains
             .iter()
@@ -179,6 +222,13 @@
         }
     }
 
+    fn on_stop(&mut self, now: Instant, out: &mut Vec<Action>) {
+        let config = self.config.clone();
+        let context = context(now, &self.view, &config);
+        self.flows.on_stop(context, out);
+        self.requests.on_stop(context, out);
+    }
+
     fn on_view(&mut self, now: Instant, out: &mut Vec<Action>) {
         let config = self.config.clone();
         let context = context(now, &self.view, &config);
@@ -187,7 +237,17 @@
         self.requests.on_view(context, &mut self.load, out);
     }
 
-    fn on_announce(&mut self, now: Instant, announcement: Announcement, out: &mut Vec<Action>) {
+    /// Passes an announcement on to the steward of the upstream.
+    ///
+    /// It is passed on once: two VMs that each take the other for the steward must not send it to
+    /// and fro, and the upstream announces itself again soon.
+    fn on_announce(
+        &mut self,
+        now: Instant,
+        announcement: Announcement,
+        hop: Hop,
+        out: &mut Vec<Action>,
+    ) {
         let config = self.config.clone();
         let context = context(now, &self.view, &config);
         let steward = self
@@ -195,11 +255,11 @@
             .steward(&announcement.service, &announcement.domain);
         match steward {
             Some(vm) if self.view.is_me(vm) => self.load.on_announce(context, &announcement, out),
-            Some(vm) => out.push(Action::Send {
+            Some(vm) if hop == Hop::First => out.push(Action::Send {
                 to: vm.address,
                 message: Message::Announce(announcement),
             }),
-            None => {}
+            Some(_) | None => {}
         }
     }
 
@@ -211,12 +271,9 @@
         out: &mut Vec<Action>,
     ) {
         if let Message::Membership(message) = message {
-            if self
-                .membership
-                .on_message(now, &mut self.view, from, message, out)
-            {
-                self.on_view(now, out);
-            }
+            let view = &mut self.view;
+            let change = self.membership.on_message(now, view, from, message, out);
+            self.on_membership(now, change, Some(from), out);
             return;
         }
         let Some(vm) = self.view.vms.values().find(|vm| vm.address == from) else {
@@ -237,7 +294,9 @@
                 self.requests
                     .on_message(context, &mut self.load, &vm, message, out);
             }
-            Message::Announce(announcement) => self.on_announce(now, announcement, out),
+            Message::Announce(announcement) => {
+                self.on_announce(now, announcement, Hop::Second, out);
+            }
             Message::WantConfig => out.push(Action::Send {
                 to: from,
                 message: Message::Config(config),
@@ -247,6 +306,15 @@
     }
 }
 
+/// How far an announcement has come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Hop {
+    /// The upstream sent it to this VM.
+    First,
+    /// Another entry VM passed it on.
+    Second,
+}
+
 fn context<'a>(now: Instant, view: &'a View, config: &'a Config) -> Context<'a> {
     Context { now, view, config }
 }
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -17,6 +17,9 @@
 /// Length of a datagram's header, in bytes.
 pub const HEADER_LEN: usize = 4;
 
+/// Cluster of a process that has no configuration yet; it may talk to any.
+pub const UNKNOWN_CLUSTER: u16 = 0;
+
 /// Largest datagram, in bytes: what UDP over IPv4 carries.
 pub const MAX_DATAGRAM: usize = 65_507;
 
@@ -70,7 +73,8 @@
     if *version != VERSION {
         return Err(Error::Version(*version));
     }
-    if u16::from_be_bytes([*high, *low]) != cluster {
+    let theirs = u16::from_be_bytes([*high, *low]);
+    if theirs != cluster && theirs != UNKNOWN_CLUSTER && cluster != UNKNOWN_CLUSTER {
         return Err(Error::Cluster);
     }
     decode_body::<T, MAX_DATAGRAM>(body)
