--- a/crates/policy/src/node.rs
+++ b/crates/policy/src/node.rs
@@ -12,6 +12,8 @@
     name::Name,
 };
 
+use serde::Serialize;
+
 use crate::{
     flow::Flows,
     io::{Action, Context, Counter, Event, Message},
@@ -70,6 +72,19 @@
     next_ask: Instant,
 }
 
+/// The state of one entry VM, as the dump shows it.
+#[derive(Debug, Clone, Serialize)]
+pub struct Dump {
+    /// The live entry VMs.
+    pub view: View,
+    /// The configuration by which this VM decides, without the answers to operators.
+    pub config: Config,
+    /// Time since a control VM or a peer confirmed the configuration, in milliseconds.
+    pub confirmed_ms_ago: u64,
+    /// For each service, the oldest generation that a flow known here still needs.
+    pub needed: BTreeMap<Name, u64>,
+}
+
 /// Time between two requests for a peer's configuration, in milliseconds.
 const ASK_CONFIG_MS: u64 = 200;
 
@@ -110,6 +125,20 @@
         self.flows.needed(context(now, &self.view, &config))
     }
 
+    /// The state of this VM, for the dump.
+    #[must_use]
+    pub fn dump(&self, now: Instant) -> Dump {
+        Dump {
+            view: self.view.clone(),
+            config: Config {
+                answers: BTreeMap::new(),
+                ..self.config.as_ref().clone()
+            },
+            confirmed_ms_ago: now.ms_since(self.confirmed),
+            needed: self.needed(now),
+        }
+    }
+
     /// Whether the process may exit after [`Event::Stop`].
     #[must_use]
     pub fn is_finished(&self) -> bool {
