--- a/crates/policy/tests/membership.rs
+++ b/crates/policy/tests/membership.rs
@@ -1,5 +1,7 @@
 //! Membership under kills, freezes, cuts and loss, on an in-memory network.
 
+#![expect(clippy::unwrap_used, reason = "a test may panic")]
+
 use std::{
     collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
