Measure what membership costs a VM, by number of VMs

Suspected causes, to be tried one by one: whole tables are asked for whenever two digests differ, also while news is still under way; each probe carries the sender's own row; the span called quiet is not quiet yet after a start of all VMs at once.

--- /dev/null
+++ b/crates/policy/benches/membership.rs
@@ -0,0 +1,68 @@
+//! Bytes that membership costs a VM, quiet and while VMs are restarted, by number of VMs.
+//!
+//! `cargo bench -p policy --bench membership` prints the table from one seeded run. Time is the
+//! network's own, so the figures don't depend on the machine; the last column is this machine's
+//! processor time for one VM and one second.
+
+#![expect(clippy::unwrap_used, reason = "a bench may panic")]
+
+#[expect(dead_code, reason = "the bench cuts and freezes nothing")]
+#[path = "../tests/support/mod.rs"]
+mod support;
+
+use std::time::Instant;
+
+use support::{Network, address};
+
+/// Measured span, in seconds.
+const SPAN_S: u64 = 10;
+
+fn main() {
+    println!("VMs  quiet B/s/VM  1 restart/s B/s/VM  detection ms  CPU us/s/VM");
+    for vms in [9, 36, 144, 360] {
+        let mut network = Network::new(vms, 1);
+        network.run(15_000);
+        reset(&mut network);
+        let started = Instant::now();
+        network.run(SPAN_S * 1_000);
+        let cpu = started.elapsed().as_micros() as f64 / (SPAN_S as f64 * f64::from(vms));
+        let quiet = worst(&network);
+        let detection = detection_ms(&mut network, vms - 1);
+        reset(&mut network);
+        for second in 0..SPAN_S {
+            let number = u16::try_from(2 + second % u64::from(vms - 3)).unwrap();
+            network.start(number, 2 + second);
+            network.run(1_000);
+        }
+        let busy = worst(&network);
+        println!("{vms:>3}  {quiet:>12}  {busy:>18}  {detection:>12}  {cpu:>11.0}");
+    }
+}
+
+fn reset(network: &mut Network) {
+    for peer in network.peers.values_mut() {
+        peer.sent_bytes = 0;
+    }
+}
+
+/// Bytes a second of the VM that sent most.
+fn worst(network: &Network) -> u64 {
+    let most = network.peers.values().map(|peer| peer.sent_bytes).max();
+    most.unwrap_or_default() as u64 / SPAN_S
+}
+
+/// Time from the kill of a VM until no VM counts it as live.
+fn detection_ms(network: &mut Network, victim: u16) -> u64 {
+    network.peers.get_mut(&address(victim)).unwrap().up = false;
+    let name = network.peers[&address(victim)].vm.name.clone();
+    let mut waited = 0;
+    while network
+        .peers
+        .values()
+        .any(|p| p.up && p.view.get(&name).is_some())
+    {
+        network.run(50);
+        waited += 50;
+    }
+    waited
+}
