--- a/crates/policy/src/membership.rs
+++ b/crates/policy/src/membership.rs
@@ -51,6 +51,9 @@
 /// Time between two requests for a whole table, in milliseconds.
 const SYNC_MS: u64 = 20_000;
 
+/// Time without news after which a differing digest means that news was lost, in milliseconds.
+const SETTLED_MS: u64 = 10_000;
+
 /// Time after which a dead VM is forgotten, in milliseconds: far longer than regions part.
 const FORGET_MS: u64 = 86_400_000;
 
@@ -317,7 +320,9 @@
     ) {
         self.learn_all(now, view, probe.gossip);
         let is_known = view.vms.values().any(|vm| vm.address == from);
-        let differs = probe.digest != self.digest() && now >= self.next_sync;
+        // While news is under way, digests differ for a while without anything being lost.
+        let is_settled = self.table.quiet_ms(now) >= SETTLED_MS;
+        let differs = probe.digest != self.digest() && is_settled && now >= self.next_sync;
         if differs {
             self.next_sync = now.plus_ms(SYNC_MS);
         }
--- a/crates/policy/src/membership/table.rs
+++ b/crates/policy/src/membership/table.rs
@@ -81,6 +81,8 @@
     rows: BTreeMap<Name, Row>,
     /// Invariant: the digests of all rows, combined.
     digest: u32,
+    /// When a report last changed anything.
+    changed: Instant,
 }
 
 #[derive(Debug)]
@@ -102,6 +104,7 @@
             self.digest ^= row.member.digest();
         }
         self.digest ^= member.digest();
+        self.changed = now;
         let row = Row {
             since: now,
             spread: self.spread(),
@@ -197,6 +200,11 @@
         self.addresses(|state| state != State::Dead)
     }
 
+    /// Time without a report that changed anything, in milliseconds.
+    pub(super) fn quiet_ms(&self, now: Instant) -> u64 {
+        now.ms_since(self.changed)
+    }
+
     /// Digest of the whole table.
     pub(super) fn digest(&self) -> u32 {
         self.digest
