Count flows for stewards once, when they take over, and report ends

A count every 10 s would be added to what the steward admitted itself. Homes now count for a steward that took over, and report flows that end without a closing packet. A closing packet at a home without a record counts as an end as well, once.

--- a/crates/policy/src/flow.rs
+++ b/crates/policy/src/flow.rs
@@ -124,6 +124,13 @@
     });
 }
 
+/// Tells the load machine of flows that have ended.
+fn end_flows(turn: &mut Turn<'_, '_>, service: &Name, upstream: &Name, count: u32) {
+    for _ in 0..count {
+        turn.load.end_flow(turn.context.now, service, upstream);
+    }
+}
+
 impl Flows {
     /// A machine that keeps flows together in another way than the default, for comparison.
     #[must_use]
@@ -192,6 +199,11 @@
                         .count_flows(&from.name, &service, &upstream, count);
                 }
             }
+            Message::Ended { service, flows } => {
+                for (upstream, count) in flows {
+                    end_flows(turn, &service, &upstream, count);
+                }
+            }
         }
     }
 
@@ -215,7 +227,6 @@
         self.move_records(context, context.view.clone());
         self.move_marks(context);
         self.move_pins(context, out);
-        self.sweep.count_soon();
         self.refresh(context);
     }
 
--- a/crates/policy/src/flow/message.rs
+++ b/crates/policy/src/flow/message.rs
@@ -94,13 +94,20 @@
     Want,
     /// All that bars direct forwarding, as far as the sender knows.
     Known(Known),
-    /// How many flows the sender is home of, for the steward.
+    /// How many flows the sender is home of, for a steward that took over.
     Counts {
         /// Service of the upstreams.
         service: Name,
         /// Flows by upstream.
         flows: Vec<(Name, u32)>,
     },
+    /// How many flows have ended without a closing packet, for the steward.
+    Ended {
+        /// Service of the upstreams.
+        service: Name,
+        /// Flows by upstream.
+        flows: Vec<(Name, u32)>,
+    },
 }
 
 /// A mark of an upstream that can't take new flows: later packets of its buckets go through homes.
--- a/crates/policy/src/flow/packet.rs
+++ b/crates/policy/src/flow/packet.rs
@@ -222,12 +222,8 @@
             return;
         };
         let record = self.new_record(turn, &packet, upstream, Stage::Established);
-        if packet.segment == Segment::Later {
-            self.records.insert(packet.fingerprint, record);
-            self.follow(turn, record, packet);
-        } else {
-            self.forward(turn, record.target(), packet.bytes);
-        }
+        self.records.insert(packet.fingerprint, record);
+        self.follow(turn, record, packet);
     }
 
     /// Handles a packet of a flow with a record.
--- a/crates/policy/src/flow/sweep.rs
+++ b/crates/policy/src/flow/sweep.rs
@@ -5,17 +5,14 @@
 use model::{config::UpstreamState, name::Name};
 
 use super::{
-    Flows, Message, Turn,
+    Flows, Message, Target, Turn,
     record::{Record, Stage},
 };
-use crate::{io::Context, time::Instant};
+use crate::{io::Context, time::Instant, view::Vm};
 
 /// Time between two passes over the records, in milliseconds.
 const SWEEP_MS: u64 = 1_000;
 
-/// Time between two counts for the stewards, in milliseconds.
-const COUNT_MS: u64 = 10_000;
-
 /// Time for which the record of a closed flow stays that the table would place alike, in
 /// milliseconds.
 const CLOSE_LINGER_MS: u64 = 30_000;
@@ -30,18 +27,22 @@
 /// Times an idle time for which a record stays that only serves to count.
 const COUNTED_IDLES: u64 = 2;
 
-/// When which regular work was last done.
+/// When the regular work was last done.
 #[derive(Debug, Default)]
 pub(super) struct Sweep {
     swept: Instant,
-    counted: Option<Instant>,
+    /// The steward that was told the counts, by service and failure domain.
+    counted: BTreeMap<(u16, Name), Name>,
 }
 
-impl Sweep {
-    /// Counts at the next pass.
-    pub(super) fn count_soon(&mut self) {
-        self.counted = None;
-    }
+/// Flows by upstream.
+type Counts = BTreeMap<Target, u32>;
+
+/// The part of counts that one steward gets of one service.
+struct Part<'a> {
+    steward: &'a Vm,
+    service: Name,
+    flows: Vec<(Name, u32)>,
 }
 
 impl Flows {
@@ -52,41 +53,121 @@
             return;
         }
         self.sweep.swept = now;
-        self.expire(now);
-        let is_due = |at: Instant| now.ms_since(at) >= COUNT_MS;
-        if self.sweep.counted.is_none_or(is_due) {
-            self.sweep.counted = Some(now);
-            self.send_counts(turn);
-        }
+        let ended = self.expire(now);
+        self.send_ended(turn, &ended);
+        self.send_counts(turn);
         self.spare_generations(turn.context);
     }
 
-    fn expire(&mut self, now: Instant) {
+    /// Drops the records of flows that have ended; returns those that ended without a closing
+    /// packet.
+    fn expire(&mut self, now: Instant) -> Counts {
+        let mut ended = Counts::new();
         let services = &self.services;
         self.records.retain(|_, record| {
             let service = services.get(usize::from(record.service));
-            service.is_some_and(|s| {
+            let stays = service.is_some_and(|s| {
                 let is_out = s.upstream(record.upstream).is_none_or(|u| u.is_out);
                 s.is_listed && !is_out && record.seen.age_ms(now) < lifetime_ms(record, s.idle_ms)
-            })
+            });
+            if !stays && record.is_home && record.stage != Stage::Closing {
+                *ended.entry(record.target()).or_default() += 1;
+            }
+            stays
         });
         self.admitted
             .retain(|_, since| now.ms_since(*since) < ADMITTED_MS);
         let records = &self.records;
         self.unconfirmed
             .retain(|_, fingerprint| records.contains_key(fingerprint));
+        ended
     }
 
-    /// Tells each steward how many flows of its upstreams this VM is home of.
+    fn send_ended(&self, turn: &mut Turn<'_, '_>, ended: &Counts) {
+        for Part {
+            steward,
+            service,
+            flows,
+        } in self.by_steward(turn.context, ended)
+        {
+            if turn.context.view.is_me(steward) {
+                for (upstream, count) in flows {
+                    super::end_flows(turn, &service, &upstream, count);
+                }
+            } else {
+                turn.send(steward, Message::Ended { service, flows });
+            }
+        }
+    }
+
+    /// Tells stewards that took over how many flows of their upstreams this VM is home of.
     fn send_counts(&mut self, turn: &mut Turn<'_, '_>) {
-        let view = turn.context.view;
-        let mut counts: BTreeMap<super::Target, u32> = BTreeMap::new();
+        let changed = self.changed_stewards(turn.context);
+        if changed.is_empty() {
+            return;
+        }
+        let mut counts = Counts::new();
+        for (service, domain, is_first) in &changed {
+            let Some(service) = self.service(*service).filter(|_| !is_first) else {
+                continue;
+            };
+            let mine = service.upstreams.iter().filter(|u| u.domain == *domain);
+            for target in mine.filter_map(|u| self.target(&service.name, &u.name)) {
+                counts.insert(target, 0);
+            }
+        }
+        let is_changed = |target: Target| {
+            let domain = self.upstream(target).map(|u| &u.domain);
+            changed
+                .iter()
+                .any(|(service, d, _)| *service == target.service && Some(d) == domain)
+        };
         for record in self.records.values() {
-            if record.is_home && record.stage != Stage::Closing {
+            if record.is_home && record.stage != Stage::Closing && is_changed(record.target()) {
                 *counts.entry(record.target()).or_default() += 1;
             }
         }
-        let mut by_steward: BTreeMap<(Name, Name), Vec<(Name, u32)>> = BTreeMap::new();
+        for Part {
+            steward,
+            service,
+            flows,
+        } in self.by_steward(turn.context, &counts)
+        {
+            if turn.context.view.is_me(steward) {
+                for (upstream, count) in flows {
+                    let me = &turn.context.view.me;
+                    turn.load.count_flows(me, &service, &upstream, count);
+                }
+            } else {
+                turn.send(steward, Message::Counts { service, flows });
+            }
+        }
+    }
+
+    /// Services and failure domains with another steward than the one that was told the counts,
+    /// and whether it is the first.
+    fn changed_stewards(&mut self, context: Context<'_>) -> Vec<(u16, Name, bool)> {
+        let mut changed = Vec::new();
+        for (position, service) in self.services.iter().enumerate() {
+            let position = u16::try_from(position).unwrap_or(u16::MAX);
+            let domains: BTreeSet<&Name> = service.upstreams.iter().map(|u| &u.domain).collect();
+            for domain in domains {
+                let Some(steward) = context.view.steward(&service.name, domain) else {
+                    continue;
+                };
+                let key = (position, domain.clone());
+                let told = self.sweep.counted.insert(key, steward.name.clone());
+                if told.as_ref() != Some(&steward.name) {
+                    changed.push((position, domain.clone(), told.is_none()));
+                }
+            }
+        }
+        changed
+    }
+
+    /// Sorts counts by the steward of the upstream and by service.
+    fn by_steward<'a>(&self, context: Context<'a>, counts: &Counts) -> Vec<Part<'a>> {
+        let mut sorted: BTreeMap<(&Name, &Name), Vec<(Name, u32)>> = BTreeMap::new();
         for (target, count) in counts {
             let Some(service) = self.service(target.service) else {
                 continue;
@@ -94,23 +175,22 @@
             let Some(upstream) = service.upstream(target.upstream) else {
                 continue;
             };
-            let Some(steward) = view.steward(&service.name, &upstream.domain) else {
+            let Some(steward) = context.view.steward(&service.name, &upstream.domain) else {
                 continue;
             };
-            if view.is_me(steward) {
-                turn.load
-                    .count_flows(&view.me, &service.name, &upstream.name, count);
-                continue;
-            }
-            let key = (steward.name.clone(), service.name.clone());
-            let flows = by_steward.entry(key).or_default();
-            flows.push((upstream.name.clone(), count));
-        }
-        for ((steward, service), flows) in by_steward {
-            if let Some(vm) = view.get(&steward) {
-                turn.send(vm, Message::Counts { service, flows });
-            }
+            let flows = sorted.entry((&steward.name, &service.name)).or_default();
+            flows.push((upstream.name.clone(), *count));
         }
+        sorted
+            .into_iter()
+            .filter_map(|((steward, service), flows)| {
+                Some(Part {
+                    steward: context.view.get(steward)?,
+                    service: service.clone(),
+                    flows,
+                })
+            })
+            .collect()
     }
 
     /// Finds the generations that no flow needs any longer.
