Send counts, zeros included, to stewards of new upstreams as well

The load machine admits flows to an upstream once every VM has counted or after three seconds; without counts each newly admitted upstream would refuse openings for that long.

--- a/crates/policy/src/flow/sweep.rs
+++ b/crates/policy/src/flow/sweep.rs
@@ -24,6 +24,9 @@
 /// milliseconds.
 const MARGIN_MS: u64 = 1_000;
 
+/// Time after its start from which a VM tells stewards its counts, in milliseconds.
+const COUNTED_MS: u64 = 2_000;
+
 /// Times an idle time for which a record stays that only serves to count.
 const COUNTED_IDLES: u64 = 2;
 
@@ -31,8 +34,8 @@
 #[derive(Debug, Default)]
 pub(super) struct Sweep {
     swept: Instant,
-    /// The steward that was told the counts, by service and failure domain.
-    counted: BTreeMap<(u16, Name), Name>,
+    /// The steward that was told the count of an upstream's flows.
+    counted: BTreeMap<Target, Name>,
 }
 
 /// Flows by upstream.
@@ -100,31 +103,21 @@
         }
     }
 
-    /// Tells stewards that took over how many flows of their upstreams this VM is home of.
+    /// Tells stewards that took over an upstream how many of its flows this VM is home of.
+    ///
+    /// A steward waits for the counts of all VMs, so that zeros count as well; one that has just
+    /// started has too many upstreams before it and no flow, and leaves the steward to wait.
     fn send_counts(&mut self, turn: &mut Turn<'_, '_>) {
-        let changed = self.changed_stewards(turn.context);
-        if changed.is_empty() {
+        let mut counts = self.changed_stewards(turn.context);
+        if counts.is_empty() || self.memory_ms(turn.now()) < COUNTED_MS {
             return;
         }
-        let mut counts = Counts::new();
-        for (service, domain, is_first) in &changed {
-            let Some(service) = self.service(*service).filter(|_| !is_first) else {
+        for record in self.records.values() {
+            if !record.is_home || record.stage == Stage::Closing {
                 continue;
-            };
-            let mine = service.upstreams.iter().filter(|u| u.domain == *domain);
-            for target in mine.filter_map(|u| self.target(&service.name, &u.name)) {
-                counts.insert(target, 0);
             }
-        }
-        let is_changed = |target: Target| {
-            let domain = self.upstream(target).map(|u| &u.domain);
-            changed
-                .iter()
-                .any(|(service, d, _)| *service == target.service && Some(d) == domain)
-        };
-        for record in self.records.values() {
-            if record.is_home && record.stage != Stage::Closing && is_changed(record.target()) {
-                *counts.entry(record.target()).or_default() += 1;
+            if let Some(count) = counts.get_mut(&record.target()) {
+                *count += 1;
             }
         }
         for Part {
@@ -133,32 +126,33 @@
             flows,
         } in self.by_steward(turn.context, &counts)
         {
-            if turn.context.view.is_me(steward) {
-                for (upstream, count) in flows {
-                    let me = &turn.context.view.me;
-                    turn.load.count_flows(me, &service, &upstream, count);
-                }
-            } else {
+            if !turn.context.view.is_me(steward) {
                 turn.send(steward, Message::Counts { service, flows });
+                continue;
+            }
+            for (upstream, count) in flows {
+                let me = &turn.context.view.me;
+                turn.load.count_flows(me, &service, &upstream, count);
             }
         }
     }
 
-    /// Services and failure domains with another steward than the one that was told the counts,
-    /// and whether it is the first.
-    fn changed_stewards(&mut self, context: Context<'_>) -> Vec<(u16, Name, bool)> {
-        let mut changed = Vec::new();
+    /// Zero counts of the upstreams that have another steward than the one that was told last.
+    fn changed_stewards(&mut self, context: Context<'_>) -> Counts {
+        let mut changed = Counts::new();
         for (position, service) in self.services.iter().enumerate() {
             let position = u16::try_from(position).unwrap_or(u16::MAX);
-            let domains: BTreeSet<&Name> = service.upstreams.iter().map(|u| &u.domain).collect();
-            for domain in domains {
-                let Some(steward) = context.view.steward(&service.name, domain) else {
+            for (number, upstream) in service.upstreams.iter().enumerate() {
+                let Some(steward) = context.view.steward(&service.name, &upstream.domain) else {
                     continue;
                 };
-                let key = (position, domain.clone());
-                let told = self.sweep.counted.insert(key, steward.name.clone());
-                if told.as_ref() != Some(&steward.name) {
-                    changed.push((position, domain.clone(), told.is_none()));
+                let target = Target {
+                    service: position,
+                    upstream: u16::try_from(number).unwrap_or(u16::MAX),
+                };
+                if self.sweep.counted.get(&target) != Some(&steward.name) {
+                    self.sweep.counted.insert(target, steward.name.clone());
+                    changed.insert(target, 0);
                 }
             }
         }
--- a/crates/policy/tests/flow_support/mod.rs
+++ b/crates/policy/tests/flow_support/mod.rs
@@ -547,17 +547,19 @@
     }
 
     fn receive(&mut self, from: &Name, to: &Name, message: Message) {
-        let Message::Flow(message) = message else {
-            return;
-        };
         self.with(to, |machine, context, out| {
             // As `Node` does, a message of a VM that is not in the view is dropped.
             let Some(from) = context.view.get(from) else {
                 return;
             };
-            machine
-                .flows
-                .on_message(context, &mut machine.load, from, message, out);
+            let load = &mut machine.load;
+            match message {
+                Message::Flow(message) => {
+                    machine.flows.on_message(context, load, from, message, out);
+                }
+                Message::Load(message) => load.on_message(context, from, message, out),
+                _ => {}
+            }
         });
     }
 
