--- a/crates/policy/src/membership.rs
+++ b/crates/policy/src/membership.rs
@@ -71,8 +71,10 @@
 pub enum Message {
     /// Asks for the whole table, and introduces the sender.
     Join(Member),
-    /// A part of the table.
-    Members(Vec<Member>),
+    /// A part of the table, for one VM that lacks it; not passed on.
+    Table(Vec<Member>),
+    /// News for everyone.
+    News(Vec<Member>),
     /// Asks for an acknowledgement.
     Ping(Probe),
     /// Asks the receiver to probe a third VM and to pass the acknowledgement on.
@@ -184,7 +186,7 @@
         self.me.state = State::Leaving;
         self.me.incarnation += 1;
         // Everyone is told at once: the process may be gone before gossip has spread it.
-        let news = Message::Members(vec![self.me.clone()]);
+        let news = Message::News(vec![self.me.clone()]);
         for vm in view.others() {
             push(out, vm.address, news.clone());
         }
@@ -211,7 +213,8 @@
                 self.learn(now, view, member);
                 self.send_table(from, out);
             }
-            Message::Members(members) => self.learn_all(now, view, members),
+            Message::Table(members) => self.learn_table(now, view, members),
+            Message::News(members) => self.learn_all(now, view, members),
             Message::Ping(probe) => {
                 peer_index = Some(probe.index);
                 self.on_ping(now, view, from, probe, out);
@@ -338,7 +341,17 @@
     fn tell_dead(&self, to: SocketAddr, out: &mut Vec<Action>) {
         let claim = self.table.dead_at(to);
         if !claim.is_empty() {
-            push(out, to, Message::Members(claim));
+            push(out, to, Message::News(claim));
+        }
+    }
+
+    /// Learns a part of another VM's table. Others know it already: were it passed on as news, a
+    /// VM that starts would gossip about every other VM.
+    fn learn_table(&mut self, now: Instant, view: &mut View, members: Vec<Member>) {
+        for member in members {
+            let name = member.name.clone();
+            self.learn(now, view, member);
+            self.table.hush(&name);
         }
     }
 
@@ -479,7 +492,7 @@
         let mut members = vec![self.me.clone()];
         members.extend(self.table.members());
         for part in members.chunks(MAX_TABLE_PART) {
-            push(out, to, Message::Members(part.to_vec()));
+            push(out, to, Message::Table(part.to_vec()));
         }
     }
 
--- a/crates/policy/src/membership/table.rs
+++ b/crates/policy/src/membership/table.rs
@@ -114,6 +114,13 @@
         Merge::New
     }
 
+    /// Passes the report of a VM on no longer.
+    pub(super) fn hush(&mut self, name: &Name) {
+        if let Some(row) = self.rows.get_mut(name) {
+            row.spread = 0;
+        }
+    }
+
     /// Suspects a VM; returns the report to show, where it is new.
     pub(super) fn suspect(&mut self, now: Instant, name: &Name) -> Option<Member> {
         let mut member = self.rows.get(name)?.member.clone();
