Add the schema of operators and upstreams, and checked settings

Cause: operators, upstreams and daemons need one schema, a client and settings files before the rest can stand on them.

Each settings key is decoded by itself instead of deny_unknown_fields: the derived errors name no value for a bad address and no key for a wrong list item.

--- /dev/null
+++ b/crates/delivery/src/lib.rs
@@ -0,0 +1,1 @@
+//! delivery
--- a/crates/rpc/src/lib.rs
+++ b/crates/rpc/src/lib.rs
@@ -1,1 +1,33 @@
-//! rpc
+//! Remote procedure calls of operators and upstreams, over gRPC.
+//!
+//! [`schema`] holds what `proto/oriole.proto` describes; it is generated and committed (see
+//! `proto/README.md`). [`convert`] turns messages into the types of [`model`] and back, and names
+//! the field that is wrong. [`client::Client`] calls a control VM or an entry VM.
+//!
+//! ```
+//! use rpc::{convert, schema};
+//!
+//! let request = schema::ApplyRequest {
+//!     operator: "anna".into(),
+//!     request_id: "1".into(),
+//!     expected_version: None,
+//!     command: Some(schema::apply_request::Command::DomainOut(schema::DomainOut {
+//!         name: "Vejle".into(),
+//!     })),
+//! };
+//! let invalid = convert::entry(&request, |_, _| None).unwrap_err();
+//! assert_eq!(invalid.field, "name");
+//! ```
+
+pub mod client;
+pub mod convert;
+pub mod server;
+
+/// Messages and services of `proto/oriole.proto`.
+#[expect(
+    missing_docs,
+    reason = "the generator writes no comment on methods and variants"
+)]
+#[allow(clippy::all, reason = "generated code follows the generator's style")]
+#[path = "generated/oriole.rs"]
+pub mod schema;
--- /dev/null
+++ b/crates/settings/src/control.rs
@@ -0,0 +1,135 @@
+//! Settings of a control VM.
+
+use std::{
+    collections::BTreeMap,
+    fs,
+    net::SocketAddr,
+    path::{Path, PathBuf},
+};
+
+use model::name::Name;
+use serde::Serialize;
+
+use crate::{Fault, Fields, Load, fields::check_distinct, log::Level};
+
+/// What a control VM is told at its start.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct Settings {
+    /// Name of this VM; no other VM has it.
+    pub name: Name,
+    /// Failure domain of this VM.
+    pub domain: Name,
+    /// Folder for all files of this process.
+    pub data_folder: PathBuf,
+    /// Where operators call: TCP, gRPC.
+    pub rpc_listen: SocketAddr,
+    /// Where entry VMs open their streams: TCP, HTTP/2.
+    pub delivery_listen: SocketAddr,
+    /// Where other control VMs open their streams: TCP, HTTP/2.
+    pub peer_listen: SocketAddr,
+    /// Where metrics, health and the state dump are served: TCP, HTTP.
+    pub http_listen: SocketAddr,
+    /// Control VMs that found the cluster, with their `peer_listen`. Once the cluster is founded
+    /// its own record counts, and this only helps to find it.
+    pub replicas: BTreeMap<Name, SocketAddr>,
+    /// The `delivery_listen` of all control VMs, over which they tell each other which entry VMs
+    /// they hear of. This VM's own address may be among them.
+    pub controls: Vec<SocketAddr>,
+    /// How much the process logs; the `--log` argument goes before it.
+    pub log: Level,
+    /// Seed of this process's random choices, for tests; drawn when it is not set.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub seed: Option<u64>,
+}
+
+impl Load for Settings {
+    const KEYS: &'static [&'static str] = &[
+        "name",
+        "domain",
+        "data_folder",
+        "rpc_listen",
+        "delivery_listen",
+        "peer_listen",
+        "http_listen",
+        "replicas",
+        "controls",
+        "log",
+        "seed",
+    ];
+
+    fn read(fields: &mut Fields) -> Result<Self, Fault> {
+        let replicas_advice = "map each control VM's name to its `peer_listen`";
+        let controls_advice = "list IP address and port of each control VM's `delivery_listen`";
+        Ok(Self {
+            name: fields.required("name", "give this VM a name of a-z, 0-9 and inner '-'")?,
+            domain: fields.required("domain", "name the failure domain of this VM")?,
+            data_folder: fields.required("data_folder", "name a folder on this VM's disk")?,
+            rpc_listen: fields.listen("rpc_listen")?,
+            delivery_listen: fields.listen("delivery_listen")?,
+            peer_listen: fields.listen("peer_listen")?,
+            http_listen: fields.listen("http_listen")?,
+            replicas: fields.required("replicas", replicas_advice)?,
+            controls: fields
+                .optional("controls", controls_advice)?
+                .unwrap_or_default(),
+            log: fields.log()?,
+            seed: fields.optional("seed", "write a whole number, or leave it out")?,
+        })
+    }
+
+    fn check(&self) -> Result<(), Fault> {
+        check_distinct(&[
+            ("rpc_listen", self.rpc_listen),
+            ("delivery_listen", self.delivery_listen),
+            ("peer_listen", self.peer_listen),
+            ("http_listen", self.http_listen),
+        ])?;
+        self.check_replicas()?;
+        check_writable(&self.data_folder)
+    }
+}
+
+impl Settings {
+    fn check_replicas(&self) -> Result<(), Fault> {
+        if self.replicas.is_empty() {
+            let advice = "map each control VM's name to its `peer_listen`";
+            return Err(Fault::new("replicas", "{}", "the map is empty", advice));
+        }
+        let mut seen: BTreeMap<SocketAddr, &Name> = BTreeMap::new();
+        for (name, address) in &self.replicas {
+            if let Some(other) = seen.insert(*address, name) {
+                let reason = format!("{other} and {name} share the address");
+                let advice = "give each control VM its own";
+                return Err(Fault::new("replicas", address.to_string(), reason, advice));
+            }
+        }
+        let own = self.replicas.get(&self.name);
+        if let Some(own) = own.filter(|own| **own != self.peer_listen) {
+            let reason = format!(
+                "`replicas` has {own} for {}, but `peer_listen` differs",
+                self.name
+            );
+            let advice = "make the two equal";
+            return Err(Fault::new(
+                "peer_listen",
+                self.peer_listen.to_string(),
+                reason,
+                advice,
+            ));
+        }
+        Ok(())
+    }
+}
+
+/// Tries to write a file into `folder`, which is created where it is missing.
+fn check_writable(folder: &Path) -> Result<(), Fault> {
+    let fault = |e: std::io::Error| {
+        let advice = "create the folder on this VM's disk and let this process write to it";
+        let reason = format!("the folder can't be written: {e}");
+        Fault::new("data_folder", folder.display().to_string(), reason, advice)
+    };
+    fs::create_dir_all(folder).map_err(fault)?;
+    let probe = folder.join(format!(".probe-{}", std::process::id()));
+    fs::write(&probe, b"probe").map_err(fault)?;
+    fs::remove_file(&probe).map_err(fault)
+}
