--- /dev/null
+++ b/crates/delivery/src/dial.rs
@@ -0,0 +1,116 @@
+//! Opens a stream to a control VM.
+
+use std::{net::SocketAddr, time::Duration};
+
+use displaydoc::Display;
+use http::{Method, Request, StatusCode};
+use tokio::{net::TcpStream, task::JoinHandle, time::timeout};
+
+use crate::{
+    CONNECTION_WINDOW, STREAM_WINDOW,
+    stream::{Receiver, Sender},
+};
+
+/// Time that opening a stream may take in all.
+pub const DIAL_WAIT: Duration = Duration::from_secs(1);
+
+/// Why no stream was opened.
+#[derive(Debug, Display)]
+pub enum Error {
+    /// {0} can't be reached: {1}
+    Connect(SocketAddr, std::io::Error),
+    /// {0} did not open a stream within 1 s
+    Timeout(SocketAddr),
+    /// {0} speaks no HTTP/2: {1}
+    Handshake(SocketAddr, h2::Error),
+    /// {0} refused the stream with status {1}
+    Refused(SocketAddr, StatusCode),
+    /// the path {0:?} is wrong
+    Path(String),
+}
+
+impl std::error::Error for Error {}
+
+/// An open stream. Dropping it closes the connection.
+#[derive(Debug)]
+pub struct Stream {
+    /// The sending half.
+    pub sender: Sender,
+    /// The receiving half.
+    pub receiver: Receiver,
+    connection: JoinHandle<()>,
+}
+
+impl Drop for Stream {
+    fn drop(&mut self) {
+        self.connection.abort();
+    }
+}
+
+/// Opens a stream with `path` to the control VM at `peer`.
+///
+/// # Errors
+///
+/// Says which step failed.
+pub async fn open(peer: SocketAddr, path: &str) -> Result<Stream, Error> {
+    timeout(DIAL_WAIT, open_unbounded(peer, path))
+        .await
+        .map_err(|_| Error::Timeout(peer))?
+}
+
+async fn open_unbounded(peer: SocketAddr, path: &str) -> Result<Stream, Error> {
+    let tcp = TcpStream::connect(peer)
+        .await
+        .map_err(|e| Error::Connect(peer, e))?;
+    tcp.set_nodelay(true).map_err(|e| Error::Connect(peer, e))?;
+    let (mut requests, connection) = h2::client::Builder::new()
+        .initial_window_size(STREAM_WINDOW)
+        .initial_connection_window_size(CONNECTION_WINDOW)
+        .handshake(tcp)
+        .await
+        .map_err(|e| Error::Handshake(peer, e))?;
+    let connection = tokio::spawn(async move {
+        if let Err(error) = connection.await {
+            log::debug!(target: "delivery", "connection to {peer} ended: {error}");
+        }
+    });
+    // From here on a failure must not leave the connection's task behind.
+    let guard = AbortOnDrop(Some(connection));
+    let request = Request::builder()
+        .method(Method::POST)
+        .uri(format!("http://{peer}{path}"))
+        .body(())
+        .map_err(|_| Error::Path(path.to_owned()))?;
+    let (response, sender) = requests
+        .send_request(request, false)
+        .map_err(|e| Error::Handshake(peer, e))?;
+    let response = response.await.map_err(|e| Error::Handshake(peer, e))?;
+    if response.status() != StatusCode::OK {
+        return Err(Error::Refused(peer, response.status()));
+    }
+    Ok(Stream {
+        sender: Sender::new(sender),
+        receiver: Receiver::new(response.into_body()),
+        connection: guard.keep(),
+    })
+}
+
+/// Aborts a task unless it is kept.
+struct AbortOnDrop(Option<JoinHandle<()>>);
+
+impl AbortOnDrop {
+    fn keep(mut self) -> JoinHandle<()> {
+        match self.0.take() {
+            Some(task) => task,
+            None => unreachable!("the task is only taken here"),
+        }
+    }
+}
+
+impl Drop for AbortOnDrop {
+    fn drop(&mut self) {
+        if let Some(task) = &self.0 {
+            task.abort();
+        }
+    }
+}
--- a/crates/delivery/src/lib.rs
+++ b/crates/delivery/src/lib.rs
@@ -1,1 +1,43 @@
-//! delivery
+//! Streams between entry VMs and control VMs, and between control VMs: one `h2` stream over TCP
+//! for each pair, with messages in both directions.
+//!
+//! [`stream`] frames typed messages: their length as 4 bytes, big-endian, then the body as
+//! [`wire::frame::encode_body`] writes it. [`server`] accepts streams, [`dial`] opens one, and
+//! [`client`] keeps an entry VM's stream to some control VM.
+//!
+//! ```
+//! use delivery::client;
+//! use tokio::sync::mpsc;
+//! use tokio_util::sync::CancellationToken;
+//!
+//! # fn hello() -> model::delivery::Hello { unimplemented!() }
+//! # async fn example() -> Result<(), Box<dyn std::error::Error>> {
+//! let (beats, outgoing) = mpsc::channel(64);
+//! let (incoming, mut configs) = mpsc::channel(64);
+//! let settings = client::Settings::new(["127.0.0.1:7100".parse()?], hello);
+//! let token = CancellationToken::new();
+//! tokio::spawn(client::run(settings, outgoing, incoming, token.clone()));
+//! beats.try_send(model::delivery::ToControl::Goodbye)?;
+//! let first = configs.recv().await;
+//! token.cancel();
+//! # Ok(())
+//! # }
+//! ```
+
+pub mod client;
+pub mod dial;
+mod pending;
+pub mod server;
+pub mod stream;
+
+/// Path of the streams that entry VMs open.
+pub const ENTRY_PATH: &str = "/entry";
+
+/// Path of the streams that other control VMs open.
+pub const CONTROL_PATH: &str = "/control";
+
+/// Window of one stream, in bytes: what may be under way without an acknowledgement.
+const STREAM_WINDOW: u32 = 1 << 20;
+
+/// Window of one connection, in bytes.
+const CONNECTION_WINDOW: u32 = 1 << 20;
--- /dev/null
+++ b/crates/delivery/src/server.rs
@@ -0,0 +1,140 @@
+//! Accepts streams of entry VMs and of other control VMs.
+
+use std::{future::Future, net::SocketAddr, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use h2::{RecvStream, server::SendResponse};
+use http::{Request, Response, StatusCode};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::Semaphore,
+    time::timeout,
+};
+use tokio_util::sync::CancellationToken;
+
+use crate::{
+    CONNECTION_WINDOW, STREAM_WINDOW,
+    stream::{Receiver, Sender},
+};
+
+/// Connections that a control VM holds at a time; further ones are closed at once.
+const MAX_CONNECTIONS: usize = 2_048;
+
+/// Streams that one connection may open at a time.
+const MAX_STREAMS: u32 = 4;
+
+/// Time that a peer gets to speak HTTP/2.
+const HANDSHAKE_WAIT: Duration = Duration::from_secs(2);
+
+/// Wait after an error of accept, such as too many open files.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
+
+/// A stream that a peer opened.
+#[derive(Debug)]
+pub struct Stream {
+    /// Address of the peer's end.
+    pub peer: SocketAddr,
+    /// Path that the peer asked for, such as [`crate::ENTRY_PATH`].
+    pub path: String,
+    /// The sending half.
+    pub sender: Sender,
+    /// The receiving half.
+    pub receiver: Receiver,
+    /// Ends with the server.
+    pub token: CancellationToken,
+}
+
+/// Accepts streams at `listener` and hands each to `serve`, until `token` is cancelled.
+pub async fn run<F>(
+    listener: TcpListener,
+    serve: impl Fn(Stream) -> F + Send + Sync + 'static,
+    token: CancellationToken,
+) where
+    F: Future<Output = ()> + Send + 'static,
+{
+    let serve = Arc::new(serve);
+    let permits = Arc::new(Semaphore::new(MAX_CONNECTIONS));
+    loop {
+        let accepted = tokio::select! {
+            () = token.cancelled() => return,
+            accepted = listener.accept() => accepted,
+        };
+        let (tcp, peer) = match accepted {
+            Ok(accepted) => accepted,
+            Err(error) => {
+                log::warn!(target: "delivery", "accept failed: {error}");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+                continue;
+            }
+        };
+        let Ok(permit) = permits.clone().try_acquire_owned() else {
+            metrics::counter!("delivery_connections_refused_total").increment(1);
+            continue;
+        };
+        let serve = serve.clone();
+        let token = token.child_token();
+        tokio::spawn(async move {
+            let ended = token.clone();
+            tokio::select! {
+                () = ended.cancelled() => {}
+                () = connection(tcp, peer, &*serve, token) => {}
+            }
+            drop(permit);
+        });
+    }
+}
+
+async fn connection<F>(
+    tcp: TcpStream,
+    peer: SocketAddr,
+    serve: &(impl Fn(Stream) -> F + Send + Sync),
+    token: CancellationToken,
+) where
+    F: Future<Output = ()> + Send + 'static,
+{
+    // Without it small messages only wait longer.
+    drop(tcp.set_nodelay(true));
+    let mut builder = h2::server::Builder::new();
+    builder
+        .initial_window_size(STREAM_WINDOW)
+        .initial_connection_window_size(CONNECTION_WINDOW)
+        .max_concurrent_streams(MAX_STREAMS);
+    let handshake = timeout(HANDSHAKE_WAIT, builder.handshake::<_, Bytes>(tcp));
+    let Ok(Ok(mut streams)) = handshake.await else {
+        metrics::counter!("delivery_handshakes_failed_total").increment(1);
+        log::debug!(target: "delivery", "{peer} speaks no HTTP/2");
+        return;
+    };
+    while let Some(accepted) = streams.accept().await {
+        let Ok((request, respond)) = accepted else {
+            return;
+        };
+        let stream = accept(peer, request, respond, token.clone());
+        if let Some(stream) = stream {
+            tokio::spawn(serve(stream));
+        }
+    }
+}
+
+fn accept(
+    peer: SocketAddr,
+    request: Request<RecvStream>,
+    mut respond: SendResponse<Bytes>,
+    token: CancellationToken,
+) -> Option<Stream> {
+    let path = request.uri().path().to_owned();
+    let known = path == crate::ENTRY_PATH || path == crate::CONTROL_PATH;
+    let mut response = Response::new(());
+    if !known {
+        *response.status_mut() = StatusCode::NOT_FOUND;
+    }
+    // A peer that is gone already shows at the first message.
+    let sender = respond.send_response(response, !known).ok()?;
+    known.then(|| Stream {
+        peer,
+        path,
+        sender: Sender::new(sender),
+        receiver: Receiver::new(request.into_body()),
+        token,
+    })
+}
--- /dev/null
+++ b/crates/delivery/src/stream.rs
@@ -0,0 +1,177 @@
+//! Typed messages over one `h2` stream.
+
+use std::{future::poll_fn, time::Duration};
+
+use bytes::{Buf, Bytes, BytesMut};
+use displaydoc::Display;
+use h2::{RecvStream, SendStream};
+use model::delivery::MAX_MESSAGE;
+use serde::{Serialize, de::DeserializeOwned};
+use wire::frame;
+
+/// Length of the field that gives a message's length, in bytes.
+const LENGTH: usize = 4;
+
+/// Time that the peer may take to make room for the next bytes of a message.
+const SEND_WAIT: Duration = Duration::from_secs(2);
+
+/// Why a stream has ended.
+#[derive(Debug, Display)]
+pub enum Error {
+    /// the peer ended the stream
+    Closed,
+    /// the peer took no bytes for 2 s
+    Stalled,
+    /// the stream broke: {0}
+    Broken(h2::Error),
+    /// the message is wrong: {0}
+    Frame(frame::Error),
+}
+
+impl std::error::Error for Error {}
+
+impl From<h2::Error> for Error {
+    fn from(error: h2::Error) -> Self {
+        Self::Broken(error)
+    }
+}
+
+impl From<frame::Error> for Error {
+    fn from(error: frame::Error) -> Self {
+        Self::Frame(error)
+    }
+}
+
+/// The sending half of a stream.
+#[derive(Debug)]
+pub struct Sender(SendStream<Bytes>);
+
+impl Sender {
+    /// Wraps the sending half of an `h2` stream.
+    #[must_use]
+    pub fn new(stream: SendStream<Bytes>) -> Self {
+        Self(stream)
+    }
+
+    /// Sends one message; waits while the peer has no room for it.
+    ///
+    /// The future must run to its end: a message that is cut off ends the stream.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the stream has ended, or the peer makes no room in time.
+    pub async fn send<T: Serialize>(&mut self, message: &T) -> Result<(), Error> {
+        let mut bytes = encode(message)?;
+        while !bytes.is_empty() {
+            let room = self.room(bytes.len()).await?;
+            let chunk = bytes.split_to(room.min(bytes.len()));
+            self.0.send_data(chunk, false)?;
+        }
+        Ok(())
+    }
+
+    /// Ends the stream.
+    pub fn close(&mut self) {
+        // A stream that is broken already needs no end.
+        drop(self.0.send_data(Bytes::new(), true));
+    }
+
+    async fn room(&mut self, wanted: usize) -> Result<usize, Error> {
+        self.0.reserve_capacity(wanted);
+        if self.0.capacity() > 0 {
+            return Ok(self.0.capacity());
+        }
+        let granted = poll_fn(|context| self.0.poll_capacity(context));
+        match tokio::time::timeout(SEND_WAIT, granted).await {
+            Ok(Some(room)) => Ok(room?),
+            Ok(None) => Err(Error::Closed),
+            Err(_) => Err(Error::Stalled),
+        }
+    }
+}
+
+/// The receiving half of a stream.
+#[derive(Debug)]
+pub struct Receiver {
+    stream: RecvStream,
+    unread: Unread,
+}
+
+impl Receiver {
+    /// Wraps the receiving half of an `h2` stream.
+    #[must_use]
+    pub fn new(stream: RecvStream) -> Self {
+        Self {
+            stream,
+            unread: Unread::default(),
+        }
+    }
+
+    /// Receives one message. A call that is dropped before its end loses nothing.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the stream has ended, or the message is malformed or too large.
+    pub async fn receive<T: DeserializeOwned>(&mut self) -> Result<T, Error> {
+        loop {
+            if let Some(message) = self.unread.pop()? {
+                return Ok(message);
+            }
+            let Some(chunk) = self.stream.data().await else {
+                return Err(Error::Closed);
+            };
+            let chunk = chunk?;
+            self.stream.flow_control().release_capacity(chunk.len())?;
+            self.unread.push(&chunk);
+        }
+    }
+}
+
+/// Bytes of a stream that are not decoded yet.
+#[derive(Debug, Default)]
+pub struct Unread(BytesMut);
+
+impl Unread {
+    /// Adds bytes as they arrive.
+    pub fn push(&mut self, chunk: &[u8]) {
+        self.0.extend_from_slice(chunk);
+    }
+
+    /// Takes the next whole message, if there is one.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the message is malformed, or longer than [`MAX_MESSAGE`].
+    pub fn pop<T: DeserializeOwned>(&mut self) -> Result<Option<T>, frame::Error> {
+        let Some(mut head) = self.0.get(..LENGTH) else {
+            return Ok(None);
+        };
+        let length = usize::try_from(head.get_u32()).unwrap_or(usize::MAX);
+        if length > MAX_MESSAGE {
+            return Err(frame::Error::TooLarge(length));
+        }
+        if self.0.len() < LENGTH + length {
+            return Ok(None);
+        }
+        self.0.advance(LENGTH);
+        let body = self.0.split_to(length);
+        frame::decode_body::<T, MAX_MESSAGE>(&body).map(Some)
+    }
+}
+
+/// Encodes one message behind its length.
+///
+/// # Errors
+///
+/// Fails when the message can't be encoded, or is longer than [`MAX_MESSAGE`].
+pub fn encode<T: Serialize>(message: &T) -> Result<Bytes, frame::Error> {
+    let body = frame::encode_body(message)?;
+    if body.len() > MAX_MESSAGE {
+        return Err(frame::Error::TooLarge(body.len()));
+    }
+    let length = u32::try_from(body.len()).map_err(|_| frame::Error::TooLarge(body.len()))?;
+    let mut bytes = Vec::with_capacity(LENGTH + body.len());
+    bytes.extend_from_slice(&length.to_be_bytes());
+    bytes.extend_from_slice(&body);
+    Ok(bytes.into())
+}
--- a/crates/settings/tests/faults.rs
+++ b/crates/settings/tests/faults.rs
@@ -1,5 +1,7 @@
 //! Each bad settings file is refused with one line that names file, key, value and advice.
 
+#![expect(clippy::unwrap_used, reason = "a test fails by its panic")]
+
 use settings::{Error, control, entry, parse};
 
 const ENTRY: &str = r#"
