--- a/crates/policy/src/node.rs
+++ b/crates/policy/src/node.rs
@@ -9,6 +9,7 @@
 use model::{
     announce::Announcement,
     config::{Config, DomainState},
+    delivery,
     name::Name,
 };
 
@@ -70,6 +71,10 @@
     confirmed: Instant,
     /// When a peer may next be asked for its configuration.
     next_ask: Instant,
+    /// Whether the configuration was confirmed since this process last stood still.
+    fresh: bool,
+    /// When the last event came.
+    last_event: Instant,
 }
 
 /// The state of one entry VM, as the dump shows it.
@@ -103,6 +108,8 @@
             stopping: false,
             confirmed: now,
             next_ask: now,
+            fresh: true,
+            last_event: now,
         }
     }
 
@@ -122,7 +129,8 @@
     #[must_use]
     pub fn needed(&self, now: Instant) -> BTreeMap<Name, u64> {
         let config = self.config.clone();
-        self.flows.needed(context(now, &self.view, &config))
+        self.flows
+            .needed(context(now, &self.view, &config, self.fresh))
     }
 
     /// The state of this VM, for the dump.
@@ -150,12 +158,17 @@
 
     /// Handles one event; what is to be done is added to `out`, in order.
     pub fn handle(&mut self, now: Instant, event: Event, out: &mut Vec<Action>) {
+        let still_ms = now.ms_since(std::mem::replace(&mut self.last_event, now));
+        if still_ms > delivery::LEASE_MS {
+            self.fresh = false;
+            self.membership.forget_probe();
+        }
         let config = self.config.clone();
-        let context = context(now, &self.view, &config);
+        let context = context(now, &self.view, &config, self.fresh);
         match event {
             Event::Tick => self.on_tick(now, out),
             Event::Config(new) => self.on_config(now, new, out),
-            Event::ControlCurrent => self.confirmed = now,
+            Event::ControlCurrent => self.confirm(now),
             Event::Announce(announcement) => {
                 out.push(Action::Report(announcement.clone()));
                 self.on_announce(now, announcement, Hop::First, out);
@@ -184,7 +197,7 @@
         let change = self.membership.on_tick(now, &mut self.view, out);
         self.on_membership(now, change, None, out);
         let config = self.config.clone();
-        let context = context(now, &self.view, &config);
+        let context = context(now, &self.view, &config, self.fresh);
         self.load.on_tick(context, out);
         self.flows.on_tick(context, &mut self.load, out);
         self.requests.on_tick(context, &mut self.load, out);
@@ -205,11 +218,17 @@
         };
         if index > self.config.index {
             self.ask_config(now, from, out);
-        } else {
-            self.confirmed = now;
+        } else if change.acknowledged {
+            self.confirm(now);
         }
     }
 
+    /// A control VM, or a peer that answered a probe of this VM, has no newer configuration.
+    fn confirm(&mut self, now: Instant) {
+        self.confirmed = now;
+        self.fresh = true;
+    }
+
     /// Asks a peer for its newer configuration, a few times a second at most.
     fn ask_config(&mut self, now: Instant, from: SocketAddr, out: &mut Vec<Action>) {
         if now < self.next_ask {
@@ -229,7 +248,7 @@
             return;
         }
         let old = std::mem::replace(&mut self.config, new.clone());
-        self.confirmed = now;
+        self.confirm(now);
         self.membership.set_index(new.index);
         let excluded: BTreeSet<Name> = new
             .domains
@@ -242,7 +261,7 @@
             self.view.out = excluded;
             self.view.number += 1;
         }
-        let context = context(now, &self.view, &new);
+        let context = context(now, &self.view, &new, self.fresh);
         self.load.on_config(context, &old, out);
         self.flows.on_config(context, &old, out);
         self.requests.on_config(context, &old, out);
@@ -253,14 +272,14 @@
 
     fn on_stop(&mut self, now: Instant, out: &mut Vec<Action>) {
         let config = self.config.clone();
-        let context = context(now, &self.view, &config);
+        let context = context(now, &self.view, &config, self.fresh);
         self.flows.on_stop(context, out);
         self.requests.on_stop(context, out);
     }
 
     fn on_view(&mut self, now: Instant, out: &mut Vec<Action>) {
         let config = self.config.clone();
-        let context = context(now, &self.view, &config);
+        let context = context(now, &self.view, &config, self.fresh);
         self.load.on_view(context, out);
         self.flows.on_view(context, out);
         self.requests.on_view(context, &mut self.load, out);
@@ -278,7 +297,7 @@
         out: &mut Vec<Action>,
     ) {
         let config = self.config.clone();
-        let context = context(now, &self.view, &config);
+        let context = context(now, &self.view, &config, self.fresh);
         let steward = self
             .view
             .steward(&announcement.service, &announcement.domain);
@@ -311,7 +330,7 @@
         };
         let vm = vm.clone();
         let config = self.config.clone();
-        let context = context(now, &self.view, &config);
+        let context = context(now, &self.view, &config, self.fresh);
         match message {
             Message::Membership(_) => {}
             Message::Flow(message) => {
@@ -344,6 +363,11 @@
     Second,
 }
 
-fn context<'a>(now: Instant, view: &'a View, config: &'a Config) -> Context<'a> {
-    Context { now, view, config }
+fn context<'a>(now: Instant, view: &'a View, config: &'a Config, fresh: bool) -> Context<'a> {
+    Context {
+        now,
+        view,
+        config,
+        fresh,
+    }
 }
