Serve requests through home, holder, steward and upstream

Cause: the seams of load and request were empty.

A request goes to its home by the rendezvous order; one that is not idempotent has its intent held by the backup (and by every VM that was home or backup within the longest deadline) before it is dispatched. The home sends it to the steward of one failure domain, which queues it by deadline, dispatches it in one datagram to an upstream with a free slot, and tells the outcome until it is acknowledged. A new steward admits nothing before the former one handed its ledger over, or every live VM said what it has under way and lost ones were waited out.

Ruled out: a shortcut where home and steward are one VM. Messages to the VM itself take the same path; Node handles them at once.

--- a/crates/policy/src/io.rs
+++ b/crates/policy/src/io.rs
@@ -171,6 +171,8 @@
     RequestRepeat,
     /// Answers of upstreams that match no attempt.
     ReplyUnmatched,
+    /// Answers of upstreams to attempts that were given up.
+    ReplyLate,
     /// Messages of VMs that are not known.
     MessageUnknownPeer,
 }
@@ -192,6 +194,7 @@
             Self::RequestUnknown => "oriole_requests_outcome_unknown_total",
             Self::RequestRepeat => "oriole_requests_repeated_total",
             Self::ReplyUnmatched => "oriole_replies_unmatched_total",
+            Self::ReplyLate => "oriole_replies_late_total",
             Self::MessageUnknownPeer => "oriole_messages_unknown_peer_total",
         }
     }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -8,6 +8,7 @@
 //! - [`flow`]: which upstream a flow belongs to, whichever VM its packets reach.
 //! - [`load`]: what each upstream bears, admitted by the one VM that is its steward.
 //! - [`request`]: each request runs at most once and gets its own answer.
+//! - [`history`]: what an earlier view may still mean for this one.
 //! - [`node`]: the four together, as `oriole-entry` runs them.
 //!
 //! ```
@@ -22,6 +23,7 @@
 //! ```
 
 pub mod flow;
+pub mod history;
 pub mod io;
 pub mod load;
 pub mod membership;
--- /dev/null
+++ b/crates/policy/src/load/ramp.rs
@@ -0,0 +1,213 @@
+//! How much an upstream bears now, learned from what came of earlier requests.
+//!
+//! A cold upstream starts at one request at a time. Each step up needs a number of good answers
+//! and some time; each bad outcome halves the limit at once. What an upstream says of itself only
+//! ever slows the ramp down, since it may lag or be wrong.
+
+use crate::time::Instant;
+
+/// Good answers for each request borne at a time that a step up needs.
+const ANSWERS_PER_STEP: u32 = 4;
+
+/// Least time between two steps up, in milliseconds.
+const STEP_MS: u64 = 100;
+
+/// Least time between two steps up of an upstream that calls itself cold, in milliseconds.
+const COLD_STEP_MS: u64 = 500;
+
+/// Answers slower than this many times the usual time are slow.
+const SLOW_FACTOR: u64 = 4;
+
+/// Slow answers in a row that are a bad outcome; a single one may be chance.
+const SLOW_STREAK: u32 = 2;
+
+/// Answers faster than this never count as slow, in microseconds.
+const SLOW_FLOOR_US: u64 = 20_000;
+
+/// Weight of a new time in the usual time is one part in this.
+const SMOOTHING: u64 = 8;
+
+/// Shortest pause after a bad outcome at the lowest limit, in milliseconds.
+const MIN_PAUSE_MS: u64 = 100;
+
+/// Longest pause after a bad outcome at the lowest limit, in milliseconds.
+const MAX_PAUSE_MS: u64 = 2_000;
+
+/// Time-outs in a row after which an upstream counts as gone until a probe succeeds.
+const GONE_AFTER: u32 = 3;
+
+/// The limit of one upstream.
+#[derive(Debug, Clone)]
+pub(crate) struct Ramp {
+    /// Requests that it bears at a time. Invariant: `1 <= limit <= slots`.
+    limit: u16,
+    /// Slots that the upstream has when warm.
+    slots: u16,
+    /// Good answers since the last step.
+    good: u32,
+    /// When the limit last changed.
+    changed: Instant,
+    /// No request before this moment.
+    paused_until: Instant,
+    /// Bad outcomes in a row at the lowest limit.
+    strikes: u32,
+    /// Time-outs in a row.
+    timeouts: u32,
+    /// Slow answers in a row.
+    slow: u32,
+    /// Usual time of a request, in microseconds; 0 where none was seen.
+    service_us: u64,
+    /// Whether the upstream says that it is cold.
+    claims_cold: bool,
+}
+
+impl Ramp {
+    /// The ramp of an upstream of which nothing is known.
+    pub(crate) fn new(now: Instant, slots: u16) -> Self {
+        Self {
+            limit: 1,
+            slots: slots.max(1),
+            good: 0,
+            changed: now,
+            paused_until: now,
+            strikes: 0,
+            timeouts: 0,
+            slow: 0,
+            service_us: 0,
+            claims_cold: false,
+        }
+    }
+
+    /// Starts again at the lowest limit; the usual time stays known.
+    pub(crate) fn restart(&mut self, now: Instant) {
+        let service_us = self.service_us;
+        let claims_cold = self.claims_cold;
+        *self = Self {
+            service_us,
+            claims_cold,
+            ..Self::new(now, self.slots)
+        };
+    }
+
+    /// Takes over what another steward learned.
+    pub(crate) fn adopt(&mut self, limit: u16, service_us: u64) {
+        self.limit = limit.clamp(1, self.slots);
+        self.service_us = service_us;
+    }
+
+    /// Sets the slots of the upstream when warm.
+    pub(crate) fn set_slots(&mut self, slots: u16) {
+        self.slots = slots.max(1);
+        self.limit = self.limit.min(self.slots);
+    }
+
+    /// Notes whether the upstream says that it is cold.
+    pub(crate) fn set_claims_cold(&mut self, cold: bool) {
+        self.claims_cold = cold;
+    }
+
+    /// Requests that the upstream bears at a time now; 0 while it is paused.
+    pub(crate) fn limit(&self, now: Instant) -> u16 {
+        if now < self.paused_until {
+            return 0;
+        }
+        if self.is_gone() { 1 } else { self.limit }
+    }
+
+    /// The limit, paused or not.
+    pub(crate) fn level(&self) -> u16 {
+        self.limit
+    }
+
+    /// When the pause ends.
+    pub(crate) fn paused_until(&self) -> Instant {
+        self.paused_until
+    }
+
+    /// Whether it has not answered for several requests in a row.
+    pub(crate) fn is_gone(&self) -> bool {
+        self.timeouts >= GONE_AFTER
+    }
+
+    /// Usual time of a request, in microseconds; 0 where none was seen.
+    pub(crate) fn service_us(&self) -> u64 {
+        self.service_us
+    }
+
+    /// Takes a good answer that took `took_us`; `full` says whether the limit was used up.
+    pub(crate) fn answered(&mut self, now: Instant, took_us: u64, full: bool) {
+        self.timeouts = 0;
+        self.strikes = 0;
+        let slow = self
+            .service_us
+            .saturating_mul(SLOW_FACTOR)
+            .max(SLOW_FLOOR_US);
+        if self.service_us > 0 && took_us > slow {
+            // Learns slowly, so that a lasting change becomes the usual time in the end.
+            self.learn(took_us.min(slow));
+            self.slow += 1;
+            if self.slow >= SLOW_STREAK {
+                self.slow = 0;
+                self.halve(now);
+            }
+            return;
+        }
+        self.slow = 0;
+        self.learn(took_us);
+        if !full || self.limit >= self.slots {
+            return;
+        }
+        self.good += 1;
+        let step = if self.claims_cold {
+            COLD_STEP_MS
+        } else {
+            STEP_MS
+        };
+        let enough = self.good >= ANSWERS_PER_STEP * u32::from(self.limit);
+        if enough && now.ms_since(self.changed) >= step {
+            self.limit += 1;
+            self.good = 0;
+            self.changed = now;
+        }
+    }
+
+    /// The upstream refused a request.
+    pub(crate) fn shed(&mut self, now: Instant, retry_after_ms: u64) {
+        self.timeouts = 0;
+        self.strike(now, retry_after_ms);
+    }
+
+    /// The upstream did not answer a request in time.
+    pub(crate) fn timed_out(&mut self, now: Instant) {
+        self.timeouts += 1;
+        self.strike(now, 0);
+    }
+
+    fn strike(&mut self, now: Instant, retry_after_ms: u64) {
+        if self.limit > 1 && !self.is_gone() {
+            self.halve(now);
+            return;
+        }
+        let backoff = MIN_PAUSE_MS << self.strikes.min(8);
+        self.strikes += 1;
+        let pause = backoff.max(retry_after_ms).min(MAX_PAUSE_MS);
+        self.paused_until = now.plus_ms(pause);
+        self.limit = 1;
+        self.good = 0;
+    }
+
+    fn halve(&mut self, now: Instant) {
+        self.limit = (self.limit / 2).max(1);
+        self.good = 0;
+        self.changed = now;
+    }
+
+    fn learn(&mut self, took_us: u64) {
+        if self.service_us == 0 {
+            self.service_us = took_us.max(1);
+            return;
+        }
+        let old = self.service_us * (SMOOTHING - 1);
+        self.service_us = ((old + took_us) / SMOOTHING).max(1);
+    }
+}
--- /dev/null
+++ b/crates/policy/src/load/upstream.rs
@@ -0,0 +1,144 @@
+//! What a steward knows of one upstream.
+
+use std::collections::BTreeMap;
+
+use model::{
+    announce::{Announcement, LEASE_MS},
+    config,
+    name::Name,
+};
+
+use super::{flows::FlowCount, ramp::Ramp, work::Standing};
+use crate::time::Instant;
+
+/// An upstream of which this VM is the steward.
+#[derive(Debug, Clone)]
+pub(crate) struct Upstream {
+    /// What operators admitted.
+    pub(crate) settings: config::Upstream,
+    /// Start of the upstream's process; 0 before its first announcement.
+    pub(crate) incarnation: u64,
+    /// When it last announced itself.
+    announced: Option<Instant>,
+    /// Whether it is about to stop.
+    leaving: bool,
+    /// Requests that it bears at a time.
+    pub(crate) ramp: Ramp,
+    /// Attempts of this steward that keep a slot busy.
+    pub(crate) busy: BTreeMap<u64, Instant>,
+    /// Attempts of earlier stewards that keep a slot busy, and until when at most.
+    pub(crate) foreign: BTreeMap<u64, Instant>,
+    /// Flows that it holds.
+    pub(crate) flows: FlowCount,
+    /// When it last got a request.
+    pub(crate) last_used: Instant,
+    /// Message id of the next attempt. Invariant: no id comes again within 65,536 attempts.
+    next_message: u16,
+}
+
+impl Upstream {
+    /// An upstream of which only the configuration is known.
+    pub(crate) fn new(now: Instant, settings: &config::Upstream, first_message: u16) -> Self {
+        Self {
+            settings: settings.clone(),
+            incarnation: 0,
+            announced: None,
+            leaving: false,
+            ramp: Ramp::new(now, settings.slots),
+            busy: BTreeMap::new(),
+            foreign: BTreeMap::new(),
+            flows: FlowCount::new(now, settings.connections),
+            last_used: Instant::ZERO,
+            next_message: first_message,
+        }
+    }
+
+    /// Takes new settings of operators.
+    pub(crate) fn configure(&mut self, settings: &config::Upstream) {
+        self.settings = settings.clone();
+        self.ramp.set_slots(settings.slots);
+        self.flows.set_connections(settings.connections);
+    }
+
+    /// Takes an announcement; returns false where it is not of the upstream that was admitted.
+    pub(crate) fn announce(&mut self, now: Instant, said: &Announcement) -> bool {
+        let same = said.request_address == self.settings.request_address
+            && said.flow_address == self.settings.flow_address
+            && said.domain == self.settings.domain;
+        if !same || said.incarnation < self.incarnation {
+            return false;
+        }
+        if said.incarnation > self.incarnation {
+            if self.incarnation > 0 {
+                self.ramp.restart(now);
+                self.flows.restart(now, true);
+            }
+            self.incarnation = said.incarnation;
+        }
+        self.announced = Some(now);
+        self.leaving = said.leaving;
+        self.ramp.set_claims_cold(said.warmth_percent < 100);
+        // It may offer less than operators admitted, and never more.
+        self.ramp.set_slots(self.settings.slots.min(said.slots));
+        let connections = self.settings.connections.min(said.connections);
+        self.flows.set_connections(connections);
+        true
+    }
+
+    /// Whether it announced itself lately.
+    pub(crate) fn is_live(&self, now: Instant) -> bool {
+        self.announced
+            .is_some_and(|at| now.ms_since(at) <= LEASE_MS)
+    }
+
+    /// Whether it may get new work.
+    pub(crate) fn takes_work(&self, now: Instant) -> bool {
+        let admitted = self.settings.state == config::UpstreamState::Admitted;
+        admitted && !self.leaving && self.is_live(now)
+    }
+
+    /// Requests that it bears at a time now.
+    pub(crate) fn limit(&self, now: Instant) -> u16 {
+        if self.takes_work(now) {
+            self.ramp.limit(now)
+        } else {
+            0
+        }
+    }
+
+    /// Slots that are busy, or may be; `floating` are attempts that may be at any upstream.
+    pub(crate) fn in_use(&self, now: Instant, floating: usize) -> usize {
+        let foreign = self.foreign.values().filter(|until| now < **until).count();
+        self.busy.len() + foreign + floating
+    }
+
+    /// The message id for a new attempt.
+    pub(crate) fn take_message_id(&mut self) -> u16 {
+        let id = self.next_message;
+        self.next_message = id.wrapping_add(1);
+        id
+    }
+
+    /// What another steward needs to know of it.
+    pub(crate) fn standing(&self, name: &Name) -> Standing {
+        Standing {
+            upstream: name.clone(),
+            incarnation: self.incarnation,
+            limit: self.ramp.level(),
+            service_us: self.ramp.service_us(),
+            flows: self.flows.held(),
+            flow_pace: self.flows.pace(),
+        }
+    }
+
+    /// Takes over what another steward knew of it.
+    pub(crate) fn adopt(&mut self, now: Instant, standing: &Standing) {
+        if standing.incarnation < self.incarnation {
+            return;
+        }
+        self.incarnation = standing.incarnation;
+        self.announced = self.announced.or(Some(now));
+        self.ramp.adopt(standing.limit, standing.service_us);
+        self.flows.adopt(standing.flows, standing.flow_pace);
+    }
+}
--- a/crates/policy/src/node.rs
+++ b/crates/policy/src/node.rs
@@ -9,6 +9,7 @@
 use model::{
     announce::Announcement,
     config::{Config, DomainState},
+    key::{hash, mix},
     name::Name,
 };
 
@@ -70,14 +71,15 @@
     /// Starts the machines.
     #[must_use]
     pub fn new(settings: Settings, _now: Instant) -> Self {
+        let seed = mix(settings.seed, hash(0, settings.name.as_str().as_bytes()));
         let me = Vm::new(settings.name.clone(), settings.domain, settings.address);
         Self {
             view: View::new(me),
             config: Arc::new(Config::default()),
             membership: Membership::new(&settings.name, settings.seeds),
             flows: Flows::default(),
-            load: Load::default(),
-            requests: Requests::default(),
+            load: Load::new(settings.incarnation),
+            requests: Requests::new(settings.incarnation, seed),
             stopping: false,
         }
     }
@@ -94,6 +96,13 @@
         &self.view
     }
 
+    /// Whether this VM can vouch alone that a request which it does not know was not run. Until
+    /// then it serves requests that are not idempotent only where another VM vouches.
+    #[must_use]
+    pub fn is_informed(&self, now: Instant) -> bool {
+        self.requests.is_informed(now, &self.config)
+    }
+
     /// For each service, the oldest generation that a flow known here still needs.
     #[must_use]
     pub fn needed(&self, now: Instant) -> BTreeMap<Name, u64> {
@@ -111,7 +120,30 @@
     }
 
     /// Handles one event; what is to be done is added to `out`, in order.
+    ///
+    /// Messages to this VM itself are handled at once.
     pub fn handle(&mut self, now: Instant, event: Event, out: &mut Vec<Action>) {
+        let start = out.len();
+        self.handle_one(now, event, out);
+        let Some(me) = self.view.get(&self.view.me).map(|vm| vm.address) else {
+            return;
+        };
+        let mut next = start;
+        while next < out.len() {
+            match &out[next] {
+                Action::Send { to, .. } if *to == me => {}
+                _ => {
+                    next += 1;
+                    continue;
+                }
+            }
+            if let Action::Send { message, .. } = out.remove(next) {
+                self.on_message(now, me, message, out);
+            }
+        }
+    }
+
+    fn handle_one(&mut self, now: Instant, event: Event, out: &mut Vec<Action>) {
         let config = self.config.clone();
         let context = context(now, &self.view, &config);
         match event {
