--- a/crates/policy/src/node.rs
+++ b/crates/policy/src/node.rs
@@ -10,6 +10,7 @@
     announce::Announcement,
     config::{Config, DomainState},
     delivery,
+    key::{hash, mix},
     name::Name,
 };
 
@@ -97,14 +98,15 @@
     /// Starts the machines.
     #[must_use]
     pub fn new(settings: Settings, now: Instant) -> Self {
+        let seed = mix(settings.seed, hash(0, settings.name.as_str().as_bytes()));
         let me = Vm::new(settings.name.clone(), settings.domain, settings.address);
         Self {
             config: Arc::new(Config::default()),
             membership: Membership::new(&me, settings.incarnation, settings.seeds, settings.seed),
             view: View::new(me),
             flows: Flows::default(),
-            load: Load::default(),
-            requests: Requests::default(),
+            load: Load::new(settings.incarnation),
+            requests: Requests::new(settings.incarnation, seed),
             stopping: false,
             confirmed: now,
             next_ask: now,
@@ -125,6 +127,13 @@
         &self.view
     }
 
+    /// Whether this VM can vouch alone that a request which it does not know was not run. Until
+    /// then it serves requests that are not idempotent only where another VM vouches.
+    #[must_use]
+    pub fn is_informed(&self, now: Instant) -> bool {
+        self.requests.is_informed(now, &self.config)
+    }
+
     /// For each service, the oldest generation that a flow known here still needs.
     #[must_use]
     pub fn needed(&self, now: Instant) -> BTreeMap<Name, u64> {
@@ -157,12 +166,35 @@
     }
 
     /// Handles one event; what is to be done is added to `out`, in order.
+    ///
+    /// Messages to this VM itself are handled at once.
     pub fn handle(&mut self, now: Instant, event: Event, out: &mut Vec<Action>) {
         let still_ms = now.ms_since(std::mem::replace(&mut self.last_event, now));
         if still_ms > delivery::LEASE_MS {
             self.fresh = false;
             self.membership.forget_probe();
         }
+        let start = out.len();
+        self.handle_one(now, event, out);
+        let Some(me) = self.view.get(&self.view.me).map(|vm| vm.address) else {
+            return;
+        };
+        let mut next = start;
+        while next < out.len() {
+            match &out[next] {
+                Action::Send { to, .. } if *to == me => {}
+                _ => {
+                    next += 1;
+                    continue;
+                }
+            }
+            if let Action::Send { message, .. } = out.remove(next) {
+                self.on_message(now, me, message, out);
+            }
+        }
+    }
+
+    fn handle_one(&mut self, now: Instant, event: Event, out: &mut Vec<Action>) {
         let config = self.config.clone();
         let context = context(now, &self.view, &config, self.fresh);
         match event {
