Add the replicated log, its store and the replica of a control VM

Cause: a control VM had a stand-in that kept nothing. Operators' changes must survive the loss of control VMs and be known after any restart.

Ruled out: a task on the runtime for the machine, since a sync of the disk would hold up all others; founding by one flagged VM alone, since its emptied disk would found a second cluster.

Not shown yet: seeded fault schedules, the history check, damaged files.

--- /dev/null
+++ b/crates/consensus/src/replica/append.rs
@@ -0,0 +1,258 @@
+//! Replication: a leader's appends and heartbeats, and a follower's answers.
+
+use super::{Error, Replica, Role};
+use crate::{Body, Entry, Id, Payload, progress::Progress};
+
+impl Replica {
+    /// A leader's share of a tick: heartbeats, resends, and whether a quorum still answers.
+    pub(super) fn tick_leader(&mut self) {
+        let election_ticks = self.settings.election_ticks;
+        let heartbeat_ticks = self.settings.heartbeat_ticks;
+        let Role::Leader(leader) = &mut self.role else {
+            return;
+        };
+        for progress in leader.progress.values_mut() {
+            progress.silent = progress.silent.saturating_add(1);
+            progress.awaiting = progress.awaiting.map(|t| t.saturating_add(1));
+            if progress.awaiting.is_some_and(|t| t > 2 * heartbeat_ticks) {
+                progress.awaiting = None;
+            }
+        }
+        leader.transfer = leader
+            .transfer
+            .map(|(to, age)| (to, age + 1))
+            .filter(|(_, age)| *age < election_ticks);
+        leader.heartbeat += 1;
+        let beat_due = leader.heartbeat >= heartbeat_ticks;
+        if !self.log.membership().has_quorum(|id| self.answers(id)) {
+            self.become_follower(self.term, None);
+        } else if beat_due {
+            self.beat();
+        }
+    }
+
+    /// Sends each other member a heartbeat, and what it lacks.
+    pub(super) fn beat(&mut self) {
+        if let Role::Leader(leader) = &mut self.role {
+            leader.heartbeat = 0;
+        }
+        for to in self.others() {
+            if !self.send_missing(to) {
+                self.send_heartbeat(to);
+            }
+        }
+    }
+
+    /// Sends each other member what it lacks.
+    pub(super) fn send_all(&mut self) {
+        for to in self.others() {
+            self.send_missing(to);
+        }
+    }
+
+    /// Sends `to` the entries or the snapshot part that it lacks, unless some are on their way.
+    pub(super) fn send_missing(&mut self, to: Id) -> bool {
+        let Role::Leader(leader) = &mut self.role else {
+            return false;
+        };
+        let round = leader.round;
+        let Some(progress) = leader.progress.get_mut(&to) else {
+            return false;
+        };
+        if progress.awaiting.is_some() || progress.next > self.log.last_index() {
+            return false;
+        }
+        progress.awaiting = Some(0);
+        let prev_index = progress.next - 1;
+        let Some(prev_term) = self.log.term(prev_index) else {
+            return self.send_chunk(to);
+        };
+        let entries = self.batch(prev_index + 1);
+        let body = Body::Append {
+            prev_index,
+            prev_term,
+            entries,
+            commit: self.commit,
+            round,
+        };
+        self.send(to, body);
+        true
+    }
+
+    /// Sends `to` an append without entries behind the last index that is known to match there.
+    fn send_heartbeat(&mut self, to: Id) {
+        let Role::Leader(leader) = &self.role else {
+            return;
+        };
+        let Some(progress) = leader.progress.get(&to) else {
+            return;
+        };
+        let known = self.log.term(progress.matched);
+        let (prev_index, prev_term) = known.map_or((0, 0), |term| (progress.matched, term));
+        let body = Body::Append {
+            prev_index,
+            prev_term,
+            entries: Vec::new(),
+            commit: self.commit.min(prev_index),
+            round: leader.round,
+        };
+        self.send(to, body);
+    }
+
+    /// Entries from `first` on that one message may hold.
+    fn batch(&self, first: u64) -> Vec<Entry> {
+        let last = first + self.settings.max_entries as u64 - 1;
+        let mut bytes = 0;
+        let mut batch = Vec::new();
+        for entry in self.log.range(first, last) {
+            bytes += entry.payload.size();
+            if bytes > self.settings.max_bytes && !batch.is_empty() {
+                break;
+            }
+            batch.push(entry.clone());
+        }
+        batch
+    }
+
+    pub(super) fn on_append(
+        &mut self,
+        from: Id,
+        (prev_index, prev_term): (u64, u64),
+        entries: Vec<Entry>,
+        commit: u64,
+        round: u64,
+    ) -> Result<(), Error> {
+        let reply = |accepted, index| Body::AppendReply {
+            accepted,
+            prev_index,
+            index,
+            round,
+        };
+        let last = prev_index + entries.len() as u64;
+        // What a snapshot includes is committed and so matches, though its terms are forgotten.
+        let matches =
+            prev_index < self.log.base_index() || self.log.term(prev_index) == Some(prev_term);
+        if !matches {
+            let hint = self.hint(prev_index);
+            self.send(from, reply(false, hint));
+            return Ok(());
+        }
+        for entry in entries {
+            self.take_entry(from, entry)?;
+        }
+        if commit.min(last) > self.commit {
+            self.commit = commit.min(last);
+        }
+        self.send(from, reply(true, last));
+        Ok(())
+    }
+
+    /// An index before `prev_index` at which the leader's log may match.
+    fn hint(&self, prev_index: u64) -> u64 {
+        let last = self.log.last_index();
+        if prev_index > last {
+            return last;
+        }
+        let before = self.log.run_start(prev_index).saturating_sub(1);
+        before.max(self.commit).min(prev_index - 1)
+    }
+
+    /// Takes one entry whose predecessor matches.
+    fn take_entry(&mut self, from: Id, entry: Entry) -> Result<(), Error> {
+        let index = entry.index;
+        if index <= self.log.base_index() {
+            return Ok(());
+        }
+        match self.log.term(index) {
+            Some(term) if term == entry.term => return Ok(()),
+            Some(_) if index <= self.commit => return Err(Error::Diverged { from, index }),
+            Some(_) => self.log.truncate(index),
+            None if index != self.log.last_index() + 1 => {
+                return Err(Error::Diverged { from, index });
+            }
+            None => {}
+        }
+        self.log.push(entry);
+        Ok(())
+    }
+
+    pub(super) fn on_append_reply(
+        &mut self,
+        from: Id,
+        accepted: bool,
+        prev_index: u64,
+        index: u64,
+        round: u64,
+    ) {
+        let last = self.log.last_index();
+        let Some(progress) = self.heard(from, round) else {
+            return;
+        };
+        if accepted {
+            // A follower's word counts only for entries that this leader holds.
+            progress.accept(index.min(last));
+            self.advance_commit();
+            self.finish_transfer(from);
+        } else if !progress.reject(prev_index, index) {
+            return;
+        }
+        self.send_missing(from);
+        self.settle_reads();
+    }
+
+    /// Notes that `from` answered in this term.
+    pub(super) fn heard(&mut self, from: Id, round: u64) -> Option<&mut Progress> {
+        let Role::Leader(leader) = &mut self.role else {
+            return None;
+        };
+        let progress = leader.progress.get_mut(&from)?;
+        progress.silent = 0;
+        progress.round = progress.round.max(round);
+        Some(progress)
+    }
+
+    /// Commits what a quorum has synced.
+    pub(super) fn advance_commit(&mut self) {
+        let Role::Leader(leader) = &self.role else {
+            return;
+        };
+        let id = self.settings.id;
+        let matched = |other: Id| {
+            if other == id {
+                return self.log.synced();
+            }
+            leader.progress.get(&other).map_or(0, |p| p.matched)
+        };
+        let membership = self.log.membership();
+        let mut synced: Vec<u64> = membership.voters.keys().map(|i| matched(*i)).collect();
+        synced.sort_unstable_by(|a, b| b.cmp(a));
+        let quorum = synced.len() / 2;
+        let index = synced.get(quorum).copied().unwrap_or(0);
+        // An entry of an older term may yet be overwritten, also when a quorum holds it.
+        if index <= self.commit || self.log.term(index) != Some(self.term) {
+            return;
+        }
+        self.commit = index;
+        if self.commit >= self.log.membership_index() && !self.is_voter() {
+            // It has removed itself. The others learn of the commit from its successor.
+            self.beat();
+            self.become_follower(self.term, None);
+            return;
+        }
+        self.beat();
+        self.settle_reads();
+    }
+
+    /// Appends an entry of this leader.
+    pub(super) fn append(&mut self, payload: Payload) -> u64 {
+        let index = self.log.last_index() + 1;
+        let term = self.term;
+        self.log.push(Entry {
+            index,
+            term,
+            payload,
+        });
+        self.send_all();
+        index
+    }
+}
--- /dev/null
+++ b/crates/consensus/src/replica/election.rs
@@ -0,0 +1,189 @@
+//! Elections: pre-vote, vote, and who steps down when.
+
+use std::collections::BTreeMap;
+
+use super::{Leader, Read, Replica, Role};
+use crate::{Body, Entry, Id, Message, Payload, progress::Progress};
+
+impl Replica {
+    /// Asks all voters whether they would elect this replica.
+    ///
+    /// A replica that lost contact asks first, so that its term doesn't grow while it is cut off
+    /// and its return doesn't end a working leader's term.
+    pub(super) fn start_pre_vote(&mut self) {
+        self.leader = None;
+        if !self.is_voter() {
+            return;
+        }
+        self.role = Role::PreCandidate(BTreeMap::from([(self.settings.id, true)]));
+        let body = Body::PreVote {
+            last_index: self.log.last_index(),
+            last_term: self.log.last_term(),
+        };
+        let term = self.term + 1;
+        for to in self.other_voters() {
+            let body = body.clone();
+            self.ready.messages.push((to, Message { term, body }));
+        }
+        self.count_votes();
+    }
+
+    /// Starts an election in the next term.
+    pub(super) fn start_vote(&mut self, transfer: bool) {
+        self.term += 1;
+        self.vote = Some(self.settings.id);
+        self.leader = None;
+        self.restart_timeout();
+        self.role = Role::Candidate(BTreeMap::from([(self.settings.id, true)]));
+        let body = Body::Vote {
+            last_index: self.log.last_index(),
+            last_term: self.log.last_term(),
+            transfer,
+        };
+        for to in self.other_voters() {
+            self.send(to, body.clone());
+        }
+        self.count_votes();
+    }
+
+    pub(super) fn on_pre_vote(&mut self, from: Id, term: u64, last_index: u64, last_term: u64) {
+        if self.hears_leader() {
+            return;
+        }
+        let granted = term > self.term && self.log.is_covered_by(last_index, last_term);
+        let body = Body::PreVoteReply { granted };
+        let term = if granted { term } else { self.term };
+        self.ready.messages.push((from, Message { term, body }));
+    }
+
+    pub(super) fn on_pre_vote_reply(&mut self, from: Id, term: u64) {
+        if let Role::PreCandidate(votes) = &mut self.role
+            && term == self.term + 1
+        {
+            votes.insert(from, true);
+            self.count_votes();
+        }
+    }
+
+    pub(super) fn on_vote(&mut self, from: Id, last_index: u64, last_term: u64) {
+        let is_free = self.vote.is_none_or(|v| v == from) && self.leader.is_none();
+        let granted = is_free && self.log.is_covered_by(last_index, last_term);
+        if granted {
+            self.vote = Some(from);
+            self.restart_timeout();
+        }
+        self.send(from, Body::VoteReply { granted });
+    }
+
+    pub(super) fn on_vote_reply(&mut self, from: Id, granted: bool) {
+        if let Role::Candidate(votes) = &mut self.role {
+            votes.insert(from, granted);
+            self.count_votes();
+        }
+    }
+
+    pub(super) fn on_timeout_now(&mut self) {
+        if self.is_voter() && !self.is_leader() {
+            self.start_vote(true);
+        }
+    }
+
+    /// Answers a message of an older term, so that its sender learns of the newer one.
+    pub(super) fn on_old_term(&mut self, from: Id, body: &Body) {
+        match body {
+            Body::Vote { .. } => self.send(from, Body::VoteReply { granted: false }),
+            Body::Append { round, .. } | Body::Chunk { round, .. } => {
+                let reply = Body::AppendReply {
+                    accepted: false,
+                    prev_index: 0,
+                    index: 0,
+                    round: *round,
+                };
+                self.send(from, reply);
+            }
+            _ => {}
+        }
+    }
+
+    /// Whether a leader was heard so lately that none other can have a quorum's votes unasked.
+    pub(super) fn hears_leader(&self) -> bool {
+        match self.role {
+            Role::Leader(_) => true,
+            _ => self.leader.is_some() && self.elapsed < self.settings.election_ticks,
+        }
+    }
+
+    /// Goes back to following, in `term`.
+    pub(super) fn become_follower(&mut self, term: u64, leader: Option<Id>) {
+        if term > self.term {
+            self.term = term;
+            self.vote = None;
+        }
+        if let Role::Leader(leader) = &mut self.role {
+            let lost = leader.reads.drain(..).map(|(context, _, _)| Read {
+                context,
+                index: None,
+            });
+            self.ready.reads.extend(lost);
+        }
+        self.role = Role::Follower;
+        self.leader = leader;
+        self.partial = None;
+        self.restart_timeout();
+    }
+
+    /// Takes `from` for the leader of the present term.
+    pub(super) fn follow(&mut self, from: Id) {
+        if !matches!(self.role, Role::Follower) {
+            self.become_follower(self.term, Some(from));
+        }
+        self.leader = Some(from);
+        self.elapsed = 0;
+    }
+
+    pub(super) fn is_voter(&self) -> bool {
+        let voters = &self.log.membership().voters;
+        voters.contains_key(&self.settings.id)
+    }
+
+    fn other_voters(&self) -> Vec<Id> {
+        let voters = self.log.membership().voters.keys();
+        let id = self.settings.id;
+        voters.copied().filter(|i| *i != id).collect()
+    }
+
+    fn count_votes(&mut self) {
+        let membership = self.log.membership();
+        let won = |votes: &BTreeMap<Id, bool>| {
+            membership.has_quorum(|id| votes.get(&id).copied().unwrap_or(false))
+        };
+        match &self.role {
+            Role::PreCandidate(votes) if won(votes) => self.start_vote(false),
+            Role::Candidate(votes) if won(votes) => self.become_leader(),
+            _ => {}
+        }
+    }
+
+    fn become_leader(&mut self) {
+        let next = self.log.last_index() + 1;
+        let others = self.others();
+        self.role = Role::Leader(Leader {
+            progress: others.iter().map(|i| (*i, Progress::new(next))).collect(),
+            term_start: next,
+            heartbeat: 0,
+            round: 0,
+            reads: Vec::new(),
+            round_due: false,
+            transfer: None,
+        });
+        self.leader = Some(self.settings.id);
+        self.elapsed = 0;
+        // Entries of older terms count as committed only behind one of this term.
+        self.log.push(Entry {
+            index: next,
+            term: self.term,
+            payload: Payload::Empty,
+        });
+        self.send_all();
+    }
+}
--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -1,13 +1,27 @@
 //! This control VM's replica of the configuration log, as the rest of the daemon sees it.
+//!
+//! [`machine`] holds every decision, without I/O but for the store. [`driver`] is the thread that
+//! runs it, and [`crate::peer`] carries its messages.
 
-use std::sync::{Arc, Mutex, PoisonError};
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    path::PathBuf,
+    sync::{Arc, Mutex, PoisonError},
+};
 
 use displaydoc::Display;
 use model::{
     command,
     config::{Applied, Config},
 };
-use tokio::sync::watch;
+use tokio::sync::{oneshot, watch};
+use tokio_util::sync::CancellationToken;
+
+pub mod driver;
+pub mod machine;
+
+use driver::Input;
 
 /// Why a command or a read got no answer from the cluster.
 #[derive(Debug, Display, Clone, PartialEq, Eq)]
@@ -18,10 +32,44 @@
     OutcomeUnknown,
     /// the replica has stopped: {0}
     Stopped(String),
+    /// the membership can't be changed so: {0}
+    Refused(String),
 }
 
 impl std::error::Error for Error {}
 
+/// Settings of this control VM's replica.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Settings {
+    /// Name of this control VM.
+    pub name: String,
+    /// Data folder, which holds this replica's state and nothing else.
+    pub folder: PathBuf,
+    /// Where this replica takes messages of the others.
+    pub address: SocketAddr,
+    /// Replicas that found the cluster, this one included, with their addresses. Later it is
+    /// whom a replica asks that takes no part yet.
+    pub peers: BTreeMap<String, SocketAddr>,
+    /// Whether this replica may take part in founding a cluster; see
+    /// [`machine`] for when that happens.
+    pub found: bool,
+    /// Commands after which the log is replaced by a snapshot.
+    pub snapshot_every: u64,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            name: String::new(),
+            folder: PathBuf::new(),
+            address: SocketAddr::from(([127, 0, 0, 1], 0)),
+            peers: BTreeMap::new(),
+            found: true,
+            snapshot_every: 1_024,
+        }
+    }
+}
+
 /// Who leads, and how far this replica is.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Status {
@@ -33,13 +81,27 @@
     pub term: u64,
     /// Index of the last command that this replica knows to be committed.
     pub committed: u64,
+    /// Names of the replicas that vote.
+    pub voters: Vec<String>,
+    /// Names of the replicas that are catching up.
+    pub learners: Vec<String>,
+    /// Why the replica has stopped, if it has.
+    pub stopped: Option<String>,
 }
 
 /// The way to this control VM's replica; clones share it.
 #[derive(Debug, Clone)]
 pub struct Handle {
     config: watch::Sender<Arc<Config>>,
-    log: Arc<Mutex<Config>>,
+    status: watch::Sender<Status>,
+    way: Way,
+}
+
+/// Where commands go.
+#[derive(Debug, Clone)]
+enum Way {
+    Alone(Arc<Mutex<Config>>),
+    Driver(driver::Sender),
 }
 
 impl Handle {
@@ -47,12 +109,34 @@
     #[must_use]
     pub fn alone() -> Self {
         let config = Config::default();
+        let status = Status {
+            is_leader: true,
+            ..Status::default()
+        };
         Self {
             config: watch::Sender::new(Arc::new(config.clone())),
-            log: Arc::new(Mutex::new(config)),
+            status: watch::Sender::new(status),
+            way: Way::Alone(Arc::new(Mutex::new(config))),
         }
     }
 
+    /// Starts the replica and the transport to the others; both end with `token`, after
+    /// leadership was handed over. Must be called within a tokio runtime.
+    ///
+    /// # Errors
+    ///
+    /// Says what is wrong with the data folder or the address.
+    pub async fn start(settings: Settings, token: CancellationToken) -> Result<Self, Error> {
+        let config = watch::Sender::new(Arc::new(Config::default()));
+        let status = watch::Sender::new(Status::default());
+        let sender = driver::start(settings, config.clone(), status.clone(), token).await?;
+        Ok(Self {
+            config,
+            status,
+            way: Way::Driver(sender),
+        })
+    }
+
     /// Appends a command to the log, through the leader wherever it is, and waits until it is
     /// committed and applied here. A resend gets the first answer.
     ///
@@ -60,11 +144,14 @@
     ///
     /// Says whether the command may still be committed.
     pub async fn propose(&self, entry: command::Entry) -> Result<Applied, Error> {
-        let mut log = self.log.lock().unwrap_or_else(PoisonError::into_inner);
-        let index = log.index + 1;
-        let outcome = log.apply(index, &entry);
-        self.config.send_replace(Arc::new(log.clone()));
-        Ok(Applied { index, outcome })
+        match &self.way {
+            Way::Alone(log) => Ok(self.apply_alone(log, &entry)),
+            Way::Driver(sender) => {
+                let (answer, wait) = oneshot::channel();
+                sender.send(Input::Propose(entry, answer), Error::NoLeader)?;
+                wait.await.unwrap_or(Err(Error::OutcomeUnknown))
+            }
+        }
     }
 
     /// The committed configuration as of a moment after the call: a linearizable read.
@@ -73,7 +160,34 @@
     ///
     /// Fails when no leader confirms that it still leads.
     pub async fn read(&self) -> Result<Arc<Config>, Error> {
-        Ok(self.latest())
+        match &self.way {
+            Way::Alone(_) => Ok(self.latest()),
+            Way::Driver(sender) => {
+                let (answer, wait) = oneshot::channel();
+                sender.send(Input::Read(answer), Error::NoLeader)?;
+                wait.await.unwrap_or(Err(Error::NoLeader))
+            }
+        }
+    }
+
+    /// Replaces replica `old` by the one that runs under the name `new` and takes no part yet;
+    /// both names may be the same where a disk was emptied. Returns once the newcomer votes, has
+    /// synced everything committed, and the old one is removed: a second loss right after it
+    /// loses nothing.
+    ///
+    /// # Errors
+    ///
+    /// Says why it isn't done. It may be asked for again, and goes on where it was.
+    pub async fn replace(&self, old: &str, new: &str) -> Result<(), Error> {
+        match &self.way {
+            Way::Alone(_) => Err(Error::Refused("this replica is alone".to_owned())),
+            Way::Driver(sender) => {
+                let (answer, wait) = oneshot::channel();
+                let input = Input::Replace(old.to_owned(), new.to_owned(), answer);
+                sender.send(input, Error::NoLeader)?;
+                wait.await.unwrap_or(Err(Error::NoLeader))
+            }
+        }
     }
 
     /// The configuration that this replica has applied; may be old.
@@ -91,10 +205,30 @@
     /// Who leads, and how far this replica is.
     #[must_use]
     pub fn status(&self) -> Status {
-        Status {
-            is_leader: true,
-            committed: self.latest().index,
-            ..Status::default()
-        }
+        self.status.borrow().clone()
+    }
+
+    /// Watches who leads, and how far this replica is.
+    #[must_use]
+    pub fn watch_status(&self) -> watch::Receiver<Status> {
+        self.status.subscribe()
+    }
+
+    /// Waits until the replica has stopped, and says why: at the end of its token, or because its
+    /// disk failed.
+    pub async fn stopped(&self) -> String {
+        let mut status = self.status.subscribe();
+        let stopped = status.wait_for(|s| s.stopped.is_some()).await;
+        let reason = stopped.ok().and_then(|s| s.stopped.clone());
+        reason.unwrap_or_default()
+    }
+
+    fn apply_alone(&self, log: &Mutex<Config>, entry: &command::Entry) -> Applied {
+        let mut log = log.lock().unwrap_or_else(PoisonError::into_inner);
+        let index = log.index + 1;
+        let outcome = log.apply(index, entry);
+        self.config.send_replace(Arc::new(log.clone()));
+        self.status.send_modify(|s| s.committed = index);
+        Applied { index, outcome }
     }
 }
--- /dev/null
+++ b/crates/control/src/replica/driver.rs
@@ -0,0 +1,326 @@
+//! The thread that runs a [`Machine`].
+//!
+//! It is a thread of its own, so that a slow sync of the disk holds up neither the runtime nor
+//! the transport.
+
+use std::{
+    collections::BTreeMap,
+    hash::{BuildHasher, RandomState},
+    sync::{
+        Arc,
+        mpsc::{self, RecvTimeoutError, TrySendError},
+    },
+    thread,
+    time::{Duration, Instant},
+};
+
+use model::{
+    command,
+    config::{Applied, Config},
+};
+use store::Folder;
+use tokio::{
+    net::TcpListener,
+    sync::{oneshot, watch},
+};
+use tokio_util::sync::CancellationToken;
+
+use super::{
+    Error, Settings, Status,
+    machine::{self, Answer, Fault, Machine, Output},
+};
+use crate::peer::{self, Client, Envelope};
+
+/// Length of a tick.
+pub const TICK: Duration = Duration::from_millis(50);
+
+/// Inputs that may wait for the thread.
+const MAX_INPUTS: usize = 8_192;
+
+/// Inputs taken before what they led to is stored, with one sync for all.
+const MAX_BATCH: usize = 256;
+
+/// Longest time to hand over leadership before the thread ends.
+const HAND_OVER: Duration = Duration::from_millis(1_500);
+
+/// What comes to the thread.
+#[derive(Debug)]
+pub(super) enum Input {
+    Peer(Envelope),
+    Propose(command::Entry, oneshot::Sender<Result<Applied, Error>>),
+    Read(oneshot::Sender<Result<Arc<Config>, Error>>),
+    Replace(String, String, oneshot::Sender<Result<(), Error>>),
+    Stop,
+}
+
+/// The way to the thread.
+#[derive(Debug, Clone)]
+pub(super) struct Sender(mpsc::SyncSender<Input>);
+
+impl Sender {
+    /// Hands in an input, or fails at once with `when_full` where too many wait.
+    pub(super) fn send(&self, input: Input, when_full: Error) -> Result<(), Error> {
+        self.0.try_send(input).map_err(|e| match e {
+            TrySendError::Full(_) => when_full,
+            TrySendError::Disconnected(_) => Error::Stopped("see its log".to_owned()),
+        })
+    }
+}
+
+/// Opens the data folder and starts the thread and the transport.
+pub(super) async fn start(
+    settings: Settings,
+    config: watch::Sender<Arc<Config>>,
+    status: watch::Sender<Status>,
+    token: CancellationToken,
+) -> Result<Sender, Error> {
+    if settings.peers.len().is_multiple_of(2) {
+        let reason = "field `peers`: name an odd number of initial replicas, this one included";
+        return Err(Error::Stopped(reason.to_owned()));
+    }
+    let stopped = |e: &dyn std::fmt::Display| Error::Stopped(e.to_string());
+    let listener = TcpListener::bind(settings.address).await.map_err(|e| {
+        let address = settings.address;
+        stopped(&format!("listening on {address} failed: {e}"))
+    })?;
+    let folder = Folder::open(&settings.folder).map_err(|e| stopped(&e))?;
+    let machine = Machine::open(folder, machine_settings(&settings)).map_err(|e| stopped(&e))?;
+    let (sender, inputs) = mpsc::sync_channel(MAX_INPUTS);
+    let sender = Sender(sender);
+    // The transport outlives the token until leadership is handed over.
+    let transport = CancellationToken::new();
+    let deliver = {
+        let sender = sender.clone();
+        move |envelope| {
+            // What finds the queue full is sent again by the other side.
+            let _ = sender.send(Input::Peer(envelope), Error::NoLeader);
+        }
+    };
+    let (ended, end) = oneshot::channel();
+    let serve = peer::serve(listener, deliver, transport.clone());
+    let shown = status.clone();
+    // Stopped is said last, when folder and address are free again.
+    tokio::spawn(async move {
+        serve.await;
+        let reason: Result<String, _> = end.await;
+        shown.send_modify(|s| {
+            s.is_leader = false;
+            s.stopped = Some(reason.unwrap_or_else(|_| "its thread has panicked".to_owned()));
+        });
+    });
+    let stop = sender.clone();
+    tokio::spawn(async move {
+        token.cancelled().await;
+        while stop.send(Input::Stop, Error::NoLeader) == Err(Error::NoLeader) {
+            tokio::time::sleep(TICK).await;
+        }
+    });
+    let runtime = tokio::runtime::Handle::current();
+    let driver = Driver {
+        client: Client::new(runtime, transport.clone()),
+        machine,
+        config,
+        status,
+        waiting: Waiting::default(),
+        stop_at: None,
+    };
+    thread::Builder::new()
+        .name("replica".to_owned())
+        .spawn(move || {
+            let _transport = transport.drop_guard();
+            let reason = driver.run(&inputs);
+            // Nobody hears it when the runtime has ended as well.
+            let _ = ended.send(reason);
+        })
+        .map_err(|e| stopped(&e))?;
+    Ok(sender)
+}
+
+fn machine_settings(settings: &Settings) -> machine::Settings {
+    let peers = settings.peers.iter();
+    machine::Settings {
+        name: settings.name.clone(),
+        address: settings.address.to_string(),
+        peers: peers.map(|(n, a)| (n.clone(), a.to_string())).collect(),
+        found: settings.found,
+        fresh: (random(), random()),
+        seed: random(),
+        snapshot_every: settings.snapshot_every.max(1),
+        consensus: consensus::Settings {
+            election_ticks: 12,
+            heartbeat_ticks: 3,
+            ..consensus::Settings::default()
+        },
+    }
+}
+
+/// A random number other than 0, from the system's generator.
+fn random() -> u64 {
+    RandomState::new().hash_one(Instant::now()).max(1)
+}
+
+/// Who waits for which token.
+#[derive(Debug, Default)]
+struct Waiting {
+    last: u64,
+    commands: BTreeMap<u64, oneshot::Sender<Result<Applied, Error>>>,
+    reads: BTreeMap<u64, oneshot::Sender<Result<Arc<Config>, Error>>>,
+    replacements: BTreeMap<u64, oneshot::Sender<Result<(), Error>>>,
+}
+
+impl Waiting {
+    fn token(&mut self) -> u64 {
+        self.last += 1;
+        self.last
+    }
+
+    /// Hands an answer to who waits. A receiver that is gone no longer wants it.
+    fn answer(&mut self, answer: Answer) {
+        match answer {
+            Answer::Proposed(token, outcome) => {
+                if let Some(sender) = self.commands.remove(&token) {
+                    let _ = sender.send(outcome);
+                }
+            }
+            Answer::Read(token, outcome) => {
+                if let Some(sender) = self.reads.remove(&token) {
+                    let _ = sender.send(outcome);
+                }
+            }
+            Answer::Replaced(token, outcome) => {
+                if let Some(sender) = self.replacements.remove(&token) {
+                    let _ = sender.send(outcome);
+                }
+            }
+        }
+    }
+}
+
+struct Driver {
+    machine: Machine<Folder>,
+    client: Client,
+    config: watch::Sender<Arc<Config>>,
+    status: watch::Sender<Status>,
+    waiting: Waiting,
+    /// When the thread ends at the latest, once it was asked to.
+    stop_at: Option<Instant>,
+}
+
+impl Driver {
+    /// Runs until it is asked to stop or the disk fails; says why.
+    fn run(mut self, inputs: &mpsc::Receiver<Input>) -> String {
+        match self.run_until_stopped(inputs) {
+            Ok(()) => "it was asked to".to_owned(),
+            Err(fault) => {
+                log::error!("replica: {fault}");
+                fault.to_string()
+            }
+        }
+    }
+
+    fn run_until_stopped(&mut self, inputs: &mpsc::Receiver<Input>) -> Result<(), Fault> {
+        let mut next_tick = Instant::now();
+        // What is known to be committed is applied before anything else.
+        self.flush()?;
+        loop {
+            let now = Instant::now();
+            if now >= next_tick {
+                // After a long stop only one tick passes, so that messages that waited meanwhile
+                // are taken before an election starts.
+                next_tick = now + TICK;
+                self.machine.tick()?;
+                self.flush()?;
+            }
+            if self.is_stopped(now) {
+                return Ok(());
+            }
+            let wait = next_tick.saturating_duration_since(now);
+            match inputs.recv_timeout(wait) {
+                Ok(input) => {
+                    self.take(input)?;
+                    for input in inputs.try_iter().take(MAX_BATCH) {
+                        self.take(input)?;
+                    }
+                    self.flush()?;
+                }
+                Err(RecvTimeoutError::Timeout) => {}
+                Err(RecvTimeoutError::Disconnected) => return Ok(()),
+            }
+        }
+    }
+
+    fn is_stopped(&self, now: Instant) -> bool {
+        let Some(stop_at) = self.stop_at else {
+            return false;
+        };
+        now >= stop_at || !self.machine.replica().is_leader()
+    }
+
+    fn take(&mut self, input: Input) -> Result<(), Fault> {
+        match input {
+            Input::Peer(envelope) => self.machine.receive(envelope)?,
+            Input::Propose(entry, answer) => {
+                let token = self.waiting.token();
+                self.waiting.commands.insert(token, answer);
+                self.machine.propose(token, entry);
+            }
+            Input::Read(answer) => {
+                let token = self.waiting.token();
+                self.waiting.reads.insert(token, answer);
+                self.machine.read(token);
+            }
+            Input::Replace(old, new, answer) => {
+                let token = self.waiting.token();
+                self.waiting.replacements.insert(token, answer);
+                self.machine.replace(token, &old, &new);
+            }
+            Input::Stop => self.stop(),
+        }
+        Ok(())
+    }
+
+    fn stop(&mut self) {
+        let now = Instant::now();
+        let has_led = self.machine.hand_over();
+        self.stop_at = Some(if has_led { now + HAND_OVER } else { now });
+    }
+
+    fn flush(&mut self) -> Result<(), Fault> {
+        let Output {
+            envelopes,
+            answers,
+            notices,
+        } = self.machine.flush()?;
+        for notice in notices {
+            log::info!("replica: {notice}");
+        }
+        for (address, envelope) in envelopes {
+            self.client.send(&address, envelope);
+        }
+        self.publish();
+        for answer in answers {
+            self.waiting.answer(answer);
+        }
+        Ok(())
+    }
+
+    /// Shows the others what changed, before answers are given.
+    fn publish(&self) {
+        let config = self.machine.config();
+        self.config.send_if_modified(|shown| {
+            let is_new = !Arc::ptr_eq(shown, config);
+            if is_new {
+                *shown = Arc::clone(config);
+            }
+            is_new
+        });
+        let status = self.machine.status();
+        self.status.send_if_modified(|shown| {
+            let is_new = *shown != status;
+            if is_new {
+                *shown = status;
+            }
+            is_new
+        });
+    }
+}
--- /dev/null
+++ b/crates/control/src/replica/machine/member.rs
@@ -0,0 +1,291 @@
+//! Who takes part: founding, newcomers, and replacing a lost replica.
+
+use std::collections::BTreeMap;
+
+use consensus::{Change, Id, Member, Membership, Refusal, Stored};
+use store::Disk;
+
+use super::{Answer, Fault, GIVE_UP_TICKS, Machine, RESEND_TICKS, replica};
+use crate::{
+    peer::{Body, Replacement, Sender},
+    replica::Error,
+};
+
+/// Ticks for which a newcomer counts as there after it was heard.
+const NEWCOMER_TICKS: u64 = 60;
+
+/// How often longer than a command a replacement may take: the newcomer has to catch up.
+const REPLACE_FACTOR: u64 = 6;
+
+/// What is known of replicas beyond the membership.
+#[derive(Debug, Default)]
+pub(super) struct Table {
+    /// Addresses from which replicas sent, by id; only the latest id of each address is kept.
+    addresses: BTreeMap<String, Id>,
+    /// Replicas that take no part, by name.
+    newcomers: BTreeMap<String, Newcomer>,
+    /// Replacements that this VM was asked for, by token.
+    replacements: BTreeMap<u64, Replace>,
+}
+
+#[derive(Debug)]
+struct Newcomer {
+    sender: Sender,
+    is_empty: bool,
+    heard_at: u64,
+}
+
+#[derive(Debug)]
+struct Replace {
+    old: String,
+    new: String,
+    send_at: u64,
+    give_up_at: u64,
+    /// What was missing when the leader last answered.
+    reason: Option<String>,
+}
+
+impl Table {
+    pub(super) fn note_address(&mut self, from: &Sender) {
+        self.addresses.insert(from.address.clone(), from.id);
+    }
+
+    pub(super) fn address(&self, id: Id) -> Option<String> {
+        let known = self.addresses.iter().find(|(_, i)| **i == id);
+        known.map(|(address, _)| address.clone())
+    }
+}
+
+impl<D: Disk> Machine<D> {
+    /// Replaces replica `old` by the newcomer `new`; the answer comes under `token`.
+    pub fn replace(&mut self, token: u64, old: &str, new: &str) {
+        let replace = Replace {
+            old: old.to_owned(),
+            new: new.to_owned(),
+            send_at: self.now,
+            give_up_at: self.now + REPLACE_FACTOR * GIVE_UP_TICKS,
+            reason: None,
+        };
+        self.members.replacements.insert(token, replace);
+        self.send_replacements();
+    }
+
+    pub(super) fn tick_members(&mut self) -> Result<(), Fault> {
+        let id = self.replica.id();
+        if !self.replica.membership().contains(id) && self.now.is_multiple_of(RESEND_TICKS) {
+            self.tell_waiting();
+            self.found_cluster()?;
+        }
+        self.send_replacements();
+        let now = self.now;
+        let table = &mut self.members;
+        let late = table
+            .replacements
+            .extract_if(.., |_, r| now >= r.give_up_at);
+        for (token, replace) in late {
+            let error = replace.reason.map_or(Error::NoLeader, Error::Refused);
+            self.output
+                .answers
+                .push(Answer::Replaced(token, Err(error)));
+        }
+        Ok(())
+    }
+
+    /// Whether this replica never took part in anything.
+    fn is_empty(&self) -> bool {
+        self.replica.last_index() == 0 && self.replica.term() == 0
+    }
+
+    /// Tells all peers that this replica takes no part.
+    fn tell_waiting(&mut self) {
+        let body = Body::Waiting {
+            is_empty: self.is_empty() && self.settings.found,
+        };
+        for (name, address) in &self.settings.peers {
+            if *name != self.settings.name {
+                let envelope = self.envelope(0, body.clone());
+                self.output.envelopes.push((address.clone(), envelope));
+            }
+        }
+    }
+
+    pub(super) fn on_waiting(&mut self, from: Sender, is_empty: bool) {
+        let newcomer = Newcomer {
+            is_empty,
+            heard_at: self.now,
+            sender: from,
+        };
+        let name = newcomer.sender.name.clone();
+        self.members.newcomers.insert(name, newcomer);
+    }
+
+    /// Founds the cluster where this replica is the one to do so and all others are empty.
+    fn found_cluster(&mut self) -> Result<(), Fault> {
+        let is_first = self.settings.peers.keys().next() == Some(&self.settings.name);
+        if !is_first || !self.settings.found || !self.is_empty() {
+            return Ok(());
+        }
+        let mut voters = BTreeMap::new();
+        for name in self.settings.peers.keys() {
+            let Some((id, member)) = self.founder(name) else {
+                return Ok(());
+            };
+            voters.insert(id, member);
+        }
+        let membership = Membership {
+            voters,
+            ..Membership::default()
+        };
+        let stored = Stored::founded(membership);
+        self.store.found(&stored)?;
+        self.applied = 1;
+        self.replica = replica(&self.settings, self.store.id(), stored)?;
+        let notice = "founded a cluster of all initial replicas".to_owned();
+        self.output.notices.push(notice);
+        Ok(())
+    }
+
+    /// The initial replica `name`, where it said lately that it is empty.
+    fn founder(&self, name: &str) -> Option<(Id, Member)> {
+        let (id, address) = if name == self.settings.name {
+            (self.replica.id(), self.settings.address.clone())
+        } else {
+            let newcomer = self.newcomer(name).filter(|n| n.is_empty)?;
+            (newcomer.sender.id, newcomer.sender.address.clone())
+        };
+        let name = name.to_owned();
+        Some((id, Member { name, address }))
+    }
+
+    fn newcomer(&self, name: &str) -> Option<&Newcomer> {
+        let newcomer = self.members.newcomers.get(name)?;
+        (self.now < newcomer.heard_at + NEWCOMER_TICKS).then_some(newcomer)
+    }
+
+    fn send_replacements(&mut self) {
+        let Some(leader) = self.replica.leader() else {
+            return;
+        };
+        let mut due = Vec::new();
+        for (token, replace) in &mut self.members.replacements {
+            if self.now >= replace.send_at {
+                replace.send_at = self.now + RESEND_TICKS;
+                due.push((*token, replace.old.clone(), replace.new.clone()));
+            }
+        }
+        for (context, old, new) in due {
+            if leader == self.replica.id() {
+                let state = self.advance_replacement(&old, &new);
+                self.on_replace_reply(context, state);
+            } else {
+                self.send(leader, Body::Replace { context, old, new });
+            }
+        }
+    }
+
+    pub(super) fn on_replace(&mut self, from: &Sender, context: u64, old: &str, new: &str) {
+        let state = self.advance_replacement(old, new);
+        self.send(from.id, Body::ReplaceReply { context, state });
+    }
+
+    pub(super) fn on_replace_reply(&mut self, token: u64, state: Replacement) {
+        let Some(replace) = self.members.replacements.get_mut(&token) else {
+            return;
+        };
+        let outcome = match state {
+            Replacement::Done => Ok(()),
+            Replacement::Refused(reason) => Err(Error::Refused(reason)),
+            Replacement::Waits(reason) => {
+                replace.reason = Some(reason);
+                return;
+            }
+        };
+        self.members.replacements.remove(&token);
+        self.output.answers.push(Answer::Replaced(token, outcome));
+    }
+
+    /// As leader, does the next step of a replacement.
+    ///
+    /// Each step follows from the membership alone, so that any leader can go on with it. An even
+    /// number of voters tells that a replacement is half done, since clusters are founded with an
+    /// odd one.
+    fn advance_replacement(&mut self, old: &str, new: &str) -> Replacement {
+        if !self.replica.is_leader() {
+            return Replacement::Waits("the leader has changed".to_owned());
+        }
+        let membership = self.replica.membership().clone();
+        let is_half_done = membership.voters.len().is_multiple_of(2);
+        let fresh = self.newcomer(new).map(|n| n.sender.id);
+        if let Some(learner) = named(&membership.learners, new).pop() {
+            // A learner that lost its disk as well will never answer.
+            if fresh.is_some_and(|f| !membership.contains(f)) {
+                return self.change(&Change::Remove(learner));
+            }
+            if is_half_done {
+                return Replacement::Waits("another replacement isn't finished".to_owned());
+            }
+            return self.change(&Change::Promote(learner));
+        }
+        if fresh.is_some_and(|f| !membership.contains(f)) {
+            return self.add_newcomer(new);
+        }
+        // Of two voters with one name, the one that is further is the newcomer.
+        let mut voters = named(&membership.voters, new);
+        voters.sort_by_key(|id| self.replica.matched(*id));
+        let Some(newcomer) = voters.pop() else {
+            return Replacement::Waits(format!("no replica {new} was heard lately"));
+        };
+        let replaced = match old == new {
+            true => voters.pop(),
+            false => named(&membership.voters, old).pop(),
+        };
+        if !self.has_synced_all(newcomer) {
+            return Replacement::Waits(format!("replica {new} hasn't synced everything yet"));
+        }
+        match replaced {
+            Some(id) if is_half_done => self.change(&Change::Remove(id)),
+            Some(_) => Replacement::Refused(format!("replica {new} votes already")),
+            None if self.replica.is_changing() => {
+                Replacement::Waits("a step isn't committed yet".to_owned())
+            }
+            None => Replacement::Done,
+        }
+    }
+
+    /// Whether `id` answers and has synced everything that is committed.
+    fn has_synced_all(&self, id: Id) -> bool {
+        let commit = self.replica.commit();
+        let matched = self.replica.matched(id);
+        self.replica.answers(id) && matched.is_some_and(|m| m >= commit)
+    }
+
+    fn add_newcomer(&mut self, name: &str) -> Replacement {
+        let Some(newcomer) = self.newcomer(name) else {
+            return Replacement::Waits(format!("no replica {name} was heard lately"));
+        };
+        let member = Member {
+            name: name.to_owned(),
+            address: newcomer.sender.address.clone(),
+        };
+        let change = Change::AddLearner(newcomer.sender.id, member);
+        self.change(&change)
+    }
+
+    fn change(&mut self, change: &Change) -> Replacement {
+        use consensus::Error;
+        match self.replica.change(change) {
+            Ok(_) => Replacement::Waits("a step isn't committed yet".to_owned()),
+            Err(Error::Refused(r @ (Refusal::Unfinished | Refusal::Behind(_)))) => {
+                Replacement::Waits(r.to_string())
+            }
+            Err(Error::Refused(refusal)) => Replacement::Refused(refusal.to_string()),
+            Err(error) => Replacement::Waits(error.to_string()),
+        }
+    }
+}
+
+/// Ids of the replicas of one name.
+fn named(of: &BTreeMap<Id, Member>, name: &str) -> Vec<Id> {
+    let same = of.iter().filter(|(_, m)| m.name == name);
+    same.map(|(id, _)| *id).collect()
+}
--- /dev/null
+++ b/crates/control/tests/replica.rs
@@ -0,0 +1,150 @@
+//! Three replicas in one process over real TCP and real files.
+
+#![expect(clippy::unwrap_used, reason = "a test ends at the first error")]
+
+use std::{collections::BTreeMap, net::SocketAddr, path::Path, time::Duration};
+
+use control::replica::{Error, Handle, Settings};
+use model::{
+    command::{Command, Entry},
+    name::Name,
+};
+use tokio::time::timeout;
+use tokio_util::sync::CancellationToken;
+
+/// Longest wait for the cluster to get somewhere; no verdict depends on its value otherwise.
+const PATIENCE: Duration = Duration::from_secs(30);
+
+/// One replica that was started.
+struct Node {
+    handle: Handle,
+    token: CancellationToken,
+}
+
+impl Node {
+    async fn start(settings: Settings) -> Self {
+        let token = CancellationToken::new();
+        let handle = Handle::start(settings, token.clone()).await.unwrap();
+        Self { handle, token }
+    }
+
+    async fn stop(self) {
+        self.token.cancel();
+        timeout(PATIENCE, self.handle.stopped()).await.unwrap();
+    }
+}
+
+/// Free addresses: bound once, so that the kernel gives out each only here.
+fn free_addresses(count: usize) -> Vec<SocketAddr> {
+    let bind = |_| std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let bound: Vec<_> = (0..count).map(bind).collect();
+    bound.iter().map(|l| l.local_addr().unwrap()).collect()
+}
+
+fn settings(dir: &Path, names: &[&str]) -> Vec<Settings> {
+    let addresses = free_addresses(names.len());
+    let peers: BTreeMap<String, SocketAddr> = names
+        .iter()
+        .map(|n| (*n).to_owned())
+        .zip(addresses)
+        .collect();
+    let one = |(name, address): (&String, &SocketAddr)| Settings {
+        name: name.clone(),
+        folder: dir.join(name),
+        address: *address,
+        peers: peers.clone(),
+        snapshot_every: 50,
+        ..Settings::default()
+    };
+    peers.iter().map(one).collect()
+}
+
+async fn put(handle: &Handle, number: usize) {
+    let name = Name::new(format!("domain-{number}")).unwrap();
+    let entry = Entry::new(
+        "op",
+        format!("put-{number}"),
+        None,
+        Command::PutDomain { name },
+    );
+    let tries = async {
+        loop {
+            match handle.propose(entry.clone()).await {
+                Ok(applied) => return applied.outcome.unwrap(),
+                Err(Error::NoLeader | Error::OutcomeUnknown) => {}
+                Err(error) => panic!("{error}"),
+            }
+        }
+    };
+    timeout(PATIENCE, tries).await.unwrap();
+}
+
+async fn read_count(handle: &Handle) -> usize {
+    let tries = async {
+        loop {
+            if let Ok(config) = handle.read().await {
+                return config.domains.len();
+            }
+        }
+    };
+    timeout(PATIENCE, tries).await.unwrap()
+}
+
+#[tokio::test]
+async fn three_replicas_agree_and_know_all_after_a_restart_and_a_replacement() {
+    let dir = tempfile::tempdir().unwrap();
+    let all = settings(dir.path(), &["c1", "c2", "c3"]);
+    let mut nodes = Vec::new();
+    for settings in &all {
+        nodes.push(Node::start(settings.clone()).await);
+    }
+    for number in 0..120 {
+        put(&nodes[number % 3].handle, number).await;
+    }
+    for node in &nodes {
+        assert_eq!(read_count(&node.handle).await, 120);
+    }
+    // Everything stops and starts again.
+    for node in nodes.drain(..) {
+        node.stop().await;
+    }
+    for settings in &all {
+        nodes.push(Node::start(settings.clone()).await);
+    }
+    assert_eq!(read_count(&nodes[1].handle).await, 120);
+    // A disk is emptied; its replica is replaced under the same name.
+    nodes.pop().unwrap().stop().await;
+    std::fs::remove_dir_all(&all[2].folder).unwrap();
+    nodes.push(Node::start(all[2].clone()).await);
+    let repair = async {
+        while let Err(error) = nodes[0].handle.replace("c3", "c3").await {
+            assert!(!matches!(error, Error::Stopped(_)), "{error}");
+        }
+    };
+    timeout(PATIENCE, repair).await.unwrap();
+    // A second one is lost right after it.
+    nodes.remove(0).stop().await;
+    assert_eq!(read_count(&nodes[1].handle).await, 120);
+    put(&nodes[1].handle, 120).await;
+    assert_eq!(read_count(&nodes[0].handle).await, 121);
+    for node in nodes {
+        node.stop().await;
+    }
+}
+
+#[tokio::test]
+async fn a_folder_in_use_is_refused_and_its_owner_goes_on() {
+    let dir = tempfile::tempdir().unwrap();
+    let one = settings(dir.path(), &["c1"]).remove(0);
+    let node = Node::start(one.clone()).await;
+    put(&node.handle, 1).await;
+    let second = Settings {
+        address: free_addresses(1)[0],
+        ..one
+    };
+    let refused = Handle::start(second, CancellationToken::new()).await;
+    let error = refused.unwrap_err().to_string();
+    assert!(error.contains("in use by another process"), "{error}");
+    put(&node.handle, 2).await;
+    node.stop().await;
+}
--- a/crates/model/src/command.rs
+++ b/crates/model/src/command.rs
@@ -7,10 +7,13 @@
     name::Name,
 };
 
+/// Name under which the system itself asks for its own steps.
+pub const SYSTEM: &str = "control";
+
 /// A command with what makes a resend and a race harmless.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Entry {
-    /// Who asked: an operator's name, or `control` for the system's own steps.
+    /// Who asked: an operator's name, or [`SYSTEM`] for the system's own steps.
     pub operator: String,
     /// The operator's own id of this request. A resend carries the same one and gets the first
     /// answer.
