--- a/crates/standin/src/bin/oriole-standin.rs
+++ b/crates/standin/src/bin/oriole-standin.rs
@@ -5,26 +5,15 @@
     process::ExitCode,
 };
 
-use clap::{Arg, Command, value_parser};
+use clap::{Arg, ArgMatches, Command, value_parser};
 use serde::de::DeserializeOwned;
 use standin::{caller, upstream};
-use tokio::{
-    runtime::Builder,
-    signal::unix::{SignalKind, signal},
-    task::LocalSet,
-};
 use tokio_util::sync::CancellationToken;
 
 fn main() -> ExitCode {
-    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
+    daemon::logs::start(log::LevelFilter::Info);
     let matches = command().get_matches();
-    match run(&matches) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
-            eprintln!("oriole-standin: {error}");
-            ExitCode::FAILURE
-        }
-    }
+    daemon::process::run("oriole-standin", |token| run(matches, token))
 }
 
 fn command() -> Command {
@@ -49,29 +38,23 @@
         )
 }
 
-fn run(matches: &clap::ArgMatches) -> Result<(), Box<dyn std::error::Error>> {
+async fn run(matches: ArgMatches, token: CancellationToken) -> Result<(), String> {
     let Some((kind, matches)) = matches.subcommand() else {
         return Ok(());
     };
     let Some(file) = matches.get_one::<PathBuf>("settings") else {
         return Ok(());
     };
-    let runtime = Builder::new_current_thread().enable_all().build()?;
-    let token = CancellationToken::new();
-    let local = LocalSet::new();
-    local.block_on(&runtime, async {
-        let mut terminate = signal(SignalKind::terminate())?;
-        let stop = token.clone();
-        tokio::task::spawn_local(async move {
-            terminate.recv().await;
-            stop.cancel();
-        });
-        match kind {
-            "upstream" => upstream::run(load(file)?, token).await?,
-            _ => caller::run(load(file)?, token).await?,
+    match kind {
+        "upstream" => {
+            let run = upstream::run(load(file)?, token);
+            run.await.map_err(|e| e.to_string())
         }
-        Ok(())
-    })
+        _ => {
+            let run = caller::run(load(file)?, token);
+            run.await.map_err(|e| e.to_string())
+        }
+    }
 }
 
 fn load<T: DeserializeOwned>(file: &Path) -> Result<T, String> {
--- /dev/null
+++ b/crates/standin/src/experiment/cluster.rs
@@ -0,0 +1,512 @@
+//! A system of real processes on loopback addresses: its settings files, start and stop.
+
+use std::{
+    collections::BTreeMap,
+    fs,
+    net::{IpAddr, Ipv4Addr, SocketAddr},
+    path::{Path, PathBuf},
+    thread::sleep,
+    time::{Duration, Instant},
+};
+
+use displaydoc::Display;
+use model::name::Name;
+use serde::Serialize;
+use settings::{control, entry, log::Level};
+
+use super::{
+    ctl::{self, Ctl},
+    http,
+    plan::{Plan, Service, Vm},
+    process::{Exit, Process, Signal},
+};
+use crate::{caller, channel, fabric, ports::Ports, upstream};
+
+/// Longest wait for a process to be in service, and for a change to be in force.
+const START_LIMIT: Duration = Duration::from_secs(20);
+
+/// Longest wait for a graceful stop.
+const STOP_LIMIT: Duration = Duration::from_secs(20);
+
+/// Time between two looks whether a process is in service.
+const POLL: Duration = Duration::from_millis(50);
+
+/// Idle time of flows in experiments, in milliseconds: short, so that generations retire.
+const IDLE_MS: u32 = 10_000;
+
+/// Shortest time that a request takes at an upstream, in milliseconds.
+const SERVICE_MIN_MS: u64 = 10;
+
+/// Mean time that a request takes at an upstream beyond the shortest, in milliseconds.
+const SERVICE_MEAN_MS: u64 = 30;
+
+/// First wait before a packet of a flow is sent again, in milliseconds.
+const RETRANSMIT_MS: u64 = 300;
+
+/// Time without an answer after which a flow counts as broken, in milliseconds.
+const STALL_MS: u64 = 8_000;
+
+/// Sockets that submit requests.
+const SOCKETS: usize = 16;
+
+/// Why a system doesn't run.
+#[derive(Debug, Display)]
+pub enum Error {
+    /// {0}: {1}
+    Io(String, std::io::Error),
+    /// settings of {0} can't be written: {1}
+    Settings(String, serde_norway::Error),
+    /// {name} is not in service after 20 s; the end of its log {log}: {tail}
+    NotInService {
+        /// The process.
+        name: String,
+        /// Its log file.
+        log: String,
+        /// The last lines of its log.
+        tail: String,
+    },
+    /// {0}
+    Ctl(ctl::Error),
+    /// {0}
+    Channel(channel::Error),
+    /// {0} gave an answer of another kind
+    Answer(&'static str),
+}
+
+impl std::error::Error for Error {}
+
+impl From<ctl::Error> for Error {
+    fn from(error: ctl::Error) -> Self {
+        Self::Ctl(error)
+    }
+}
+
+impl From<channel::Error> for Error {
+    fn from(error: channel::Error) -> Self {
+        Self::Channel(error)
+    }
+}
+
+/// Where programs are and files go.
+#[derive(Debug, Clone)]
+pub struct Place {
+    /// Folder of the built programs.
+    pub programs: PathBuf,
+    /// Folder for settings, logs and data.
+    pub folder: PathBuf,
+}
+
+/// A running system.
+#[derive(Debug)]
+pub struct Cluster {
+    /// Its shape.
+    pub plan: Plan,
+    /// Operators' commands.
+    pub ctl: Ctl,
+    /// Entry VMs, in the plan's order.
+    pub entries: Vec<Process>,
+    /// Control VMs, in the plan's order.
+    pub controls: Vec<Process>,
+    /// Settings of entry VMs by name.
+    pub entry_settings: BTreeMap<Name, entry::Settings>,
+    /// Command channel of the upstreams.
+    pub upstream_channel: SocketAddr,
+    /// Command channel of the callers.
+    pub caller_channel: SocketAddr,
+    upstreams: Option<Process>,
+    callers: Option<Process>,
+    caller_settings: caller::Settings,
+    place: Place,
+}
+
+impl Cluster {
+    /// Starts the system and its upstreams, creates its failure domains and services, and admits
+    /// its upstreams. Callers start later.
+    ///
+    /// # Errors
+    ///
+    /// Says which process or command failed.
+    pub fn start(plan: Plan, seed: u64, place: Place) -> Result<Self, Error> {
+        fs::create_dir_all(&place.folder)
+            .map_err(|e| Error::Io(place.folder.display().to_string(), e))?;
+        let ports = &mut Ports::default();
+        let controls = control_settings(&plan, ports, &place.folder, seed)?;
+        let entries = entry_settings(&plan, ports, &controls, seed)?;
+        let rpc = controls.values().map(|c| c.rpc_listen).collect();
+        let channel = |ports: &mut Ports| free(ports, ip(4, 0, 0));
+        let (upstream_channel, caller_channel) = (channel(ports)?, channel(ports)?);
+        let mut cluster = Self {
+            ctl: Ctl::new(place.programs.join("oriolectl"), rpc),
+            entries: Vec::new(),
+            controls: Vec::new(),
+            upstreams: None,
+            callers: None,
+            caller_settings: caller_settings(&plan, &entries, caller_channel, seed),
+            entry_settings: entries,
+            upstream_channel,
+            caller_channel,
+            plan,
+            place,
+        };
+        cluster.start_controls(&controls)?;
+        cluster.start_entries()?;
+        cluster.start_upstreams(seed)?;
+        cluster.configure()?;
+        Ok(cluster)
+    }
+
+    fn start_controls(&mut self, all: &BTreeMap<Name, control::Settings>) -> Result<(), Error> {
+        for (name, settings) in all {
+            let process = self.spawn(name.as_str(), "oriole-control", &[], settings)?;
+            self.controls.push(process);
+        }
+        for (process, settings) in self.controls.iter_mut().zip(all.values()) {
+            await_health(process, settings.http_listen)?;
+        }
+        Ok(())
+    }
+
+    fn start_entries(&mut self) -> Result<(), Error> {
+        for vm in &self.plan.entries {
+            let settings = &self.entry_settings[&vm.name];
+            let process = self.spawn(vm.name.as_str(), "oriole-entry", &[], settings)?;
+            self.entries.push(process);
+        }
+        Ok(())
+    }
+
+    fn start_upstreams(&mut self, seed: u64) -> Result<(), Error> {
+        let settings = upstream::Settings {
+            control: self.upstream_channel,
+            seed,
+            upstreams: self
+                .plan
+                .services
+                .iter()
+                .flat_map(|service| {
+                    let all = service.upstreams.iter().chain([&service.spare]);
+                    all.map(|vm| upstream_settings(service, vm, &self.entry_settings))
+                })
+                .collect(),
+        };
+        let process = self.spawn("upstreams", "oriole-standin", &["upstream"], &settings)?;
+        self.upstreams = Some(process);
+        Ok(())
+    }
+
+    /// Creates failure domains and services, admits the upstreams, and waits until all is in
+    /// force at every entry VM.
+    fn configure(&mut self) -> Result<(), Error> {
+        for domain in &self.plan.domains {
+            self.ctl
+                .retry(&["domain", "put", domain.as_str()], START_LIMIT)?;
+        }
+        for service in &self.plan.services {
+            let address = service.address.to_string();
+            let idle = IDLE_MS.to_string();
+            let name = service.name.as_str();
+            let put = [
+                "service",
+                "put",
+                name,
+                "--address",
+                &address,
+                "--idle-ms",
+                &idle,
+            ];
+            self.ctl.retry(&put, START_LIMIT)?;
+        }
+        for service in &self.plan.services {
+            for upstream in &service.upstreams {
+                let (service, upstream) = (service.name.as_str(), upstream.name.as_str());
+                let admit = ["upstream", "admit", service, upstream, "--wait"];
+                self.ctl.retry(&admit, START_LIMIT)?;
+            }
+        }
+        for (process, vm) in self.entries.iter_mut().zip(&self.plan.entries) {
+            await_health(process, self.entry_settings[&vm.name].http_listen)?;
+        }
+        Ok(())
+    }
+
+    /// Starts the callers: traffic begins.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the program is missing.
+    pub fn start_callers(&mut self) -> Result<(), Error> {
+        let settings = &self.caller_settings;
+        let process = self.spawn("callers", "oriole-standin", &["caller"], settings)?;
+        self.callers = Some(process);
+        let start = Instant::now();
+        while self.caller(&caller::Command::Report).is_err() {
+            if start.elapsed() > START_LIMIT {
+                return Err(Error::Answer("callers"));
+            }
+            sleep(POLL);
+        }
+        Ok(())
+    }
+
+    /// Asks the upstreams.
+    ///
+    /// # Errors
+    ///
+    /// Fails when there is no answer.
+    pub fn upstream(&self, command: &upstream::Command) -> Result<upstream::Answer, Error> {
+        Ok(channel::ask(self.upstream_channel, command)?)
+    }
+
+    /// Asks the callers.
+    ///
+    /// # Errors
+    ///
+    /// Fails when there is no answer.
+    pub fn caller(&self, command: &caller::Command) -> Result<caller::Report, Error> {
+        Ok(channel::ask(self.caller_channel, command)?)
+    }
+
+    /// Stops an entry VM gracefully and starts it again with the same settings.
+    ///
+    /// # Errors
+    ///
+    /// Says when it doesn't come back.
+    pub fn restart_entry(&mut self, index: usize) -> Result<Exit, Error> {
+        let exit = self.entries[index].stop(STOP_LIMIT);
+        self.start_entry(index)?;
+        Ok(exit)
+    }
+
+    /// Starts an entry VM again that has ended, and waits until it is in service.
+    ///
+    /// # Errors
+    ///
+    /// Says when it doesn't come back.
+    pub fn start_entry(&mut self, index: usize) -> Result<(), Error> {
+        let process = &mut self.entries[index];
+        restart(process)?;
+        let name = &self.plan.entries[index].name;
+        await_health(process, self.entry_settings[name].http_listen)
+    }
+
+    /// Stops a process of the system for a while, as a freeze of its VM.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the process has ended.
+    pub fn freeze_entry(&mut self, index: usize, time: Duration) -> Result<(), Error> {
+        let process = &mut self.entries[index];
+        let io = |e| Error::Io(process_name(index), e);
+        process.signal(Signal::Stop).map_err(io)?;
+        sleep(time);
+        process.signal(Signal::Continue).map_err(io)
+    }
+
+    /// Kills a control VM and starts it again after a while.
+    ///
+    /// # Errors
+    ///
+    /// Fails when it can't be started.
+    pub fn kill_control(&mut self, index: usize, pause: Duration) -> Result<(), Error> {
+        let process = &mut self.controls[index];
+        process.kill();
+        sleep(pause);
+        restart(process)
+    }
+
+    /// Stops everything gracefully, emulators last, and says how each process of the system ended.
+    pub fn stop(mut self) -> BTreeMap<String, Exit> {
+        let mut exits = BTreeMap::new();
+        for process in self.entries.iter_mut().chain(&mut self.controls) {
+            exits.insert(process.name().to_owned(), process.stop(STOP_LIMIT));
+        }
+        for process in [&mut self.callers, &mut self.upstreams]
+            .into_iter()
+            .flatten()
+        {
+            process.stop(STOP_LIMIT);
+        }
+        exits
+    }
+
+    fn spawn(
+        &self,
+        name: &str,
+        program: &str,
+        arguments: &[&str],
+        settings: &impl Serialize,
+    ) -> Result<Process, Error> {
+        let file = self.place.folder.join(format!("{name}.yaml"));
+        let text = serde_norway::to_string(settings);
+        let text = text.map_err(|e| Error::Settings(name.to_owned(), e))?;
+        fs::write(&file, text).map_err(|e| Error::Io(file.display().to_string(), e))?;
+        let mut all: Vec<String> = arguments.iter().map(|&a| a.to_owned()).collect();
+        all.extend(["--settings".to_owned(), file.display().to_string()]);
+        let log = self.place.folder.join(format!("{name}.log"));
+        let program = self.place.programs.join(program);
+        let shown = program.display().to_string();
+        Process::start(name, &program, all, log).map_err(|e| Error::Io(shown, e))
+    }
+}
+
+fn restart(process: &mut Process) -> Result<(), Error> {
+    let name = process.name().to_owned();
+    process.restart().map_err(|e| Error::Io(name, e))
+}
+
+fn process_name(index: usize) -> String {
+    format!("entry VM {}", index + 1)
+}
+
+fn await_health(process: &mut Process, address: SocketAddr) -> Result<(), Error> {
+    let start = Instant::now();
+    while !http::is_healthy(address) {
+        if start.elapsed() > START_LIMIT || !process.is_running() {
+            return Err(Error::NotInService {
+                name: process.name().to_owned(),
+                log: process.log().display().to_string(),
+                tail: tail(process.log()),
+            });
+        }
+        sleep(POLL);
+    }
+    Ok(())
+}
+
+/// The last lines of a log.
+fn tail(log: &Path) -> String {
+    let text = fs::read_to_string(log).unwrap_or_default();
+    let lines: Vec<&str> = text.lines().collect();
+    lines[lines.len().saturating_sub(5)..].join(" | ")
+}
+
+/// Loopback address of a kind of process, by failure domain and number.
+fn ip(kind: u8, domain: usize, number: usize) -> IpAddr {
+    let byte = |n: usize| u8::try_from(n + 1).unwrap_or(u8::MAX);
+    IpAddr::V4(Ipv4Addr::new(127, kind, byte(domain), byte(number)))
+}
+
+fn free(ports: &mut Ports, ip: IpAddr) -> Result<SocketAddr, Error> {
+    ports.free(ip).map_err(|e| Error::Io(ip.to_string(), e))
+}
+
+fn domain_index(plan: &Plan, vm: &Vm) -> usize {
+    let found = plan.domains.iter().position(|d| *d == vm.domain);
+    found.unwrap_or_default()
+}
+
+fn control_settings(
+    plan: &Plan,
+    ports: &mut Ports,
+    folder: &Path,
+    seed: u64,
+) -> Result<BTreeMap<Name, control::Settings>, Error> {
+    let mut all = BTreeMap::new();
+    for (number, vm) in plan.controls.iter().enumerate() {
+        let ip = ip(3, domain_index(plan, vm), number);
+        let settings = control::Settings {
+            name: vm.name.clone(),
+            domain: vm.domain.clone(),
+            data_folder: folder.join(format!("{}-data", vm.name)),
+            rpc_listen: free(ports, ip)?,
+            delivery_listen: free(ports, ip)?,
+            peer_listen: free(ports, ip)?,
+            http_listen: free(ports, ip)?,
+            replicas: BTreeMap::new(),
+            controls: Vec::new(),
+            log: Level::Info,
+            seed: Some(seed),
+        };
+        all.insert(vm.name.clone(), settings);
+    }
+    let replicas: BTreeMap<Name, SocketAddr> = all
+        .iter()
+        .map(|(name, s)| (name.clone(), s.peer_listen))
+        .collect();
+    let controls: Vec<SocketAddr> = all.values().map(|s| s.delivery_listen).collect();
+    for settings in all.values_mut() {
+        settings.replicas = replicas.clone();
+        settings.controls = controls.clone();
+    }
+    Ok(all)
+}
+
+fn entry_settings(
+    plan: &Plan,
+    ports: &mut Ports,
+    controls: &BTreeMap<Name, control::Settings>,
+    seed: u64,
+) -> Result<BTreeMap<Name, entry::Settings>, Error> {
+    let mut all: BTreeMap<Name, entry::Settings> = BTreeMap::new();
+    for (number, vm) in plan.entries.iter().enumerate() {
+        let ip = ip(1, domain_index(plan, vm), number);
+        let settings = entry::Settings {
+            name: vm.name.clone(),
+            domain: vm.domain.clone(),
+            fabric_listen: free(ports, ip)?,
+            request_listen: free(ports, ip)?,
+            peer_listen: free(ports, ip)?,
+            rpc_listen: free(ports, ip)?,
+            http_listen: free(ports, ip)?,
+            peers: Vec::new(),
+            controls: controls.values().map(|c| c.delivery_listen).collect(),
+            log: Level::Info,
+            seed: Some(seed + u64::try_from(number).unwrap_or_default()),
+        };
+        all.insert(vm.name.clone(), settings);
+    }
+    let peers: Vec<SocketAddr> = all.values().map(|s| s.peer_listen).collect();
+    for settings in all.values_mut() {
+        let me = settings.peer_listen;
+        settings.peers = peers.iter().copied().filter(|p| *p != me).collect();
+    }
+    Ok(all)
+}
+
+fn upstream_settings(
+    service: &Service,
+    vm: &Vm,
+    entries: &BTreeMap<Name, entry::Settings>,
+) -> upstream::Upstream {
+    let own_domain = entries.values().filter(|e| e.domain == vm.domain);
+    upstream::Upstream {
+        name: vm.name.clone(),
+        service: service.name.clone(),
+        domain: vm.domain.clone(),
+        ip: IpAddr::V4(Ipv4Addr::new(127, 2, 0, 1)),
+        slots: service.slots,
+        connections: service.connections,
+        service_min_ms: SERVICE_MIN_MS,
+        service_mean_ms: SERVICE_MEAN_MS,
+        cold: false,
+        collapses: false,
+        entries: own_domain.map(|e| e.rpc_listen).collect(),
+    }
+}
+
+fn caller_settings(
+    plan: &Plan,
+    entries: &BTreeMap<Name, entry::Settings>,
+    control: SocketAddr,
+    seed: u64,
+) -> caller::Settings {
+    caller::Settings {
+        control,
+        seed,
+        ip: ip(4, 0, 0),
+        sockets: SOCKETS,
+        entries: entries
+            .values()
+            .map(|e| fabric::Entry {
+                name: e.name.clone(),
+                domain: e.domain.clone(),
+                fabric_address: e.fabric_listen,
+                request_address: e.request_listen,
+                http_address: Some(e.http_listen),
+            })
+            .collect(),
+        services: plan.services.iter().map(|s| s.traffic.clone()).collect(),
+        retransmit_ms: RETRANSMIT_MS,
+        stall_ms: STALL_MS,
+    }
+}
--- /dev/null
+++ b/crates/standin/src/experiment/run.rs
@@ -0,0 +1,384 @@
+//! Runs an experiment: starts the system and its traffic, carries out the steps at their times,
+//! stops everything and reports.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    thread,
+    time::{Duration, Instant},
+};
+
+use model::name::Name;
+use serde_json::Value;
+
+use super::{
+    Action, Experiment,
+    cluster::{Cluster, Error, Place},
+    http,
+    plan::Plan,
+    process::Exit,
+    properties,
+    report::{Change, Control, Flows, Report, Requests, imbalance},
+};
+use crate::{
+    caller::{self, Command},
+    channel,
+    upstream::{self, Answer, Stats},
+};
+
+/// Time between two samples.
+const SAMPLE_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Longest wait for open requests and flows to end after the traffic.
+const DRAIN_LIMIT: Duration = Duration::from_secs(15);
+
+/// Time for which a killed process is away.
+const KILL_PAUSE: Duration = Duration::from_secs(3);
+
+/// Time for which an entry VM is frozen.
+const FREEZE_TIME: Duration = Duration::from_secs(5);
+
+/// Pause between two restarts of a rolling restart.
+const RESTART_PAUSE: Duration = Duration::from_secs(1);
+
+/// How far an upstream's announcements lag, in announcements.
+const LAG: usize = 5;
+
+/// Names of the metrics that count control bytes start with this.
+const CONTROL_BYTES: &str = "oriole_control_bytes";
+
+/// What upstreams had seen at a time.
+#[derive(Debug, Clone, Default)]
+pub struct Sample {
+    /// Time since the traffic started, in milliseconds.
+    pub at_ms: u64,
+    /// Counts by upstream.
+    pub upstreams: BTreeMap<Name, Stats>,
+}
+
+/// Runs an experiment. `progress` gets a line now and then.
+///
+/// # Errors
+///
+/// Fails when the system can't be started or its emulators don't answer. All processes have ended
+/// then.
+pub fn run(
+    experiment: &Experiment,
+    place: Place,
+    progress: impl Fn(&str) + Sync,
+) -> Result<Report, Error> {
+    progress("starts the system");
+    let plan = Plan::new(experiment.firm, experiment.load_percent);
+    let mut cluster = Cluster::start(plan, experiment.seed, place)?;
+    cluster.start_callers()?;
+    let mut conductor = Conductor {
+        started: Instant::now(),
+        control_bytes: control_bytes(&cluster),
+        cluster,
+        changes: Vec::new(),
+        early_exits: BTreeMap::new(),
+        uncounted: BTreeSet::new(),
+    };
+    let (upstreams, callers) = (
+        conductor.cluster.upstream_channel,
+        conductor.cluster.caller_channel,
+    );
+    let end = Duration::from_secs(experiment.seconds);
+    let started = conductor.started;
+    let samples = thread::scope(|scope| {
+        let sampler = scope.spawn(|| sample(started, end, upstreams, callers, &progress));
+        conductor.carry_out(experiment, &progress);
+        sleep_until(started + end);
+        // A sampler that panicked leaves no samples, and the properties that need them fail.
+        sampler.join().unwrap_or_default()
+    });
+    conductor.finish(experiment, samples, progress)
+}
+
+/// Samples once a second until `end`.
+fn sample(
+    started: Instant,
+    end: Duration,
+    upstreams: std::net::SocketAddr,
+    callers: std::net::SocketAddr,
+    progress: &(impl Fn(&str) + Sync),
+) -> Vec<Sample> {
+    let mut samples = Vec::new();
+    let mut next = started;
+    while started.elapsed() < end {
+        let stats = channel::ask(upstreams, &upstream::Command::Stats);
+        if let Ok(Answer::Stats(upstreams)) = stats {
+            let at_ms = millis(started.elapsed());
+            samples.push(Sample { at_ms, upstreams });
+        }
+        if let Ok(report) = channel::ask::<_, caller::Report>(callers, &Command::Report) {
+            let (r, f) = (report.requests, report.flows);
+            progress(&format!(
+                "{}/{} s: {} flows open, {} broken; requests: {} sent, {} answered, {} refused, \
+                 {} unknown",
+                started.elapsed().as_secs(),
+                end.as_secs(),
+                f.open,
+                f.broken,
+                r.sent,
+                r.answered,
+                r.refused_not_run,
+                r.outcome_unknown + r.no_answer,
+            ));
+        }
+        next += SAMPLE_INTERVAL;
+        sleep_until(next.min(started + end));
+    }
+    samples
+}
+
+/// Carries out the steps and collects what came of them.
+struct Conductor {
+    cluster: Cluster,
+    started: Instant,
+    /// Control bytes at the start, by entry VM.
+    control_bytes: BTreeMap<Name, f64>,
+    changes: Vec<Change>,
+    /// How processes ended that were stopped and started again.
+    early_exits: BTreeMap<String, Exit>,
+    /// Upstreams that were not admitted all the time.
+    uncounted: BTreeSet<Name>,
+}
+
+impl Conductor {
+    fn carry_out(&mut self, experiment: &Experiment, progress: &impl Fn(&str)) {
+        let mut steps = experiment.steps.clone();
+        steps.sort_by_key(|step| step.at_s);
+        for step in steps {
+            sleep_until(self.started + Duration::from_secs(step.at_s));
+            progress(&format!("step {}", step.action.word()));
+            let start = Instant::now();
+            let mut change = Change {
+                kind: step.action.word().to_owned(),
+                at_ms: millis(self.started.elapsed()),
+                ..Change::default()
+            };
+            if let Err(error) = self.act(&step.action, &mut change) {
+                change.error = Some(error.to_string());
+            }
+            if change.accepted_ms == 0 {
+                change.accepted_ms = millis(start.elapsed());
+            }
+            progress(change.to_string().trim_end());
+            self.changes.push(change);
+        }
+    }
+
+    fn act(&mut self, action: &Action, change: &mut Change) -> Result<(), Error> {
+        let first = &self.cluster.plan.services[0];
+        let service = first.name.clone();
+        match action {
+            Action::Admit => {
+                let spare = first.spare.name.clone();
+                self.planned(
+                    &["upstream", "admit", service.as_str(), spare.as_str()],
+                    change,
+                )
+            }
+            Action::Drain => {
+                let leaving = first.upstreams[0].name.clone();
+                self.uncounted.insert(leaving.clone());
+                self.planned(
+                    &["upstream", "drain", service.as_str(), leaving.as_str()],
+                    change,
+                )
+            }
+            Action::DomainOut(domain) => {
+                self.uncount_domain(domain);
+                let domain = domain.clone();
+                let note = Command::DomainOut {
+                    domain: domain.clone(),
+                };
+                self.cluster.caller(&note)?;
+                self.planned(&["domain", "out", domain.as_str()], change)
+            }
+            Action::DomainIn(domain) => self.planned(&["domain", "in", domain.as_str()], change),
+            Action::RollingRestart => self.restart_all(),
+            Action::KillEntry => {
+                self.cluster.entries[0].kill();
+                thread::sleep(KILL_PAUSE);
+                self.cluster.start_entry(0)
+            }
+            Action::KillControl => self.cluster.kill_control(0, KILL_PAUSE),
+            Action::FreezeEntry => self.cluster.freeze_entry(0, FREEZE_TIME),
+            Action::Cut(domain) => self.cut(domain, true),
+            Action::Join(domain) => self.cut(domain, false),
+            Action::Cold(_)
+            | Action::ColdKnown(_)
+            | Action::Lie(_)
+            | Action::Lag(_)
+            | Action::Freeze(_)
+            | Action::Thaw(_) => self.misbehave(action),
+        }
+    }
+
+    /// Runs a command of an operator, and waits until it is in force.
+    fn planned(&mut self, arguments: &[&str], change: &mut Change) -> Result<(), Error> {
+        let start = Instant::now();
+        let answer = self.cluster.ctl.run(arguments)?;
+        change.accepted_ms = millis(start.elapsed()).max(1);
+        let number = answer.get("change").and_then(Value::as_u64);
+        let number = number.ok_or(Error::Answer("oriolectl"))?.to_string();
+        self.cluster.ctl.run(&["change", "wait", &number])?;
+        change.in_force_ms = Some(millis(start.elapsed()));
+        Ok(())
+    }
+
+    fn restart_all(&mut self) -> Result<(), Error> {
+        for index in 0..self.cluster.entries.len() {
+            let name = self.cluster.entries[index].name().to_owned();
+            let exit = self.cluster.restart_entry(index)?;
+            self.early_exits.insert(format!("{name} (restart)"), exit);
+            thread::sleep(RESTART_PAUSE);
+        }
+        Ok(())
+    }
+
+    fn cut(&self, domain: &Name, on: bool) -> Result<(), Error> {
+        let domain = domain.clone();
+        self.cluster.caller(&Command::Cut { domain, on })?;
+        Ok(())
+    }
+
+    fn misbehave(&self, action: &Action) -> Result<(), Error> {
+        let command = match action.clone() {
+            Action::Cold(upstream) => upstream::Command::Cold {
+                upstream,
+                says_so: false,
+            },
+            Action::ColdKnown(upstream) => upstream::Command::Cold {
+                upstream,
+                says_so: true,
+            },
+            Action::Lie(upstream) => upstream::Command::Lie { upstream, on: true },
+            Action::Lag(upstream) => upstream::Command::Lag {
+                upstream,
+                announcements: LAG,
+            },
+            Action::Freeze(upstream) => upstream::Command::Freeze { upstream, on: true },
+            Action::Thaw(upstream) => upstream::Command::Freeze {
+                upstream,
+                on: false,
+            },
+            _ => return Ok(()),
+        };
+        match self.cluster.upstream(&command)? {
+            Answer::Done => Ok(()),
+            _ => Err(Error::Answer("upstreams")),
+        }
+    }
+
+    fn uncount_domain(&mut self, domain: &Name) {
+        for service in &self.cluster.plan.services {
+            let inside = service.upstreams.iter().filter(|u| u.domain == *domain);
+            self.uncounted.extend(inside.map(|u| u.name.clone()));
+        }
+    }
+
+    /// Ends the traffic, stops the system and makes the report.
+    fn finish(
+        mut self,
+        experiment: &Experiment,
+        mut samples: Vec<Sample>,
+        progress: impl Fn(&str),
+    ) -> Result<Report, Error> {
+        progress("ends the traffic");
+        let control = self.control();
+        self.cluster.caller(&Command::Stop)?;
+        let callers = self.await_end()?;
+        let Answer::Stats(upstreams) = self.cluster.upstream(&upstream::Command::Stats)? else {
+            return Err(Error::Answer("upstreams"));
+        };
+        let Answer::Runs(runs) = self.cluster.upstream(&upstream::Command::Runs)? else {
+            return Err(Error::Answer("upstreams"));
+        };
+        samples.push(Sample {
+            at_ms: millis(self.started.elapsed()),
+            upstreams: upstreams.clone(),
+        });
+        let services = &self.cluster.plan.services;
+        let spares = services.iter().map(|s| s.spare.name.clone());
+        self.uncounted.extend(spares);
+        progress("stops the system");
+        let plan = self.cluster.plan.clone();
+        let mut exits = self.early_exits;
+        exits.extend(self.cluster.stop());
+        let counts = |name: &Name, _: &Stats| !self.uncounted.contains(name);
+        let mut report = Report {
+            experiment: experiment.clone(),
+            requests: Requests::new(&callers, &upstreams, &runs),
+            flows: Flows::new(&callers, &upstreams),
+            imbalance: imbalance(&upstreams, counts, |s| s.flows_opened),
+            imbalance_requests: imbalance(&upstreams, counts, |s| s.requests_run),
+            latency_ms: callers.latency_ms,
+            feed_latency_ms: callers.feed_latency_ms,
+            changes: self.changes,
+            control,
+            seconds: callers.seconds,
+            exits: exits
+                .iter()
+                .map(|(name, exit)| (name.clone(), format!("{exit:?}")))
+                .collect(),
+            upstreams,
+            broken_properties: Vec::new(),
+        };
+        report.broken_properties = properties::broken(&report, &plan, &samples);
+        Ok(report)
+    }
+
+    /// Waits until no request and no flow is open.
+    fn await_end(&self) -> Result<caller::Report, Error> {
+        let start = Instant::now();
+        loop {
+            let report = self.cluster.caller(&Command::Report)?;
+            let is_over = report.requests.open == 0 && report.flows.open == 0;
+            if is_over || start.elapsed() > DRAIN_LIMIT {
+                return Ok(report);
+            }
+            thread::sleep(Duration::from_millis(100));
+        }
+    }
+
+    fn control(&self) -> Control {
+        let seconds = self.started.elapsed().as_secs_f64();
+        let now = control_bytes(&self.cluster);
+        // A VM that was restarted counts from 0 again; its bytes before are lost here.
+        let since = now
+            .iter()
+            .map(|(vm, bytes)| match self.control_bytes.get(vm) {
+                Some(before) if before <= bytes => bytes - before,
+                _ => *bytes,
+            });
+        let sum: f64 = since.sum();
+        let vms = u32::try_from(now.len()).unwrap_or(u32::MAX);
+        Control {
+            bytes_per_second_per_vm: (vms > 0).then(|| sum / seconds / f64::from(vms)),
+        }
+    }
+}
+
+/// Control bytes that each entry VM has sent, by its own metrics.
+fn control_bytes(cluster: &Cluster) -> BTreeMap<Name, f64> {
+    let mut bytes = BTreeMap::new();
+    for (name, settings) in &cluster.entry_settings {
+        let metrics = http::metrics(settings.http_listen);
+        let control = metrics.iter().filter(|(n, _)| n.starts_with(CONTROL_BYTES));
+        let values: Vec<f64> = control.map(|(_, value)| *value).collect();
+        if !values.is_empty() {
+            bytes.insert(name.clone(), values.iter().sum());
+        }
+    }
+    bytes
+}
+
+fn sleep_until(at: Instant) {
+    thread::sleep(at.saturating_duration_since(Instant::now()));
+}
+
+fn millis(span: Duration) -> u64 {
+    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod announce;
 pub mod caller;
 pub mod channel;
+pub mod experiment;
 pub mod fabric;
 pub mod message;
 pub mod ports;
--- a/crates/standin/src/upstream.rs
+++ b/crates/standin/src/upstream.rs
@@ -143,8 +143,10 @@
     pub packets: u64,
     /// Later packets of flows that it doesn't know.
     pub unknown_packets: u64,
-    /// Flows and requests that were meant for another service.
-    pub wrong_service: u64,
+    /// Flows that were meant for another service.
+    pub wrong_service_flows: u64,
+    /// Requests that were meant for another service.
+    pub wrong_service_requests: u64,
     /// Flows refused since it held as many as it bears.
     pub flows_refused: u64,
     /// Requests that started to run.
@@ -189,7 +191,9 @@
         let name = upstream.name.clone();
         let server = Server::bind(upstream, settings.seed, runs.clone()).await?;
         server.start(&token);
-        announce::start(server.clone(), token.clone());
+        if !server.entries().is_empty() {
+            announce::start(server.clone(), token.clone());
+        }
         servers.insert(name, server);
     }
     let answer = move |command| answer(&servers, &runs, command);
--- a/crates/standin/src/upstream/flows.rs
+++ b/crates/standin/src/upstream/flows.rs
@@ -124,7 +124,7 @@
             return Some(Content::Opened);
         }
         if *service != self.service {
-            stats.wrong_service += 1;
+            stats.wrong_service_flows += 1;
         }
         if !warmth.on_flow(now_ms) {
             stats.cold_overloads += 1;
--- a/crates/standin/src/upstream/requests.rs
+++ b/crates/standin/src/upstream/requests.rs
@@ -113,7 +113,7 @@
             return refusal(request, coap::BAD_REQUEST, None);
         };
         if work.service != self.service {
-            stats.wrong_service += 1;
+            stats.wrong_service_requests += 1;
         }
         let busy = u32::try_from(self.running.len()).unwrap_or(u32::MAX);
         if busy >= warmth.bears_slots() && warmth.bears_slots() < self.slots {
--- a/crates/standin/tests/emulators/caller.rs
+++ b/crates/standin/tests/emulators/caller.rs
@@ -134,7 +134,7 @@
         };
         let callers = Callers::start(vec![straight(&server)], vec![feeds]);
         callers.until(|r| r.flows.wrong_service > 0).await;
-        assert!(server.stats().wrong_service > 0);
+        assert!(server.stats().wrong_service_flows > 0);
     });
 }
 
--- /dev/null
+++ b/xtask/src/demo.rs
@@ -0,0 +1,162 @@
+//! `cargo xtask demo`: builds everything, starts it on loopback addresses, runs traffic, stops it
+//! gracefully and prints the report.
+
+use std::{fs, path::PathBuf, process::ExitCode, time::Instant};
+
+use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+use standin::experiment::{
+    Action, Experiment, Firm, Step, build, cluster::Place, plan::Plan, report::Report, run,
+};
+
+/// Firms by their words on the command line.
+const FIRMS: [(&str, Firm); 3] = [
+    ("small", Firm::Small),
+    ("lysgard", Firm::Lysgard),
+    ("blue-mahoe", Firm::BlueMahoe),
+];
+
+/// Words for changes and faults on the command line.
+const CHANGES: [&str; 9] = [
+    "none",
+    "admit",
+    "drain",
+    "domain-out-in",
+    "rolling-restart",
+    "kill-entry",
+    "kill-control",
+    "freeze-entry",
+    "cold",
+];
+
+/// The arguments.
+pub(crate) fn command() -> Command {
+    Command::new("demo")
+        .about("Builds and starts a whole system on loopback addresses, and reports on its traffic")
+        .arg(
+            Arg::new("firm")
+                .long("firm")
+                .value_parser(FIRMS.map(|(word, _)| word))
+                .default_value("small")
+                .help("Whose system and traffic: small has 6 entry VMs in 3 failure domains"),
+        )
+        .arg(
+            Arg::new("seconds")
+                .long("seconds")
+                .value_name("N")
+                .value_parser(value_parser!(u64).range(5..=3_600))
+                .default_value("20")
+                .help("Time with traffic"),
+        )
+        .arg(
+            Arg::new("seed")
+                .long("seed")
+                .value_name("N")
+                .value_parser(value_parser!(u64).range(0..=u64::from(u32::MAX)))
+                .default_value("1")
+                .help("Seed of arrivals, service times and the fabric's draws"),
+        )
+        .arg(
+            Arg::new("change")
+                .long("change")
+                .value_parser(CHANGES)
+                .default_value("none")
+                .help("Planned change or fault after a third of the time"),
+        )
+        .arg(
+            Arg::new("json")
+                .long("json")
+                .value_name("FILE")
+                .value_parser(value_parser!(PathBuf))
+                .help("Write the report to FILE, as JSON"),
+        )
+        .arg(
+            Arg::new("keep")
+                .long("keep")
+                .action(ArgAction::SetTrue)
+                .help("Keep the folder with settings and logs"),
+        )
+        .after_help(
+            "Exit code: 0 when every property was kept, 1 when one was broken or the run failed.",
+        )
+}
+
+/// Runs the demo.
+pub(crate) fn run(matches: &ArgMatches) -> ExitCode {
+    match try_run(matches) {
+        Ok(report) if report.broken_properties.is_empty() => ExitCode::SUCCESS,
+        Ok(_) => ExitCode::FAILURE,
+        Err(error) => {
+            eprintln!("demo: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn try_run(matches: &ArgMatches) -> Result<Report, String> {
+    let experiment = experiment(matches);
+    eprintln!("demo: builds");
+    let programs = build::programs().map_err(|e| e.to_string())?;
+    let mut folder = tempfile::tempdir().map_err(|e| e.to_string())?;
+    if matches.get_flag("keep") {
+        folder.disable_cleanup(true);
+        eprintln!("demo: keeps {}", folder.path().display());
+    }
+    let place = Place {
+        programs,
+        folder: folder.path().to_owned(),
+    };
+    let start = Instant::now();
+    let progress = |line: &str| eprintln!("demo: {:>5.1} s  {line}", start.elapsed().as_secs_f64());
+    let report = run::run(&experiment, place, progress).map_err(|e| e.to_string())?;
+    if let Some(file) = matches.get_one::<PathBuf>("json") {
+        let json = serde_json::to_string_pretty(&report).map_err(|e| e.to_string())?;
+        fs::write(file, json).map_err(|e| format!("{}: {e}", file.display()))?;
+    }
+    print!("{report}");
+    Ok(report)
+}
+
+fn experiment(matches: &ArgMatches) -> Experiment {
+    let word = |id: &str| matches.get_one::<String>(id).map_or("", String::as_str);
+    let number = |id: &str| matches.get_one::<u64>(id).copied().unwrap_or_default();
+    let firm = FIRMS.iter().find(|(name, _)| *name == word("firm"));
+    let firm = firm.map(|(_, firm)| *firm).unwrap_or_default();
+    let seconds = number("seconds");
+    Experiment {
+        name: format!("demo {}", word("change")),
+        firm,
+        seconds,
+        seed: number("seed"),
+        steps: steps(word("change"), firm, seconds),
+        ..Experiment::default()
+    }
+}
+
+/// The steps of a change, after a third of the time.
+fn steps(change: &str, firm: Firm, seconds: u64) -> Vec<Step> {
+    let plan = Plan::new(firm, 100);
+    let domain = plan.domains[0].clone();
+    let upstream = plan.services[0].upstreams[0].name.clone();
+    let at_s = seconds / 3;
+    let one = |action| vec![Step { at_s, action }];
+    match change {
+        "admit" => one(Action::Admit),
+        "drain" => one(Action::Drain),
+        "domain-out-in" => vec![
+            Step {
+                at_s,
+                action: Action::DomainOut(domain.clone()),
+            },
+            Step {
+                at_s: 2 * seconds / 3,
+                action: Action::DomainIn(domain),
+            },
+        ],
+        "rolling-restart" => one(Action::RollingRestart),
+        "kill-entry" => one(Action::KillEntry),
+        "kill-control" => one(Action::KillControl),
+        "freeze-entry" => one(Action::FreezeEntry),
+        "cold" => one(Action::Cold(upstream)),
+        _ => Vec::new(),
+    }
+}
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -1,3 +1,18 @@
-//! xtask
+//! Development commands of the repository.
 
-fn main() {}
+mod demo;
+
+use std::process::ExitCode;
+
+use clap::Command;
+
+fn main() -> ExitCode {
+    let command = Command::new("xtask")
+        .about("Development commands of the repository")
+        .subcommand_required(true)
+        .subcommand(demo::command());
+    match command.get_matches().subcommand() {
+        Some(("demo", matches)) => demo::run(matches),
+        _ => ExitCode::FAILURE,
+    }
+}
