--- a/crates/standin/src/experiment.rs
+++ b/crates/standin/src/experiment.rs
@@ -12,9 +12,11 @@
 
 pub mod build;
 pub mod cluster;
+pub mod compare;
 pub mod ctl;
 pub mod http;
 pub mod plan;
+pub mod plot;
 pub mod process;
 pub mod properties;
 pub mod report;
--- a/crates/standin/src/experiment/report.rs
+++ b/crates/standin/src/experiment/report.rs
@@ -1,6 +1,6 @@
 //! Result of an experiment, as JSON. Counts come from what upstreams and callers saw.
 
-use std::{collections::BTreeMap, fmt};
+use std::{collections::BTreeMap, fmt, fs, io, path::Path};
 
 use model::name::Name;
 use serde::{Deserialize, Serialize};
@@ -117,6 +117,17 @@
     pub bytes_per_second_per_vm: Option<f64>,
 }
 
+impl Report {
+    /// Writes the report into a file, as JSON.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the file can't be written.
+    pub fn write(&self, file: &Path) -> io::Result<()> {
+        fs::write(file, serde_json::to_string_pretty(self)?)
+    }
+}
+
 impl Requests {
     /// Joins what callers and upstreams saw.
     #[must_use]
--- a/xtask/src/demo.rs
+++ b/xtask/src/demo.rs
@@ -1,7 +1,7 @@
 //! `cargo xtask demo`: builds everything, starts it on loopback addresses, runs traffic, stops it
 //! gracefully and prints the report.
 
-use std::{fs, path::PathBuf, process::ExitCode, time::Instant};
+use std::{path::PathBuf, process::ExitCode, time::Instant};
 
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 use standin::experiment::{
@@ -109,8 +109,9 @@
     let progress = |line: &str| eprintln!("demo: {:>5.1} s  {line}", start.elapsed().as_secs_f64());
     let report = run::run(&experiment, place, progress).map_err(|e| e.to_string())?;
     if let Some(file) = matches.get_one::<PathBuf>("json") {
-        let json = serde_json::to_string_pretty(&report).map_err(|e| e.to_string())?;
-        fs::write(file, json).map_err(|e| format!("{}: {e}", file.display()))?;
+        report
+            .write(file)
+            .map_err(|e| format!("{}: {e}", file.display()))?;
     }
     print!("{report}");
     Ok(report)
