Add the control daemon: operators' RPC, streams to entry VMs, leader's steps

Ruled out: beats of each entry VM to every control VM (7 streams a VM at size); a request id by service and generation alone for the leader's steps (a service put again counts its generations from 1).

model::delivery::Hello gets http_address, so that any control VM can pass on the dump of an entry VM.

--- /dev/null
+++ b/crates/control/src/exchange.rs
@@ -0,0 +1,141 @@
+//! Control VMs tell each other which entry VMs and upstreams they hear of.
+//!
+//! Each control VM opens one stream to each other and sends what it heard itself since the last
+//! message; the other side acknowledges, so that a broken stream shows.
+
+use std::{net::SocketAddr, time::Duration};
+
+use delivery::{CONTROL_PATH, dial, server::Stream, stream};
+use displaydoc::Display;
+use model::name::Name;
+use serde::{Deserialize, Serialize};
+use tokio::time::{sleep, timeout};
+use tokio_util::sync::CancellationToken;
+
+use crate::{announced, lease, state::State};
+
+/// Time between two messages.
+const INTERVAL: Duration = Duration::from_millis(200);
+
+/// Time that an acknowledgement may take.
+const ACK_WAIT: Duration = Duration::from_secs(1);
+
+/// Wait before a new try after a stream was lost.
+const RETRY_WAIT: Duration = Duration::from_millis(500);
+
+/// Time without a message after which the receiving side ends a stream.
+const SILENCE: Duration = Duration::from_secs(5);
+
+/// What one control VM heard.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Digest {
+    /// Name of the control VM that speaks.
+    pub from: Name,
+    /// Entry VMs that it heard since its last message; all that it knows in the first one.
+    pub vms: Vec<lease::Heard>,
+    /// Upstreams, likewise.
+    pub upstreams: Vec<announced::Heard>,
+}
+
+/// The digest has been taken.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Ack;
+
+/// Why a stream ended.
+#[derive(Debug, Display)]
+enum End {
+    /// {0}
+    Dial(dial::Error),
+    /// {0}
+    Stream(stream::Error),
+    /// no acknowledgement within 1 s
+    NoAck,
+}
+
+impl From<stream::Error> for End {
+    fn from(error: stream::Error) -> Self {
+        Self::Stream(error)
+    }
+}
+
+/// Tells the control VM at `peer` what this one hears, until `token` is cancelled.
+pub async fn tell(peer: SocketAddr, state: State, token: CancellationToken) {
+    let mut was_up = true;
+    loop {
+        let told = tokio::select! {
+            () = token.cancelled() => return,
+            told = tell_once(peer, &state, &mut was_up) => told,
+        };
+        let Err(error) = told;
+        // Only the first of a row of failures is news.
+        if was_up {
+            log::warn!(target: "exchange", "control VM {peer} hears nothing from here: {error}");
+            was_up = false;
+        }
+        tokio::select! {
+            () = token.cancelled() => return,
+            () = sleep(RETRY_WAIT) => {}
+        }
+    }
+}
+
+async fn tell_once(
+    peer: SocketAddr,
+    state: &State,
+    was_up: &mut bool,
+) -> Result<std::convert::Infallible, End> {
+    let mut stream = dial::open(peer, CONTROL_PATH).await.map_err(End::Dial)?;
+    let mut since_ms = 0;
+    loop {
+        let (digest, now_ms) = digest(state, since_ms);
+        stream.sender.send(&digest).await?;
+        let ack = timeout(ACK_WAIT, stream.receiver.receive()).await;
+        let Ack = ack.map_err(|_| End::NoAck)??;
+        since_ms = now_ms;
+        if !*was_up {
+            log::info!(target: "exchange", "control VM {peer} hears from here again");
+            *was_up = true;
+        }
+        sleep(INTERVAL).await;
+    }
+}
+
+fn digest(state: &State, since_ms: u64) -> (Digest, u64) {
+    let now_ms = state.now_ms();
+    let soft = state.soft();
+    let digest = Digest {
+        from: state.name.clone(),
+        vms: soft.vms.digest(now_ms, since_ms),
+        upstreams: soft.upstreams.digest(now_ms, since_ms),
+    };
+    (digest, now_ms)
+}
+
+/// Takes what another control VM tells, until its stream ends.
+pub async fn hear(mut stream: Stream, state: State) {
+    let token = stream.token.clone();
+    let end = tokio::select! {
+        () = token.cancelled() => return,
+        end = hear_all(&mut stream, &state) => end,
+    };
+    if let Err(error) = end {
+        log::debug!(target: "exchange", "stream of control VM {} ended: {error}", stream.peer);
+    }
+}
+
+async fn hear_all(stream: &mut Stream, state: &State) -> Result<(), stream::Error> {
+    while let Ok(digest) = timeout(SILENCE, stream.receiver.receive()).await {
+        let digest: Digest = digest?;
+        // A VM that lists its own address talks to itself, which tells it nothing new.
+        if digest.from != state.name {
+            let now_ms = state.now_ms();
+            let mut soft = state.soft();
+            soft.vms.absorb(now_ms, &digest.from, digest.vms);
+            soft.upstreams.absorb(now_ms, digest.upstreams);
+            drop(soft);
+            state.changed.notify_one();
+        }
+        stream.sender.send(&Ack).await?;
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/control/src/operator.rs
@@ -0,0 +1,225 @@
+//! The RPC for operators. Any control VM takes any call.
+
+use std::{sync::Arc, time::Duration};
+
+use model::config::{Applied, Config};
+use ntex::{SharedCfg, service::fn_factory_with_config};
+use rpc::{
+    convert::{self, Asked, Invalid},
+    schema::{self, RefusalKind, apply_response::Outcome},
+};
+use tokio::time::timeout;
+
+use crate::{dump, read, replica, state::State};
+
+/// Time that the log may take to commit a command before its outcome counts as unknown.
+const COMMIT_WAIT: Duration = Duration::from_secs(4);
+
+/// Answers operators' calls.
+#[derive(Debug, Clone)]
+pub struct Service {
+    state: State,
+}
+
+/// Makes the service for a server's thread.
+pub fn factory(
+    state: State,
+) -> impl ntex::ServiceFactory<
+    ntex_grpc::server::ServerRequest,
+    SharedCfg,
+    Response = ntex_grpc::server::ServerResponse,
+    Error = ntex_grpc::server::ServerError,
+    Service = Service,
+    InitError = (),
+> {
+    fn_factory_with_config(async move |_: SharedCfg| {
+        Ok::<_, ()>(Service {
+            state: state.clone(),
+        })
+    })
+}
+
+#[ntex_grpc::server(schema::Operator)]
+impl Service {
+    #[method(Apply)]
+    async fn apply(&self, request: schema::ApplyRequest) -> schema::ApplyResponse {
+        metrics::counter!("control_commands_total").increment(1);
+        let outcome = self.run(&request).await;
+        if !matches!(outcome, Outcome::Accepted(_)) {
+            metrics::counter!("control_commands_not_accepted_total").increment(1);
+        }
+        schema::ApplyResponse {
+            outcome: Some(outcome),
+        }
+    }
+
+    #[method(Status)]
+    async fn status(&self, request: schema::ReadRequest) -> schema::StatusResponse {
+        let view = read::View::take(&self.state, request.allow_old).await;
+        read::status(&self.state, &view)
+    }
+
+    #[method(ListUpstreams)]
+    async fn list_upstreams(&self, request: schema::ReadRequest) -> schema::ListUpstreamsResponse {
+        let view = read::View::take(&self.state, request.allow_old).await;
+        read::upstreams(&self.state, &view)
+    }
+
+    #[method(ListChanges)]
+    async fn list_changes(&self, request: schema::ReadRequest) -> schema::ListChangesResponse {
+        let view = read::View::take(&self.state, request.allow_old).await;
+        read::changes(&self.state, &view)
+    }
+
+    #[method(GetChange)]
+    async fn get_change(&self, request: schema::GetChangeRequest) -> schema::GetChangeResponse {
+        let view = read::View::take(&self.state, request.allow_old).await;
+        read::change(&self.state, &view, request.number)
+    }
+
+    #[method(Dump)]
+    async fn dump(&self, request: schema::DumpRequest) -> schema::DumpResponse {
+        match dump::of(&self.state, &request.vm).await {
+            Ok(json) => schema::DumpResponse {
+                json: json.into(),
+                ..schema::DumpResponse::default()
+            },
+            Err(reason) => schema::DumpResponse {
+                reason: reason.into(),
+                ..schema::DumpResponse::default()
+            },
+        }
+    }
+
+    #[method(Report)]
+    async fn report(&self, _: schema::ReportRequest) -> schema::ReportResponse {
+        schema::ReportResponse {
+            json: dump::of_all(&self.state).await.into(),
+        }
+    }
+}
+
+impl Service {
+    async fn run(&self, request: &schema::ApplyRequest) -> Outcome {
+        // A resend gets its first answer though what it names may be gone by now.
+        if let Some(first) = first_answer(&self.state.replica.latest(), request) {
+            return self.outcome(&first);
+        }
+        match self.check(request) {
+            Ok(Asked::Command(entry)) => {
+                log::info!(
+                    target: "operator",
+                    "{} asks ({}): {:?}", entry.operator, entry.request, entry.command
+                );
+                let proposed = timeout(COMMIT_WAIT, self.state.replica.propose(entry)).await;
+                match proposed {
+                    Ok(Ok(applied)) => self.outcome(&applied),
+                    Ok(Err(error)) => self.not_applied(&error),
+                    Err(_) => unknown("the command was not committed in time"),
+                }
+            }
+            Ok(Asked::Replace { old, new, .. }) => self.replace(old.as_str(), new.as_str()).await,
+            Err(invalid) => self.refuse_invalid(request, &invalid).await,
+        }
+    }
+
+    fn check(&self, request: &schema::ApplyRequest) -> Result<Asked, Invalid> {
+        let config = self.state.replica.latest();
+        convert::entry(request, |service, upstream| {
+            let announced = self.state.soft().upstreams.admissible(service, upstream);
+            // One that is in the configuration may be admitted again by what stands there.
+            announced.or_else(|reason| {
+                let known = config.services.get(service);
+                let known = known.and_then(|service| service.upstreams.get(upstream));
+                known.cloned().ok_or(reason)
+            })
+        })
+    }
+
+    /// Refuses what was never proposed, unless it is the resend of a command that was: this
+    /// replica may not have applied that one yet, and "not run" must be true.
+    async fn refuse_invalid(&self, request: &schema::ApplyRequest, invalid: &Invalid) -> Outcome {
+        let well_formed = !request.operator.is_empty() && !request.request_id.is_empty();
+        if well_formed {
+            match timeout(COMMIT_WAIT, self.state.replica.read()).await {
+                Ok(Ok(config)) => {
+                    if let Some(first) = first_answer(&config, request) {
+                        return self.outcome(&first);
+                    }
+                }
+                Ok(Err(error)) => return unknown(&error.to_string()),
+                Err(_) => return unknown("no leader confirmed that it is new in time"),
+            }
+        }
+        Outcome::Refused(schema::Refused {
+            kind: RefusalKind::Field,
+            field: invalid.field.into(),
+            reason: invalid.to_string().into(),
+            index: 0,
+            version: self.state.replica.latest().version,
+        })
+    }
+
+    /// What the log made of a command.
+    fn outcome(&self, applied: &Applied) -> Outcome {
+        let config = self.state.replica.latest();
+        match &applied.outcome {
+            Ok(()) => Outcome::Accepted(schema::Accepted {
+                index: applied.index,
+                // The version of a configuration is the index of its last command.
+                version: applied.index,
+                change: config
+                    .changes
+                    .get(&applied.index)
+                    .map_or(0, |_| applied.index),
+            }),
+            Err(refusal) => {
+                let (kind, field) = convert::refusal(refusal);
+                Outcome::Refused(schema::Refused {
+                    kind,
+                    field: field.into(),
+                    reason: refusal.to_string().into(),
+                    index: applied.index,
+                    version: config.version,
+                })
+            }
+        }
+    }
+
+    fn not_applied(&self, error: &replica::Error) -> Outcome {
+        match error {
+            replica::Error::NoLeader => self.refused(RefusalKind::NoLeader, &error.to_string()),
+            _ => unknown(&error.to_string()),
+        }
+    }
+
+    async fn replace(&self, old: &str, new: &str) -> Outcome {
+        let _ = (old, new);
+        self.refused(
+            RefusalKind::Unsupported,
+            "control replace is not wired to the replicas yet: nothing was changed",
+        )
+    }
+
+    fn refused(&self, kind: RefusalKind, reason: &str) -> Outcome {
+        Outcome::Refused(schema::Refused {
+            kind,
+            reason: reason.into(),
+            version: self.state.replica.latest().version,
+            ..schema::Refused::default()
+        })
+    }
+}
+
+fn first_answer(config: &Arc<Config>, request: &schema::ApplyRequest) -> Option<Applied> {
+    config
+        .answer(&request.operator, &request.request_id)
+        .cloned()
+}
+
+fn unknown(reason: &str) -> Outcome {
+    let reason = format!("{reason}; resend it with the same request id to learn what came of it");
+    Outcome::Unknown(schema::Unknown {
+        reason: reason.into(),
+    })
+}
--- /dev/null
+++ b/crates/control/src/step.rs
@@ -0,0 +1,119 @@
+//! The leader's own steps: activates prepared generations and retires old ones.
+//!
+//! No I/O: [`Stepper::commands`] looks at the configuration and at the live entry VMs, and says
+//! which commands to propose.
+
+use std::collections::BTreeMap;
+
+use model::{
+    command::{Command, Entry},
+    config::{Config, Service, Stage},
+    name::Name,
+};
+
+use crate::lease::Table;
+
+/// Operator of the system's own steps.
+pub const OPERATOR: &str = "control";
+
+/// What the leader remembers between two looks.
+#[derive(Debug, Default)]
+pub struct Stepper {
+    /// Index of the configuration in which each service's newest generation was first seen in its
+    /// present stage. An index that is seen late only delays a step.
+    seen: BTreeMap<Name, Seen>,
+}
+
+/// A service's newest generation as it was first seen.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Seen {
+    generation: u64,
+    stage: Stage,
+    index: u64,
+}
+
+impl Stepper {
+    /// Commands that are due at `config`, given the live entry VMs.
+    pub fn commands(&mut self, now_ms: u64, config: &Config, vms: &Table) -> Vec<Entry> {
+        self.look(config);
+        if !vms.is_complete(now_ms) {
+            return Vec::new();
+        }
+        let due = |(name, service)| {
+            let seen = self.seen.get(name)?;
+            // An entry VM that has not applied the newest stage is waited for.
+            if !vms.missing(now_ms, seen.index).is_empty() {
+                return None;
+            }
+            match seen.stage {
+                Stage::Prepared => Some(Command::Activate {
+                    service: Name::clone(name),
+                    generation: seen.generation,
+                }),
+                Stage::Active => retire(now_ms, name, service, vms),
+            }
+        };
+        config
+            .services
+            .iter()
+            .filter_map(due)
+            .map(|command| entry(config.index, command))
+            .collect()
+    }
+
+    /// Notes when each service's newest generation is first seen in its stage.
+    fn look(&mut self, config: &Config) {
+        self.seen
+            .retain(|name, _| config.services.contains_key(name));
+        for (name, service) in &config.services {
+            let Some(last) = service.generations.last() else {
+                self.seen.remove(name);
+                continue;
+            };
+            let seen = Seen {
+                generation: last.number,
+                stage: last.stage,
+                index: config.index,
+            };
+            let known = self.seen.entry(name.clone()).or_insert(seen);
+            if (known.generation, known.stage) != (seen.generation, seen.stage) {
+                *known = seen;
+            }
+        }
+    }
+}
+
+/// Retires the generations that no live entry VM needs.
+fn retire(now_ms: u64, name: &Name, service: &Service, vms: &Table) -> Option<Command> {
+    let oldest = service.generations.first()?.number;
+    let newest = service.generations.last()?.number;
+    let needed = vms
+        .live(now_ms)
+        .filter_map(|heard| heard.beat.needed.get(name).copied())
+        .min()
+        .unwrap_or(newest);
+    let keep = service
+        .generations
+        .iter()
+        .map(|generation| generation.number)
+        .filter(|number| *number <= needed)
+        .max()?;
+    (keep > oldest).then(|| Command::Retire {
+        service: name.clone(),
+        keep,
+    })
+}
+
+/// The command with an id that a new try at the same configuration shares, and none at a later
+/// one: a service that is removed and put again counts its generations from 1 once more.
+fn entry(index: u64, command: Command) -> Entry {
+    let request = match &command {
+        Command::Activate {
+            service,
+            generation,
+        } => format!("activate/{service}/{generation}/{index}"),
+        Command::Retire { service, keep } => format!("retire/{service}/{keep}/{index}"),
+        _ => format!("{index}"),
+    };
+    Entry::new(OPERATOR, request, None, command)
+}
--- /dev/null
+++ b/crates/control/tests/common/mod.rs
@@ -0,0 +1,254 @@
+//! Starts real `oriole-control` processes on loopback addresses.
+
+#![allow(
+    dead_code,
+    unreachable_pub,
+    clippy::unwrap_used,
+    reason = "each test file uses a part of it, and a test fails by its panic"
+)]
+
+pub mod entry;
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    fs,
+    future::Future,
+    net::{SocketAddr, TcpListener, UdpSocket},
+    path::PathBuf,
+    process::{Child, Command, Stdio},
+    time::Duration,
+};
+
+use model::name::Name;
+use rpc::{
+    client::Client,
+    schema::{self, apply_request, apply_response::Outcome},
+};
+use settings::control::Settings;
+use tempfile::TempDir;
+
+/// Longest wait for anything that must happen in the end.
+pub const PATIENCE: Duration = Duration::from_secs(30);
+
+/// A cluster of control VMs. Dropping it kills the processes that it started.
+pub struct Cluster {
+    pub folder: TempDir,
+    pub settings: Vec<Settings>,
+    children: Vec<Option<Child>>,
+}
+
+impl Cluster {
+    /// Starts `size` control VMs named control-1 and so on.
+    pub fn start(size: usize) -> Self {
+        let folder = tempfile::tempdir().unwrap();
+        let mut cluster = Self {
+            settings: settings(size, &folder),
+            folder,
+            children: (0..size).map(|_| None).collect(),
+        };
+        for number in 0..size {
+            cluster.run(number);
+        }
+        cluster
+    }
+
+    /// Starts a control VM that doesn't run.
+    pub fn run(&mut self, number: usize) {
+        let path = self.path(number);
+        fs::write(
+            &path,
+            serde_norway::to_string(&self.settings[number]).unwrap(),
+        )
+        .unwrap();
+        let child = Command::new(env!("CARGO_BIN_EXE_oriole-control"))
+            .arg("--settings")
+            .arg(path)
+            .stdout(Stdio::null())
+            .spawn()
+            .unwrap();
+        self.children[number] = Some(child);
+    }
+
+    pub fn path(&self, number: usize) -> PathBuf {
+        self.folder
+            .path()
+            .join(format!("control-{}.yaml", number + 1))
+    }
+
+    /// Sends a signal such as "STOP" to a control VM's process.
+    pub fn signal(&self, number: usize, signal: &str) {
+        let id = self.children[number].as_ref().unwrap().id();
+        let sent = Command::new("kill")
+            .arg(format!("-{signal}"))
+            .arg(id.to_string())
+            .status();
+        assert!(sent.unwrap().success());
+    }
+
+    /// Kills a control VM's process.
+    pub fn kill(&mut self, number: usize) {
+        let mut child = self.children[number].take().unwrap();
+        child.kill().unwrap();
+        child.wait().unwrap();
+    }
+
+    /// Stops a control VM's process gracefully and returns whether its exit code was 0.
+    pub fn stop(&mut self, number: usize) -> bool {
+        self.signal(number, "TERM");
+        let mut child = self.children[number].take().unwrap();
+        child.wait().unwrap().success()
+    }
+
+    /// Connects to a control VM, once it answers.
+    pub async fn client(&self, number: usize) -> Client {
+        let address = self.settings[number].rpc_listen;
+        eventually(async || Client::connect(address, Duration::from_secs(6)).await.ok()).await
+    }
+
+    /// Applies a command, through any control VM that runs, until it isn't refused for want of a
+    /// leader.
+    pub async fn apply(&self, request: &schema::ApplyRequest) -> Outcome {
+        let running: Vec<usize> = self.running();
+        eventually(async || {
+            for number in &running {
+                let outcome = self.client(*number).await.apply(request).await;
+                let outcome = outcome.ok().and_then(|response| response.outcome);
+                match outcome {
+                    Some(Outcome::Refused(r)) if r.kind == schema::RefusalKind::NoLeader => {}
+                    Some(Outcome::Unknown(_)) | None => {}
+                    outcome => return outcome,
+                }
+            }
+            None
+        })
+        .await
+    }
+
+    fn running(&self) -> Vec<usize> {
+        let runs = |number: &usize| self.children[*number].is_some();
+        (0..self.children.len()).filter(runs).collect()
+    }
+}
+
+impl Drop for Cluster {
+    fn drop(&mut self) {
+        for child in self.children.iter_mut().flatten() {
+            drop(child.kill());
+            drop(child.wait());
+        }
+    }
+}
+
+/// Runs a test on the runtime that the client needs.
+pub fn block_on<F: Future<Output = ()> + 'static>(test: F) {
+    ntex::rt::System::build()
+        .name("test")
+        .build(ntex::rt::DefaultRuntime)
+        .block_on(test);
+}
+
+/// Asks until there is an answer.
+pub async fn eventually<T>(ask: impl AsyncFn() -> Option<T>) -> T {
+    let asked = async {
+        loop {
+            if let Some(answer) = ask().await {
+                return answer;
+            }
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    };
+    tokio::time::timeout(PATIENCE, asked)
+        .await
+        .expect("what must happen in the end did not")
+}
+
+/// A request for a command by operator "anna".
+pub fn request(id: &str, command: apply_request::Command) -> schema::ApplyRequest {
+    schema::ApplyRequest {
+        operator: "anna".into(),
+        request_id: id.into(),
+        expected_version: None,
+        command: Some(command),
+    }
+}
+
+pub fn put_domain(name: &str) -> apply_request::Command {
+    apply_request::Command::PutDomain(schema::PutDomain { name: name.into() })
+}
+
+pub fn put_service(name: &str, address: &str) -> apply_request::Command {
+    apply_request::Command::PutService(schema::PutService {
+        name: name.into(),
+        address: address.into(),
+        ..schema::PutService::default()
+    })
+}
+
+pub fn name(text: &str) -> Name {
+    Name::new(text).unwrap()
+}
+
+/// What was accepted; fails the test otherwise.
+pub fn accepted(outcome: Outcome) -> schema::Accepted {
+    match outcome {
+        Outcome::Accepted(accepted) => accepted,
+        other => panic!("not accepted: {other:?}"),
+    }
+}
+
+/// What was refused; fails the test otherwise.
+pub fn refused(outcome: Outcome) -> schema::Refused {
+    match outcome {
+        Outcome::Refused(refused) => refused,
+        other => panic!("not refused: {other:?}"),
+    }
+}
+
+fn settings(size: usize, folder: &TempDir) -> Vec<Settings> {
+    let mut ports = free_ports(4 * size).into_iter();
+    let mut next = || ports.next().unwrap();
+    let mut all: Vec<Settings> = (1..=size)
+        .map(|number| Settings {
+            name: name(&format!("control-{number}")),
+            domain: name("vejle"),
+            data_folder: folder.path().join(format!("data-{number}")),
+            rpc_listen: next(),
+            delivery_listen: next(),
+            peer_listen: next(),
+            http_listen: next(),
+            replicas: BTreeMap::new(),
+            found: true,
+            controls: Vec::new(),
+            log: settings::log::Level::Warn,
+            seed: None,
+        })
+        .collect();
+    let replicas: BTreeMap<Name, SocketAddr> = all
+        .iter()
+        .map(|settings| (settings.name.clone(), settings.peer_listen))
+        .collect();
+    let controls: Vec<SocketAddr> = all.iter().map(|s| s.delivery_listen).collect();
+    for settings in &mut all {
+        settings.replicas = replicas.clone();
+        settings.controls = controls.clone();
+    }
+    all
+}
+
+/// Loopback addresses whose ports are free, all at the same time.
+///
+/// The ports lie below the range that outgoing connections take theirs from.
+fn free_ports(count: usize) -> Vec<SocketAddr> {
+    use std::sync::atomic::{AtomicU16, Ordering};
+    static NEXT: AtomicU16 = AtomicU16::new(0);
+    let base = 12_000 + u16::try_from(std::process::id() % 18_000).unwrap();
+    let mut found = BTreeSet::new();
+    while found.len() < count {
+        let port = base.wrapping_add(NEXT.fetch_add(1, Ordering::Relaxed) % 2_000);
+        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        if TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok() {
+            found.insert(address);
+        }
+    }
+    found.into_iter().collect()
+}
--- /dev/null
+++ b/crates/control/tests/process.rs
@@ -0,0 +1,194 @@
+//! One real control VM: commands, refusals, resends, races, delivery to entry VMs.
+
+#![expect(clippy::unwrap_used, reason = "a test fails by its panic")]
+
+mod common;
+
+use std::process::Command;
+
+use common::{
+    Cluster, accepted, block_on, entry::Entry, eventually, name, put_domain, put_service, refused,
+    request,
+};
+use model::{announce::Announcement, config::Stage, delivery::ToControl};
+use rpc::schema::{self, RefusalKind, apply_request};
+
+fn announcement(upstream: &str) -> Announcement {
+    Announcement {
+        service: name("booking"),
+        upstream: name(upstream),
+        domain: name("vejle"),
+        flow_address: "127.0.0.1:9001".parse().unwrap(),
+        request_address: "127.0.0.1:9002".parse().unwrap(),
+        slots: 3,
+        connections: 2_000,
+        incarnation: 1,
+        held_flows: 0,
+        warmth_percent: 100,
+        leaving: false,
+    }
+}
+
+fn admit(upstream: &str) -> apply_request::Command {
+    apply_request::Command::Admit(schema::Admit {
+        service: "booking".into(),
+        upstream: upstream.into(),
+    })
+}
+
+#[test]
+fn a_resend_gets_the_first_answer_and_a_race_has_one_winner() {
+    block_on(async {
+        let cluster = Cluster::start(1);
+        let first = request("1", put_service("booking", "10.9.0.1:443"));
+        let one = accepted(cluster.apply(&first).await);
+        accepted(cluster.apply(&request("2", put_domain("vejle"))).await);
+        assert_eq!(accepted(cluster.apply(&first).await), one);
+
+        let client = cluster.client(0).await;
+        let version = client
+            .status(&schema::ReadRequest::default())
+            .await
+            .unwrap();
+        let version = version.freshness.version;
+        let racers = ["aarhus-a", "aarhus-b"].map(|domain| schema::ApplyRequest {
+            expected_version: Some(version),
+            ..request(domain, put_domain(domain))
+        });
+        let winner = accepted(cluster.apply(&racers[0]).await);
+        let loser = refused(cluster.apply(&racers[1]).await);
+        assert_eq!(loser.kind, RefusalKind::Version);
+        assert_eq!(loser.field, "expected_version");
+        assert_eq!(loser.version, winner.version);
+        assert!(loser.reason.contains(&winner.version.to_string()));
+    });
+}
+
+#[test]
+fn a_refusal_names_the_field_and_changes_nothing() {
+    block_on(async {
+        let cluster = Cluster::start(1);
+        let client = cluster.client(0).await;
+        accepted(cluster.apply(&request("0", put_domain("vejle"))).await);
+        let before = client
+            .status(&schema::ReadRequest::default())
+            .await
+            .unwrap();
+        let bad = [
+            ("name", put_service("Booking", "10.9.0.1:443")),
+            ("address", put_service("booking", "booking.example:443")),
+            ("upstream", admit("booking-1")),
+        ];
+        for (field, command) in bad {
+            let answer = refused(cluster.apply(&request(field, command)).await);
+            assert_eq!(answer.field, field);
+            assert!(!answer.reason.is_empty());
+        }
+        let reserved = schema::ApplyRequest {
+            operator: "control".into(),
+            ..request("1", put_domain("vejle"))
+        };
+        assert_eq!(refused(cluster.apply(&reserved).await).field, "operator");
+        let after = client
+            .status(&schema::ReadRequest::default())
+            .await
+            .unwrap();
+        assert_eq!(after.freshness.version, before.freshness.version);
+    });
+}
+
+#[test]
+fn a_change_is_in_force_only_when_every_live_entry_vm_has_applied_it() {
+    block_on(async {
+        let cluster = Cluster::start(1);
+        accepted(cluster.apply(&request("1", put_domain("vejle"))).await);
+        let service = request("2", put_service("booking", "10.9.0.1:443"));
+        accepted(cluster.apply(&service).await);
+
+        let controls = vec![cluster.settings[0].delivery_listen];
+        let quick = Entry::start("entry-1", controls.clone());
+        let slow = Entry::start("entry-2", controls);
+        quick.say(ToControl::Announced(announcement("booking-1")));
+        let client = cluster.client(0).await;
+        eventually(async || {
+            let list = client.list_upstreams(&schema::ReadRequest::default()).await;
+            let list = list.unwrap().upstreams;
+            (list.len() == 1 && list[0].state == "announced").then_some(())
+        })
+        .await;
+        eventually(async || (slow.config().index > 0).then_some(())).await;
+        slow.hold(true);
+        let change = accepted(cluster.apply(&request("3", admit("booking-1"))).await).change;
+        assert_ne!(change, 0);
+        eventually(async || (quick.config().index >= change).then_some(())).await;
+
+        let get = schema::GetChangeRequest {
+            number: change,
+            allow_old: false,
+        };
+        let seen = eventually(async || {
+            let change = client.get_change(&get).await.unwrap().change.unwrap();
+            (change.missing == ["entry-2"]).then_some(change)
+        })
+        .await;
+        assert_eq!(seen.state, "accepted");
+
+        slow.hold(false);
+        eventually(async || {
+            let change = client.get_change(&get).await.unwrap().change.unwrap();
+            (change.state == "in-force" && change.missing.is_empty()).then_some(())
+        })
+        .await;
+        for entry in [quick, slow] {
+            let service = &entry.config().services[&name("booking")];
+            assert_eq!(service.generations[0].stage, Stage::Active);
+        }
+    });
+}
+
+#[test]
+fn malformed_calls_do_not_end_the_process() {
+    use std::io::Write;
+    block_on(async {
+        let mut cluster = Cluster::start(1);
+        drop(cluster.client(0).await);
+        for address in [
+            cluster.settings[0].rpc_listen,
+            cluster.settings[0].delivery_listen,
+        ] {
+            for bytes in [
+                &b"GET / HTTP/1.1\r\n\r\n"[..],
+                &[0xff; 64],
+                b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n\x00\x00\x01",
+            ] {
+                let mut stream = std::net::TcpStream::connect(address).unwrap();
+                stream.write_all(bytes).unwrap();
+            }
+        }
+        accepted(cluster.apply(&request("1", put_domain("vejle"))).await);
+        assert!(cluster.stop(0));
+    });
+}
+
+#[test]
+fn check_settings_says_ok_or_one_line() {
+    let cluster = Cluster::start(1);
+    let check = |path: &std::path::Path| {
+        Command::new(env!("CARGO_BIN_EXE_oriole-control"))
+            .args(["--check-settings", "--settings"])
+            .arg(path)
+            .output()
+            .unwrap()
+    };
+    let path = cluster.path(0);
+    let good = check(&path);
+    assert!(good.status.success());
+    assert_eq!(good.stdout, b"ok\n");
+    let text = std::fs::read_to_string(&path).unwrap();
+    std::fs::write(&path, text.replace("domain:", "domian:")).unwrap();
+    let bad = check(&path);
+    assert!(!bad.status.success());
+    let line = String::from_utf8(bad.stderr).unwrap();
+    assert_eq!(line.lines().count(), 1);
+    assert!(line.contains("`domian`"));
+}
--- a/crates/model/src/delivery.rs
+++ b/crates/model/src/delivery.rs
@@ -47,6 +47,8 @@
     pub incarnation: u64,
     /// Where it takes datagrams of other entry VMs.
     pub peer_address: SocketAddr,
+    /// Where it serves its state dump over HTTP.
+    pub http_address: SocketAddr,
     /// Cluster that its configuration belongs to; 0 where it has none.
     pub cluster: u64,
     /// Index of its configuration; 0 where it has none.
--- a/crates/rpc/src/convert.rs
+++ b/crates/rpc/src/convert.rs
@@ -60,14 +60,15 @@
     },
 }
 
-/// Checks a request for a command. `announced` looks up what an upstream of a service announced.
+/// Checks a request for a command. `announced` looks up what an upstream of a service announced,
+/// or says why it can't be admitted.
 ///
 /// # Errors
 ///
 /// Names the first field that is wrong.
 pub fn entry(
     request: &schema::ApplyRequest,
-    announced: impl Fn(&Name, &Name) -> Option<Upstream>,
+    announced: impl Fn(&Name, &Name) -> Result<Upstream, String>,
 ) -> Result<Asked, Invalid> {
     check_operator(&request.operator)?;
     check_request_id(&request.request_id)?;
@@ -141,17 +142,12 @@
 
 fn admit(
     message: &schema::Admit,
-    announced: impl Fn(&Name, &Name) -> Option<Upstream>,
+    announced: impl Fn(&Name, &Name) -> Result<Upstream, String>,
 ) -> Result<Command, Invalid> {
     let service = name("service", &message.service)?;
     let upstream = name("upstream", &message.upstream)?;
-    let Some(announced) = announced(&service, &upstream) else {
-        let reason = format!(
-            "{upstream} has not announced itself for service {service} to any entry VM that this \
-             control VM hears of: start it, then see `oriolectl upstream list`"
-        );
-        return Err(Invalid::new("upstream", reason));
-    };
+    let announced =
+        announced(&service, &upstream).map_err(|reason| Invalid::new("upstream", reason))?;
     Ok(Command::Admit {
         service,
         upstream,
--- a/crates/rpc/src/lib.rs
+++ b/crates/rpc/src/lib.rs
@@ -15,7 +15,7 @@
 //!         name: "Vejle".into(),
 //!     })),
 //! };
-//! let invalid = convert::entry(&request, |_, _| None).unwrap_err();
+//! let invalid = convert::entry(&request, |_, _| Err(String::new())).unwrap_err();
 //! assert_eq!(invalid.field, "name");
 //! ```
 
--- a/crates/settings/src/control.rs
+++ b/crates/settings/src/control.rs
@@ -32,6 +32,9 @@
     /// Control VMs that found the cluster, with their `peer_listen`. Once the cluster is founded
     /// its own record counts, and this only helps to find it.
     pub replicas: BTreeMap<Name, SocketAddr>,
+    /// Whether this VM may take part in founding the cluster. False on a VM that replaces another,
+    /// whose disk is empty though the cluster is not new.
+    pub found: bool,
     /// The `delivery_listen` of all control VMs, over which they tell each other which entry VMs
     /// they hear of. This VM's own address may be among them.
     pub controls: Vec<SocketAddr>,
@@ -52,6 +55,7 @@
         "peer_listen",
         "http_listen",
         "replicas",
+        "found",
         "controls",
         "log",
         "seed",
@@ -69,6 +73,9 @@
             peer_listen: fields.listen("peer_listen")?,
             http_listen: fields.listen("http_listen")?,
             replicas: fields.required("replicas", replicas_advice)?,
+            found: fields
+                .optional("found", "write true or false")?
+                .unwrap_or(true),
             controls: fields
                 .optional("controls", controls_advice)?
                 .unwrap_or_default(),
