--- a/crates/policy/tests/support/mod.rs
+++ b/crates/policy/tests/support/mod.rs
@@ -593,12 +593,22 @@
         if let Item::View { vms, .. } = item {
             view.vms = vms;
             view.number += 1;
-            let context = Context { now, view, config };
+            let context = Context {
+                now,
+                view,
+                config,
+                fresh: true,
+            };
             load.on_view(context, out);
             requests.on_view(context, load, out);
             return;
         }
-        let context = Context { now, view, config };
+        let context = Context {
+            now,
+            view,
+            config,
+            fresh: true,
+        };
         match item {
             Item::Tick(_) => {
                 load.on_tick(context, out);
