--- /dev/null
+++ b/crates/entry/src/sockets.rs
@@ -0,0 +1,204 @@
+//! Reads datagrams and hands them to the engine as events.
+
+use std::{
+    io::{self, ErrorKind},
+    net::SocketAddr,
+};
+
+use displaydoc::Display;
+use log::debug;
+use metrics::counter;
+use policy::io::{Event, Packet};
+use tokio::net::UdpSocket;
+use tokio_util::sync::CancellationToken;
+use wire::{blob::Blob, coap, frame, gue};
+
+use crate::engine::{Engine, Outlets};
+
+/// Datagrams that are read in a row before other tasks get their turn.
+const BATCH: usize = 64;
+
+/// What a socket takes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Kind {
+    /// Encapsulated packets from the fabric.
+    Fabric,
+    /// Callers' requests.
+    Requests,
+    /// Answers of upstreams.
+    Upstreams,
+    /// Messages of other entry VMs.
+    Peers,
+}
+
+impl Kind {
+    fn name(self) -> &'static str {
+        match self {
+            Self::Fabric => "fabric",
+            Self::Requests => "requests",
+            Self::Upstreams => "upstreams",
+            Self::Peers => "peers",
+        }
+    }
+}
+
+/// Why a socket can't be used.
+#[derive(Debug, Display)]
+pub enum Error {
+    /// socket for {0} can't listen at {1}: {2}; choose another address
+    Bind(&'static str, SocketAddr, io::Error),
+    /// socket for {0} can't be read: {1}
+    Read(&'static str, io::Error),
+}
+
+impl std::error::Error for Error {}
+
+/// The sockets of this VM, for reading.
+#[derive(Debug)]
+pub struct Inlets {
+    /// Each socket with what it takes.
+    pub sockets: Vec<(Kind, UdpSocket)>,
+}
+
+/// Addresses to listen at.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Addresses {
+    /// For the fabric.
+    pub fabric: SocketAddr,
+    /// For callers' requests.
+    pub requests: SocketAddr,
+    /// For other entry VMs.
+    pub peers: SocketAddr,
+}
+
+/// Binds all sockets.
+///
+/// # Errors
+///
+/// Names the address that can't be bound.
+pub fn bind(addresses: Addresses) -> Result<(Inlets, Outlets), Error> {
+    // Answers of upstreams come back to a port of their own, so that no caller can forge one
+    // without knowing it.
+    let upstreams = SocketAddr::new(addresses.requests.ip(), 0);
+    let (fabric_in, fabric) = bind_one(Kind::Fabric, addresses.fabric)?;
+    let (requests_in, requests) = bind_one(Kind::Requests, addresses.requests)?;
+    let (upstreams_in, upstreams) = bind_one(Kind::Upstreams, upstreams)?;
+    let (peers_in, peers) = bind_one(Kind::Peers, addresses.peers)?;
+    let inlets = Inlets {
+        sockets: vec![fabric_in, requests_in, upstreams_in, peers_in],
+    };
+    let outlets = Outlets {
+        fabric,
+        requests,
+        upstreams,
+        peers,
+    };
+    Ok((inlets, outlets))
+}
+
+fn bind_one(
+    kind: Kind,
+    address: SocketAddr,
+) -> Result<((Kind, UdpSocket), std::net::UdpSocket), Error> {
+    let fail = |e| Error::Bind(kind.name(), address, e);
+    let socket = std::net::UdpSocket::bind(address).map_err(fail)?;
+    socket.set_nonblocking(true).map_err(fail)?;
+    let outlet = socket.try_clone().map_err(fail)?;
+    let inlet = UdpSocket::from_std(socket).map_err(fail)?;
+    Ok(((kind, inlet), outlet))
+}
+
+/// Reads a socket until the token is cancelled.
+///
+/// # Errors
+///
+/// Fails when the socket can't be read any longer.
+pub async fn read(
+    kind: Kind,
+    socket: &UdpSocket,
+    engine: &Engine,
+    token: CancellationToken,
+) -> Result<(), Error> {
+    let mut buffer = vec![0; frame::MAX_DATAGRAM];
+    loop {
+        tokio::select! {
+            () = token.cancelled() => return Ok(()),
+            ready = socket.readable() => ready.map_err(|e| Error::Read(kind.name(), e))?,
+        }
+        read_batch(kind, socket, engine, &mut buffer)?;
+        tokio::task::yield_now().await;
+    }
+}
+
+fn read_batch(
+    kind: Kind,
+    socket: &UdpSocket,
+    engine: &Engine,
+    buffer: &mut [u8],
+) -> Result<(), Error> {
+    for _ in 0..BATCH {
+        match socket.try_recv_from(buffer) {
+            Ok((length, from)) => take(kind, engine, &buffer[..length], from),
+            Err(e) if e.kind() == ErrorKind::WouldBlock => return Ok(()),
+            // The kernel reports here that an earlier datagram found no receiver.
+            Err(e) if e.kind() == ErrorKind::ConnectionRefused => {}
+            Err(e) => return Err(Error::Read(kind.name(), e)),
+        }
+    }
+    Ok(())
+}
+
+/// Decodes a datagram and hands it to the engine; a malformed one is counted and dropped.
+fn take(kind: Kind, engine: &Engine, bytes: &[u8], from: SocketAddr) {
+    let taken = match kind {
+        Kind::Fabric => take_packet(engine, bytes),
+        Kind::Requests => take_request(engine, bytes, from),
+        Kind::Upstreams => take_reply(engine, bytes, from),
+        Kind::Peers => take_message(engine, bytes, from),
+    };
+    if let Err(reason) = taken {
+        counter!("oriole_malformed_total", "socket" => kind.name()).increment(1);
+        debug!(target: "socket", "datagram from {from} to {} is dropped: {reason}", kind.name());
+    }
+}
+
+fn take_packet(engine: &Engine, bytes: &[u8]) -> Result<(), String> {
+    let packet = gue::Packet::parse(bytes).map_err(|e| e.to_string())?;
+    engine.handle(Event::Packet(Packet {
+        flow: packet.flow,
+        segment: packet.segment,
+        bytes: Blob::from(bytes.to_vec()),
+    }));
+    Ok(())
+}
+
+fn take_request(engine: &Engine, bytes: &[u8], caller: SocketAddr) -> Result<(), String> {
+    match coap::parse(bytes).map_err(|e| e.to_string())? {
+        coap::Received::Request(request) => engine.handle(Event::Request { caller, request }),
+        coap::Received::Empty | coap::Received::Reset(_) | coap::Received::Response { .. } => {
+            return Err("no request".to_owned());
+        }
+    }
+    Ok(())
+}
+
+fn take_reply(engine: &Engine, bytes: &[u8], upstream: SocketAddr) -> Result<(), String> {
+    match coap::parse(bytes).map_err(|e| e.to_string())? {
+        coap::Received::Response { response, .. } => {
+            engine.handle(Event::Reply { upstream, response });
+        }
+        // An upstream may acknowledge a request before it answers.
+        coap::Received::Empty => {}
+        coap::Received::Request(_) | coap::Received::Reset(_) => {
+            return Err("no response".to_owned());
+        }
+    }
+    Ok(())
+}
+
+fn take_message(engine: &Engine, bytes: &[u8], from: SocketAddr) -> Result<(), String> {
+    let message = frame::decode(engine.cluster(), bytes).map_err(|e| e.to_string())?;
+    counter!("oriole_peer_bytes_received_total").increment(bytes.len() as u64);
+    engine.handle(Event::Message { from, message });
+    Ok(())
+}
--- a/crates/policy/benches/membership.rs
+++ b/crates/policy/benches/membership.rs
@@ -7,12 +7,12 @@
 #![expect(clippy::unwrap_used, reason = "a bench may panic")]
 
 #[expect(dead_code, reason = "the bench cuts and freezes nothing")]
-#[path = "../tests/support/mod.rs"]
-mod support;
+#[path = "../tests/membership_support/mod.rs"]
+mod membership_support;
 
 use std::time::Instant;
 
-use support::{Network, address};
+use membership_support::{Network, address};
 
 /// Measured span, in seconds: the time between two restarts at the size of the plan.
 const SPAN_S: u64 = 54;
--- a/crates/policy/src/flow/packet.rs
+++ b/crates/policy/src/flow/packet.rs
@@ -1,7 +1,7 @@
 //! The path of a packet: from the VM that the fabric handed it to, through the flow's home, its
 //! backup and the upstream's steward where they are needed, to the upstream.
 
-use model::name::Name;
+use model::{announce, name::Name};
 use wire::{blob::Blob, gue, gue::Segment};
 
 use super::{
@@ -446,6 +446,10 @@
                 self.admitted.insert(packet.fingerprint, now);
                 self.forward(turn, target, packet.bytes);
             }
+            Admission::Gone if self.handover.is_recent(now, announce::LEASE_MS) => {
+                // This VM may have become the steward just now, and has heard no announcement yet.
+                turn.count(Counter::PacketRefused);
+            }
             Admission::Full | Admission::Gone => self.refuse(turn, target, packet),
             Admission::NotSteward => turn.count(Counter::PacketRefused),
         }
--- a/crates/policy/src/node.rs
+++ b/crates/policy/src/node.rs
@@ -10,6 +10,7 @@
     announce::Announcement,
     config::{Config, DomainState},
     delivery,
+    key::{hash, mix},
     name::Name,
 };
 
@@ -102,14 +103,15 @@
     /// Starts the machines.
     #[must_use]
     pub fn new(settings: Settings, now: Instant) -> Self {
+        let seed = mix(settings.seed, hash(0, settings.name.as_str().as_bytes()));
         let me = Vm::new(settings.name.clone(), settings.domain, settings.address);
         Self {
             config: Arc::new(Config::default()),
             membership: Membership::new(&me, settings.incarnation, settings.seeds, settings.seed),
             view: View::new(me),
             flows: Flows::default(),
-            load: Load::default(),
-            requests: Requests::default(),
+            load: Load::new(settings.incarnation),
+            requests: Requests::new(settings.incarnation, seed),
             stopping: false,
             confirmed: now,
             next_ask: now,
@@ -131,6 +133,13 @@
         &self.view
     }
 
+    /// Whether this VM can vouch alone that a request which it does not know was not run. Until
+    /// then it serves requests that are not idempotent only where another VM vouches.
+    #[must_use]
+    pub fn is_informed(&self, now: Instant) -> bool {
+        self.requests.is_informed(now, &self.config)
+    }
+
     /// For each service, the oldest generation that a flow known here still needs.
     #[must_use]
     pub fn needed(&self, now: Instant) -> BTreeMap<Name, u64> {
@@ -163,14 +172,42 @@
     }
 
     /// Handles one event; what is to be done is added to `out`, in order.
+    ///
+    /// Messages to this VM itself are handled at once.
     pub fn handle(&mut self, now: Instant, event: Event, out: &mut Vec<Action>) {
-        self.check_clock(now);
+        let still_ms = now.ms_since(std::mem::replace(&mut self.last_event, now));
+        if still_ms > delivery::LEASE_MS {
+            self.fresh = false;
+            self.woke = now;
+            self.membership.forget_probe();
+        }
+        let start = out.len();
+        self.handle_one(now, event, out);
+        let Some(me) = self.view.get(&self.view.me).map(|vm| vm.address) else {
+            return;
+        };
+        let mut next = start;
+        while next < out.len() {
+            match &out[next] {
+                Action::Send { to, .. } if *to == me => {}
+                _ => {
+                    next += 1;
+                    continue;
+                }
+            }
+            if let Action::Send { message, .. } = out.remove(next) {
+                self.on_message(now, me, message, out);
+            }
+        }
+    }
+
+    fn handle_one(&mut self, now: Instant, event: Event, out: &mut Vec<Action>) {
         let config = self.config.clone();
         let context = context(now, &self.view, &config, self.fresh);
         match event {
             Event::Tick => self.on_tick(now, out),
             Event::Config(new) => self.on_config(now, new, out),
-            Event::ControlCurrent => self.confirm(now),
+            Event::ControlCurrent => self.confirm_buffered(now),
             Event::Announce(announcement) => {
                 out.push(Action::Report(announcement.clone()));
                 self.on_announce(now, announcement, Hop::First, out);
@@ -220,11 +257,25 @@
         };
         if index > self.config.index {
             self.ask_config(now, from, out);
-        } else {
+        } else if change.acknowledged {
             self.confirm(now);
         }
     }
 
+    /// A control VM, or a peer that answered a probe of this VM, has no newer configuration.
+    /// Notes that the configuration was confirmed, maybe by a message that had waited in a buffer
+    /// since before this process stood still.
+    fn confirm_buffered(&mut self, now: Instant) {
+        self.confirmed = now;
+        self.fresh |= now.ms_since(self.woke) >= BUFFERED_MS;
+    }
+
+    /// Notes that the configuration was confirmed in answer to a question.
+    fn confirm(&mut self, now: Instant) {
+        self.confirmed = now;
+        self.fresh = true;
+    }
+
     /// Asks a peer for its newer configuration, a few times a second at most.
     fn ask_config(&mut self, now: Instant, from: SocketAddr, out: &mut Vec<Action>) {
         if now < self.next_ask {
@@ -244,7 +295,7 @@
             return;
         }
         let old = std::mem::replace(&mut self.config, new.clone());
-        self.confirm(now);
+        self.confirm_buffered(now);
         self.membership.set_index(new.index);
         let excluded: BTreeSet<Name> = new
             .domains
@@ -266,25 +317,6 @@
         }
     }
 
-    /// Notes that the configuration was confirmed.
-    ///
-    /// What arrives right after this process stood still may have waited in a buffer since before,
-    /// and confirms nothing.
-    fn confirm(&mut self, now: Instant) {
-        self.confirmed = now;
-        self.fresh |= now.ms_since(self.woke) >= BUFFERED_MS;
-    }
-
-    /// Notes when this process stood still for longer than its lease: others may have gone on
-    /// without it.
-    fn check_clock(&mut self, now: Instant) {
-        let still_ms = now.ms_since(std::mem::replace(&mut self.last_event, now));
-        if still_ms > delivery::LEASE_MS {
-            self.fresh = false;
-            self.woke = now;
-        }
-    }
-
     fn on_stop(&mut self, now: Instant, out: &mut Vec<Action>) {
         let config = self.config.clone();
         let context = context(now, &self.view, &config, self.fresh);
--- a/crates/policy/tests/flow_support/mod.rs
+++ b/crates/policy/tests/flow_support/mod.rs
@@ -106,7 +106,7 @@
 enum Later {
     Message(Name, Name, Message),
     Config(Name, Arc<Config>),
-    View(Name, BTreeMap<Name, Vm>),
+    View(Name),
 }
 
 pub struct Net {
@@ -128,6 +128,7 @@
     queue: BTreeMap<(u64, u64), Later>,
     sequence: u64,
     stopped: BTreeSet<Name>,
+    hidden: BTreeSet<Name>,
 }
 
 pub fn service() -> Name {
@@ -173,6 +174,7 @@
             queue: BTreeMap::new(),
             sequence: 0,
             stopped: BTreeSet::new(),
+            hidden: BTreeSet::new(),
             settings,
         };
         net.found();
@@ -336,9 +338,8 @@
     fn spread_views(&mut self, most_ms: u64) {
         let names: Vec<Name> = self.machines.keys().cloned().collect();
         for name in &names {
-            let seen = self.reachable(name);
             let delay = self.rng.random_range(0..=most_ms);
-            self.push(delay, Later::View(name.clone(), seen));
+            self.push(delay, Later::View(name.clone()));
         }
     }
 
@@ -347,7 +348,8 @@
         let me = &self.machines[from].vm;
         let mut seen = BTreeMap::new();
         for machine in self.machines.values() {
-            if self.passes(&me.domain, &machine.vm.domain) {
+            let is_hidden = self.hidden.contains(&machine.vm.name) && machine.vm.name != *from;
+            if self.passes(&me.domain, &machine.vm.domain) && !is_hidden {
                 let mut vm = machine.vm.clone();
                 vm.leaving = self.stopped.contains(&vm.name);
                 seen.insert(vm.name.clone(), vm);
@@ -402,14 +404,12 @@
 
     /// Lets the other VMs count a frozen one as gone, or as live again.
     pub fn hide(&mut self, vm: &Name, is_hidden: bool) {
-        let names: Vec<Name> = self.machines.keys().cloned().collect();
-        for name in names.iter().filter(|n| *n != vm) {
-            let mut seen = self.reachable(name);
-            if is_hidden {
-                seen.remove(vm);
-            }
-            self.push(0, Later::View(name.clone(), seen));
+        if is_hidden {
+            self.hidden.insert(vm.clone());
+        } else {
+            self.hidden.remove(vm);
         }
+        self.spread_views(0);
     }
 
     // Callers.
@@ -541,7 +541,7 @@
             match entry.remove() {
                 Later::Message(from, to, message) => self.receive(&from, &to, message),
                 Later::Config(name, config) => self.configure(&name, config),
-                Later::View(name, vms) => self.set_view(&name, vms),
+                Later::View(name) => self.set_view(&name),
             }
         }
     }
@@ -583,7 +583,11 @@
         });
     }
 
-    fn set_view(&mut self, name: &Name, vms: BTreeMap<Name, Vm>) {
+    fn set_view(&mut self, name: &Name) {
+        if !self.machines.contains_key(name) {
+            return;
+        }
+        let vms = self.reachable(name);
         let Some(machine) = self.machines.get_mut(name) else {
             return;
         };
