--- /dev/null
+++ b/crates/policy/benches/flow.rs
@@ -0,0 +1,399 @@
+//! Three ways of keeping flows on their upstreams, on one seeded run each: control traffic, extra
+//! hops, broken flows and memory; and the balance and displacement of the table.
+//!
+//! `cargo bench -p policy --bench flow [-- positive|relay|copy|table|memory]`
+
+#[path = "../tests/flow_support/mod.rs"]
+mod flow_support;
+
+use std::{
+    collections::{BTreeMap, VecDeque},
+    time::Instant as Clock,
+};
+
+use flow_support::{Flow, Net, STEP_MS, Settings, upstream, vm};
+use model::name::Name;
+use policy::{
+    flow::{Flows, Mode, table},
+    io::{Action, Context, Counter},
+    load::Load,
+    time::Instant,
+    view::View,
+};
+use wire::gue::Segment;
+
+/// Flows that are held all the time.
+const HELD: usize = 300_000;
+
+/// New flows a second, and as many that close.
+const OPENED_PER_S: usize = 3_000;
+
+/// Time between two packets of a flow, in milliseconds.
+const PACKET_MS: usize = 10_000;
+
+/// Idle time of the service, in milliseconds.
+const IDLE_MS: u32 = 40_000;
+
+/// Packets in a row that don't arrive and make a flow count as broken.
+const BROKEN_AFTER: u8 = 3;
+
+/// Time that each phase of the run lasts, in milliseconds.
+const PHASE_MS: u64 = 60_000;
+
+/// A step of the run: its name, and the change that it starts with.
+type Phase = (&'static str, fn(&mut Net));
+
+const PHASES: [Phase; 7] = [
+    ("steady", |_| {}),
+    ("admit", |net| net.admit(14)),
+    ("drain", |net| net.drain(0)),
+    ("domain out", |net| net.domain_out(1)),
+    ("domain in", |net| net.domain_in(1)),
+    ("vm killed", |net| net.kill(&vm(4))),
+    ("vm joins", |net| net.join(4)),
+];
+
+fn main() {
+    let wanted: Vec<String> = std::env::args().skip(1).collect();
+    let is_wanted = |name: &str| {
+        let named = wanted.iter().any(|w| !w.starts_with("--"));
+        !named || wanted.iter().any(|w| w == name)
+    };
+    if is_wanted("table") {
+        print_table();
+    }
+    if is_wanted("memory") {
+        print_memory();
+    }
+    let modes = [
+        ("copy", Mode::CopyAll),
+        ("relay", Mode::RelayAll),
+        ("positive", Mode::Positive),
+    ];
+    for (name, mode) in modes {
+        if is_wanted(name) {
+            Run::new(mode).print(name);
+        }
+    }
+}
+
+/// A run with its callers.
+struct Run {
+    net: Net,
+    /// Open flows in the order in which they close.
+    open: VecDeque<usize>,
+    /// Packets of each flow in a row that have not arrived, and arrivals as last seen.
+    missed: Vec<(u8, u32)>,
+    /// Flow whose packet is next.
+    next: usize,
+    broken: usize,
+}
+
+impl Run {
+    fn new(mode: Mode) -> Self {
+        let net = Net::new(Settings {
+            seed: 7,
+            vms: 9,
+            domains: 3,
+            upstreams: 14,
+            idle_ms: IDLE_MS,
+            mode,
+            measures: true,
+            ..Settings::default()
+        });
+        let mut run = Self {
+            net,
+            open: VecDeque::new(),
+            missed: Vec::new(),
+            next: 0,
+            broken: 0,
+        };
+        run.net.run(5_000);
+        run.fill();
+        run
+    }
+
+    /// Opens the flows that are held from the start.
+    fn fill(&mut self) {
+        while self.open.len() < HELD {
+            self.open_some(200);
+            self.net.run(STEP_MS);
+        }
+        self.net.run(1_000);
+    }
+
+    fn open_some(&mut self, count: usize) {
+        for _ in 0..count {
+            let flow = self.net.flows.len();
+            self.net.flows.push(Flow::default());
+            self.missed.push((0, 0));
+            self.open.push_back(flow);
+            self.net.hand(flow, Segment::Open);
+        }
+    }
+
+    /// One step of time with its packets.
+    fn step(&mut self) {
+        let step = usize::try_from(STEP_MS).unwrap_or(1);
+        let count = OPENED_PER_S * step / 1_000;
+        self.open_some(count);
+        for _ in 0..count {
+            if let Some(flow) = self.open.pop_front() {
+                self.net.hand(flow, Segment::Close);
+                self.net.flows[flow].is_closed = true;
+            }
+        }
+        let packets = self.open.len() * step / PACKET_MS;
+        for _ in 0..packets {
+            self.next = (self.next + 1) % self.open.len().max(1);
+            let flow = self.open[self.next];
+            self.continue_flow(flow);
+        }
+        self.net.run(STEP_MS);
+    }
+
+    fn continue_flow(&mut self, flow: usize) {
+        let state = &self.net.flows[flow];
+        if state.is_given_up {
+            return;
+        }
+        if state.upstream.is_none() {
+            self.net.hand(flow, Segment::Open);
+            return;
+        }
+        let (missed, seen) = &mut self.missed[flow];
+        if *missed > 0 && state.arrived > *seen {
+            *missed = 0;
+        }
+        *seen = state.arrived;
+        *missed += 1;
+        if *missed == BROKEN_AFTER {
+            self.broken += 1;
+        }
+        self.net.hand(flow, Segment::Later);
+    }
+
+    fn print(mut self, name: &str) {
+        println!(
+            "\n{name}: 9 VMs, 3 failure domains, 14 upstreams, {HELD} flows held, \
+             {OPENED_PER_S} new flows/s, a packet of each flow every {PACKET_MS} ms, \
+             idle time {IDLE_MS} ms, seed 7"
+        );
+        println!(
+            "{:<12}{:>16}{:>16}{:>14}{:>12}{:>8}{:>8}{:>12}{:>12}{:>10}",
+            "phase",
+            "control B/s",
+            "worst second",
+            "wrapping B/s",
+            "extra hops",
+            "broken",
+            "split",
+            "positive",
+            "unknown",
+            "refused"
+        );
+        for (phase, change) in PHASES {
+            self.phase(phase, change);
+        }
+        let split = self.net.split();
+        println!("broken flows in all: {}", self.broken + split);
+    }
+
+    fn phase(&mut self, phase: &str, change: fn(&mut Net)) {
+        let split = self.net.split();
+        let broken = self.broken;
+        let (packets, relays) = (self.net.packets, self.net.relays);
+        let unknown = self.net.count(Counter::PacketUnknownFlow);
+        let refused = self.net.count(Counter::PacketRefused);
+        let mut worst = 0;
+        let first = self.bytes();
+        change(&mut self.net);
+        let until = self.net.now + PHASE_MS;
+        let mut before = self.bytes();
+        while self.net.now < until {
+            self.step();
+            if self.net.now.is_multiple_of(1_000) {
+                let after = self.bytes();
+                let spent = after.iter().map(|(vm, (control, _))| {
+                    control - before.get(vm).map_or(0, |(control, _)| *control)
+                });
+                worst = worst.max(spent.max().unwrap_or(0));
+                before = after;
+            }
+        }
+        let last = self.bytes();
+        let seconds = PHASE_MS / 1_000;
+        let spent = |pick: fn(&(u64, u64)) -> u64| {
+            let spent = last
+                .iter()
+                .map(|(vm, bytes)| pick(bytes) - first.get(vm).map_or(0, pick));
+            spent.max().unwrap_or(0) / seconds
+        };
+        let positive: usize = self
+            .net
+            .machines
+            .values()
+            .map(|m| m.flows.positive_count())
+            .sum();
+        println!(
+            "{:<12}{:>16}{:>16}{:>14}{:>11.1}%{:>8}{:>8}{:>12}{:>12}{:>10}",
+            phase,
+            spent(|(control, _)| *control),
+            worst,
+            spent(|(_, wrap)| *wrap),
+            percent(self.net.relays - relays, self.net.packets - packets),
+            self.broken - broken,
+            self.net.split() - split,
+            positive,
+            self.net.count(Counter::PacketUnknownFlow) - unknown,
+            self.net.count(Counter::PacketRefused) - refused,
+        );
+    }
+
+    fn bytes(&self) -> BTreeMap<Name, (u64, u64)> {
+        let machines = self.net.machines.iter();
+        machines
+            .map(|(vm, m)| (vm.clone(), (m.control_bytes, m.wrap_bytes)))
+            .collect()
+    }
+}
+
+fn percent(part: u64, whole: u64) -> f64 {
+    let [part, whole] = [part, whole].map(|n| f64::from(u32::try_from(n).unwrap_or(u32::MAX)));
+    100.0 * part / whole.max(1.0)
+}
+
+/// Balance and displacement of the table against plain rendezvous hashing.
+fn print_table() {
+    println!(
+        "\ntable: buckets of the fullest upstream by the mean, bounded and plain; buckets that"
+    );
+    println!("move when the first upstream leaves, by those that it held, bounded and plain");
+    println!(
+        "{:>10}{:>10}{:>10}{:>10}{:>12}{:>12}{:>12}",
+        "upstreams", "buckets", "bounded", "plain", "moved", "plain", "build us"
+    );
+    for count in [2, 4, 7, 14, 28, 100, 500] {
+        let weights: BTreeMap<Name, u32> = (0..count).map(|n| (upstream(n), 2_000)).collect();
+        let mut without = weights.clone();
+        without.pop_first();
+        let start = Clock::now();
+        let before = table::Table::new(&weights);
+        let build_us = start.elapsed().as_micros();
+        let after = table::Table::new(&without);
+        let buckets = before.len();
+        let plain = |weights: &BTreeMap<Name, u32>| -> Vec<Name> {
+            let choice = |bucket| table::unbounded_choice(weights, bucket).cloned();
+            (0..buckets).filter_map(choice).collect()
+        };
+        let (plain_before, plain_after) = (plain(&weights), plain(&without));
+        let mut plain_shares: BTreeMap<&Name, u64> = BTreeMap::new();
+        for name in &plain_before {
+            *plain_shares.entry(name).or_default() += 1;
+        }
+        let shares = table::shares(&before);
+        let held = shares.iter().find(|(name, _)| *name == upstream(0));
+        let held = wide(held.map_or(1, |(_, n)| *n));
+        let plain_held = plain_shares.get(&upstream(0)).copied().unwrap_or(1);
+        let pairs = plain_before.iter().zip(&plain_after);
+        let plain_moved = pairs.filter(|(a, b)| a != b).count();
+        let mean = percent(wide(buckets), wide(count));
+        println!(
+            "{:>10}{:>10}{:>10.3}{:>10.3}{:>12.3}{:>12.3}{:>12}",
+            count,
+            buckets,
+            percent(wide(shares.first().map_or(0, |(_, n)| *n)), 1) / mean,
+            percent(plain_shares.values().max().copied().unwrap_or(0), 1) / mean,
+            percent(wide(table::moved(&before, &after)), held) / 100.0,
+            percent(wide(plain_moved), plain_held) / 100.0,
+            build_us,
+        );
+    }
+    print_balance();
+}
+
+/// Balance of new flows over upstreams by the table.
+fn print_balance() {
+    for count in [7, 14] {
+        let weights: BTreeMap<Name, u32> = (0..count).map(|n| (upstream(n), 2_000)).collect();
+        let table = table::Table::new(&weights);
+        let flows = 100_000;
+        let mut opened: BTreeMap<&Name, u64> = BTreeMap::new();
+        for flow in 0..flows {
+            if let Some(name) = table.choice(Net::fingerprint(flow)) {
+                *opened.entry(name).or_default() += 1;
+            }
+        }
+        let most = opened.values().max().copied().unwrap_or(0);
+        let ratio = percent(most * wide(count), wide(flows)) / 100.0;
+        println!("{flows} new flows over {count} upstreams: fullest by the mean {ratio:.3}");
+    }
+}
+
+fn wide(n: usize) -> u64 {
+    u64::try_from(n).unwrap_or(u64::MAX)
+}
+
+/// Memory of a record, and time of a direct packet.
+fn print_memory() {
+    let mut net = Net::new(Settings {
+        vms: 1,
+        domains: 1,
+        upstreams: 14,
+        idle_ms: 3_600_000,
+        ..Settings::default()
+    });
+    net.run(5_000);
+    let before = resident_kb();
+    let name = vm(0);
+    let Some(machine) = net.machines.get(&name) else {
+        return;
+    };
+    let (view, config): (View, _) = (machine.view.as_ref().clone(), machine.config.clone());
+    let later: Vec<_> = (0..HELD).map(|f| net.packet(f, Segment::Later)).collect();
+    let context = |ms: u64| Context {
+        now: Instant::from_ms(ms),
+        view: &view,
+        config: &config,
+        fresh: true,
+    };
+    let built = resident_kb();
+    let mut out: Vec<Action> = Vec::new();
+    let mut load = Load::default();
+    let mut pass = |flows: &mut Flows, ms: u64| {
+        let start = Clock::now();
+        for packet in &later {
+            flows.on_packet(context(ms), &mut load, packet.clone(), &mut out);
+            out.clear();
+        }
+        start.elapsed().as_nanos() / u128::from(wide(HELD))
+    };
+    // The home of every flow records each as its first packet comes.
+    let mut home = Flows::with_mode(Mode::RelayAll);
+    home.on_config(context(0), &config, &mut Vec::new());
+    home.on_view(context(0), &mut Vec::new());
+    let first_ns = pass(&mut home, 10);
+    let (held, after) = (home.record_count(), resident_kb());
+    let home_ns = pass(&mut home, 20);
+    let mut direct = Flows::default();
+    direct.on_config(context(0), &config, &mut Vec::new());
+    direct.on_view(context(0), &mut Vec::new());
+    let direct_ns = pass(&mut direct, 10);
+    println!(
+        "\nmemory: {held} records, {} B each (resident set {before}, {built}, {after} KB)",
+        (after - built) * 1_024 / wide(held).max(1)
+    );
+    println!("time of a packet: first at the home {first_ns} ns, later at the home {home_ns} ns,");
+    println!(
+        "by the table {direct_ns} ns, but for the {} that showed themselves to the home",
+        direct.record_count()
+    );
+}
+
+/// Resident set of this process, in KB.
+fn resident_kb() -> u64 {
+    let status = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
+    let line = status.lines().find(|l| l.starts_with("VmRSS:"));
+    let kb = line.and_then(|l| l.split_whitespace().nth(1));
+    kb.and_then(|kb| kb.parse().ok()).unwrap_or(0)
+}
--- a/crates/policy/src/flow/table.rs
+++ b/crates/policy/src/flow/table.rs
@@ -26,7 +26,7 @@
 const SMALL_UPSTREAMS: usize = 128;
 
 /// Buckets of a larger service.
-const LARGE_BUCKETS: usize = 65_536;
+const LARGE_BUCKETS: usize = 16_384;
 
 /// Seed of the hash of an upstream's name.
 const UPSTREAM_SEED: u64 = 0x7570_7374_7265_616d;
--- a/crates/policy/tests/flow_support/mod.rs
+++ b/crates/policy/tests/flow_support/mod.rs
@@ -16,7 +16,7 @@
 use model::{
     announce::Announcement,
     command::{Command, Entry},
-    config::{Config, Service, Stage, Upstream, UpstreamState},
+    config::{Config, Domain, DomainState, Service, Stage, Upstream, UpstreamState},
     key,
     name::Name,
 };
@@ -34,6 +34,9 @@
 /// Step of the clock, in milliseconds.
 pub const STEP_MS: u64 = 10;
 
+/// Port of the first upstream for flows.
+const FIRST_PORT: u16 = 8_000;
+
 /// Time between two attempts of a caller, in milliseconds.
 pub const RETRY_MS: u64 = 1_000;
 
@@ -43,7 +46,7 @@
 
 pub struct Machine {
     pub vm: Vm,
-    pub view: View,
+    pub view: Arc<View>,
     pub config: Arc<Config>,
     pub flows: Flows,
     pub load: Load,
@@ -215,7 +218,7 @@
     fn add_machine(&mut self, number: usize) {
         let vm = self.make_vm(number);
         let machine = Machine {
-            view: View::new(vm.clone()),
+            view: Arc::new(View::new(vm.clone())),
             config: Arc::new(Config::default()),
             flows: Flows::with_mode(self.settings.mode),
             load: Load::default(),
@@ -249,7 +252,7 @@
         let port = u16::try_from(number).unwrap();
         Upstream {
             domain: domain(number % self.settings.domains),
-            flow_address: SocketAddr::new([10, 1, 0, 1].into(), 8_000 + port),
+            flow_address: SocketAddr::new([10, 1, 0, 1].into(), FIRST_PORT + port),
             request_address: SocketAddr::new([10, 1, 0, 1].into(), 9_000 + port),
             slots: 3,
             connections: 100_000,
@@ -577,9 +580,19 @@
         }
         let old = std::mem::replace(&mut machine.config, config);
         machine.fresh = true;
+        let is_out = |domain: &Domain| domain.state == DomainState::Out;
+        let domains = machine.config.domains.iter();
+        let out = domains.filter(|(_, d)| is_out(d)).map(|(n, _)| n.clone());
+        let out: BTreeSet<Name> = out.collect();
+        let view_changes = machine.view.out != out;
+        Arc::make_mut(&mut machine.view).out = out;
         self.with(name, |machine, context, out| {
             machine.load.on_config(context, &old, out);
             machine.flows.on_config(context, &old, out);
+            if view_changes {
+                machine.load.on_view(context, out);
+                machine.flows.on_view(context, out);
+            }
         });
     }
 
@@ -594,8 +607,9 @@
         if machine.view.vms == vms {
             return;
         }
-        machine.view.vms = vms;
-        machine.view.number += 1;
+        let view = Arc::make_mut(&mut machine.view);
+        view.vms = vms;
+        view.number += 1;
         self.with(name, |machine, context, out| {
             machine.load.on_view(context, out);
             machine.flows.on_view(context, out);
@@ -755,13 +769,13 @@
 
     /// A packet arrives at an upstream.
     fn arrive(&mut self, from: &Name, to: SocketAddr, bytes: &Blob) {
-        let upstream = (0..self.settings.upstreams + 4)
-            .map(|u| self.upstream_settings(u))
-            .find(|u| u.flow_address == to)
-            .unwrap();
-        let from = self.machines[from].vm.domain.clone();
-        if !self.passes(&from, &upstream.domain) {
-            return;
+        if !self.cuts.is_empty() {
+            let number = usize::from(to.port() - FIRST_PORT);
+            let upstream = self.upstream_settings(number);
+            let from = self.machines[from].vm.domain.clone();
+            if !self.passes(&from, &upstream.domain) {
+                return;
+            }
         }
         let packet = gue::Packet::parse(&bytes.0).unwrap();
         let Some(id) = flow_id(packet.flow.caller) else {
