Send the packet itself to ask for a record, and give up settled records

A home without a record now sends the packet to the VMs that may have one, one after the other, and keeps nothing meanwhile: no queue, no repeats, no timeout. Records that every live VM would decide alike are given up by the backup and are local to the home again. Confirmations are gathered for 100 ms. A VM that started anew without being missed gets its records copied again. Stewards get counts anew once a domain is back.

--- a/crates/policy/benches/flow.rs
+++ b/crates/policy/benches/flow.rs
@@ -139,7 +139,9 @@
         self.open_some(count);
         for _ in 0..count {
             if let Some(flow) = self.open.pop_front() {
-                self.net.hand(flow, Segment::Close);
+                if !self.net.flows[flow].is_given_up {
+                    self.net.hand(flow, Segment::Close);
+                }
                 self.net.flows[flow].is_closed = true;
             }
         }
@@ -205,6 +207,7 @@
         let (packets, relays) = (self.net.packets, self.net.relays);
         let unknown = self.net.count(Counter::PacketUnknownFlow);
         let refused = self.net.count(Counter::PacketRefused);
+        self.net.kinds.clear();
         let mut worst = 0;
         let first = self.bytes();
         change(&mut self.net);
@@ -248,6 +251,12 @@
             self.net.count(Counter::PacketUnknownFlow) - unknown,
             self.net.count(Counter::PacketRefused) - refused,
         );
+        let vms = wide(self.net.machines.len());
+        let kinds = self.net.kinds.iter();
+        let kinds: Vec<String> = kinds
+            .map(|(kind, bytes)| format!("{kind} {}", bytes / vms / seconds))
+            .collect();
+        println!("{:<12}    B/s a VM: {}", "", kinds.join(", "));
     }
 
     fn bytes(&self) -> BTreeMap<Name, (u64, u64)> {
--- a/crates/policy/src/flow.rs
+++ b/crates/policy/src/flow.rs
@@ -77,7 +77,6 @@
     confirming: BTreeMap<Name, Vec<u32>>,
     /// Flows whose records the backup has yet to confirm, by the low half of the fingerprint.
     unconfirmed: BTreeMap<u32, u64>,
-    misses: miss::Misses,
     handover: handover::Handover,
     marks: mark::Marks,
     pins: pin::Pins,
@@ -175,10 +174,12 @@
             Message::Held(halves) => self.on_held(turn, from, &halves),
             Message::Steward { upstream, bytes } => self.on_steward(turn, &upstream, bytes),
             Message::Refused { upstream, bytes } => self.on_refused(turn, &upstream, bytes),
-            Message::Ask { fingerprint } => self.on_ask(turn, from, fingerprint),
-            Message::Answer { fingerprint, found } => {
-                self.on_answer(turn, from, fingerprint, found);
-            }
+            Message::Trace { trace, bytes } => self.on_trace(turn, from, trace, bytes),
+            Message::Traced {
+                trace,
+                found,
+                bytes,
+            } => self.on_traced(turn, trace, found, bytes),
             Message::Copy {
                 batch,
                 service,
@@ -191,7 +192,7 @@
             Message::MarkDone(mark) => self.on_mark_done(turn, from, &mark),
             Message::Pins { version, pins } => self.on_pins(turn, from, version, &pins),
             Message::PinsHeld { version } => self.pins.on_held(&from.name, version),
-            Message::Want => self.on_want(turn, from),
+            Message::Want { memory_ms } => self.on_want(turn, from, memory_ms),
             Message::Known(known) => self.on_known(turn, from, &known),
             Message::Counts { service, flows } => {
                 for (upstream, count) in flows {
@@ -235,7 +236,6 @@
         let turn = &mut Turn { context, load, out };
         self.check_clock(turn);
         self.confirm(turn);
-        self.repeat_asks(turn);
         self.repeat_copies(turn);
         self.repeat_marks(turn);
         self.repeat_pins(turn);
@@ -382,7 +382,6 @@
         if stood_still {
             self.records.clear();
             self.admitted.clear();
-            self.misses.clear();
             self.remembers_since = Some(now);
             self.rejoin(turn.context);
         }
--- a/crates/policy/src/flow/handover.rs
+++ b/crates/policy/src/flow/handover.rs
@@ -25,7 +25,7 @@
 const MAX_PAST: usize = 8;
 
 /// Budget for copies, in bytes a second.
-const COPY_BYTES_PER_S: u64 = 1_200;
+const COPY_BYTES_PER_S: u64 = 1_000;
 
 /// Budget for copies while this VM stops, in bytes a second.
 const STOP_BYTES_PER_S: u64 = 16_000;
@@ -79,6 +79,8 @@
 #[derive(Debug)]
 struct Past {
     view: View,
+    /// Whether this VM only supposes that others had this view.
+    is_guess: bool,
     /// When it ended.
     ended: Instant,
     /// Its VMs that have gone without notice since, and when that was seen.
@@ -131,11 +133,12 @@
         self.sent.clear();
         let mut without_me = context.view.clone();
         without_me.vms.remove(&context.view.me);
-        self.remember(without_me, context.now);
+        self.remember(without_me, true, context.now);
     }
 
-    fn remember(&mut self, view: View, now: Instant) {
+    fn remember(&mut self, view: View, is_guess: bool, now: Instant) {
         self.past.push(Past {
+            is_guess,
             view,
             ended: now,
             lost: BTreeMap::new(),
@@ -146,22 +149,21 @@
         }
     }
 
-    /// Live VMs other than this one that may hold the record of a flow.
-    pub(super) fn holders(&self, context: Context<'_>, fingerprint: u64) -> BTreeSet<Name> {
-        // Where this VM was the home, it holds what there was to know.
-        let is_other = |view: &&View| view.home(fingerprint).is_some_and(|vm| vm.name != view.me);
-        let past = self.past.iter().map(|past| &past.view);
-        let mut views: Vec<&View> = past.filter(is_other).collect();
-        if views.is_empty() {
-            return BTreeSet::new();
-        }
-        views.push(context.view);
-        let responsible = views
-            .into_iter()
-            .flat_map(|v| [v.home(fingerprint), v.backup(fingerprint)]);
-        let others = responsible.flatten().filter(|vm| !context.view.is_me(vm));
-        let live = others.filter(|vm| context.view.get(&vm.name).is_some());
-        live.map(|vm| vm.name.clone()).collect()
+    /// VMs to ask for the record of a flow: of each view that ended in the last `horizon_ms`, the
+    /// home, or the backup where the home is gone.
+    ///
+    /// Where this VM was the home, it holds what there was to know.
+    pub(super) fn holders(
+        &self,
+        context: Context<'_>,
+        fingerprint: u64,
+        horizon_ms: u64,
+    ) -> Vec<Name> {
+        let is_recent = |past: &&Past| context.now.ms_since(past.ended) < horizon_ms;
+        let recent = self.past.iter().filter(is_recent);
+        let names = recent.flat_map(|past| past.holders(context, fingerprint));
+        let distinct: BTreeSet<Name> = names.collect();
+        distinct.into_iter().collect()
     }
 
     /// Whether both VMs that held the record of a flow have crashed before either was replaced.
@@ -183,6 +185,22 @@
         }
     }
 
+    /// Drops a VM from the current view that started anew without anybody seeing it leave; the next
+    /// change of the view brings it back.
+    pub(super) fn drop_restarted(&mut self, vm: &Name, now: Instant) -> bool {
+        let Some(mut old) = self.current.clone() else {
+            return false;
+        };
+        let whole = old.clone();
+        if old.vms.remove(vm).is_none() {
+            return false;
+        }
+        self.remember(whole.clone(), false, now);
+        self.note_losses(now, &whole, &old);
+        self.current = Some(old);
+        true
+    }
+
     /// Notes that a VM has copied what the loss of another made necessary.
     pub(super) fn on_moved(&mut self, from: &Name, lost: &Name) {
         for past in &mut self.past {
@@ -262,6 +280,28 @@
 }
 
 impl Past {
+    /// The live VMs to ask for the record of a flow; none where this VM was the home.
+    fn holders(&self, context: Context<'_>, fingerprint: u64) -> Vec<Name> {
+        let Some(home) = self.view.home(fingerprint) else {
+            return Vec::new();
+        };
+        if context.view.is_me(home) {
+            return Vec::new();
+        }
+        let is_asked = |vm: &&Vm| context.view.get(&vm.name).is_some() && !context.view.is_me(vm);
+        let backup = self.view.backup(fingerprint);
+        if self.is_guess {
+            // Other VMs may have had this view for a while, or none.
+            let current = context.view.backup(fingerprint);
+            let all = [Some(home), backup, current].into_iter().flatten();
+            return all.filter(is_asked).map(|vm| vm.name.clone()).collect();
+        }
+        let remembers = !self.lost.contains_key(&home.name);
+        let home = Some(home).filter(is_asked).filter(|_| remembers);
+        let holder = home.or(backup.filter(is_asked));
+        holder.map(|vm| vm.name.clone()).into_iter().collect()
+    }
+
     fn has_lost(&self, fingerprint: u64) -> bool {
         if self.lost.is_empty() {
             return false;
@@ -292,9 +332,9 @@
         if old.vms == new.vms && old.out == new.out {
             return;
         }
-        self.handover.remember(old.clone(), now);
+        self.handover.remember(old.clone(), false, now);
         if let Some(far_side) = far_side(&old, &new) {
-            self.handover.remember(far_side, now);
+            self.handover.remember(far_side, true, now);
         }
         self.handover.note_losses(now, &old, &new);
         if self.mode != Mode::Positive {
--- a/crates/policy/src/flow/message.rs
+++ b/crates/policy/src/flow/message.rs
@@ -44,17 +44,21 @@
         /// The caller's IP packet.
         bytes: Blob,
     },
-    /// Asks for the record of a flow.
-    Ask {
-        /// Fingerprint of the flow.
-        fingerprint: u64,
+    /// A packet of a flow that the home has no record of, to a VM that may have one.
+    Trace {
+        /// How far the home is with asking.
+        trace: Trace,
+        /// The caller's IP packet.
+        bytes: Blob,
     },
-    /// What is recorded of a flow.
-    Answer {
-        /// Fingerprint of the flow.
-        fingerprint: u64,
-        /// Service and upstream, where there is a record.
-        found: Option<(Name, Name)>,
+    /// The packet of [`Message::Trace`] back to the home.
+    Traced {
+        /// How far the home is with asking.
+        trace: Trace,
+        /// Upstream that the flow is on, where there is a record.
+        found: Option<Name>,
+        /// The caller's IP packet.
+        bytes: Blob,
     },
     /// Records that a home or backup hands to a VM that became responsible.
     Copy {
@@ -91,7 +95,10 @@
         version: u64,
     },
     /// Asks for all that bars direct forwarding.
-    Want,
+    Want {
+        /// For how long the sender has remembered every record, in milliseconds.
+        memory_ms: u64,
+    },
     /// All that bars direct forwarding, as far as the sender knows.
     Known(Known),
     /// How many flows the sender is home of, for a steward that took over.
@@ -110,6 +117,19 @@
     },
 }
 
+/// How far a home is with asking for a record.
+///
+/// The home keeps nothing meanwhile; where its list of VMs to ask has changed, it starts again.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Trace {
+    /// Number of the home's view.
+    pub view: u64,
+    /// VMs to ask.
+    pub count: u8,
+    /// Position of the VM that is asked.
+    pub position: u8,
+}
+
 /// A mark of an upstream that can't take new flows: later packets of its buckets go through homes.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Mark {
--- a/crates/policy/src/flow/packet.rs
+++ b/crates/policy/src/flow/packet.rs
@@ -15,6 +15,9 @@
     view::Vm,
 };
 
+/// Time over which confirmations are gathered, in milliseconds.
+const CONFIRM_MS: u64 = 100;
+
 /// Most VMs that pass a packet on to the home that their view names.
 const MAX_HOPS: u8 = 2;
 
@@ -117,7 +120,7 @@
     }
 
     /// Reads a relayed packet.
-    fn place(&self, turn: &mut Turn<'_, '_>, bytes: Blob) -> Option<Placed> {
+    pub(super) fn place(&self, turn: &mut Turn<'_, '_>, bytes: Blob) -> Option<Placed> {
         let parsed = gue::Packet::parse(&bytes.0).ok()?;
         let Some(service) = self.addresses.get(&parsed.flow.service).copied() else {
             turn.count(Counter::PacketNoService);
@@ -143,7 +146,7 @@
             self.follow(turn, record, packet);
             return;
         }
-        if found.is_none() && !is_asked && self.ask(turn, &packet) {
+        if found.is_none() && !is_asked && self.trace(turn, &packet) {
             return;
         }
         match packet.segment {
@@ -188,8 +191,6 @@
         upstream: u16,
         stage: Stage,
     ) -> Record {
-        let direct = self.direct(turn.context, packet.service, packet.fingerprint);
-        let is_direct = direct == Some(upstream);
         let now = Moment::from(turn.now());
         Record {
             seen: now,
@@ -197,7 +198,7 @@
             service: packet.service,
             upstream,
             is_home: true,
-            is_positive: !is_direct && self.mode == Mode::Positive,
+            is_positive: self.needs_record(turn, packet, upstream),
             // The opening packet passes the backup before the upstream, so that each later
             // packet proves the backup's record.
             is_confirmed: stage == Stage::Opening,
@@ -205,6 +206,14 @@
         }
     }
 
+    /// Whether a flow depends on its record: whoever finds none takes another upstream.
+    fn needs_record(&self, turn: &Turn<'_, '_>, packet: &Placed, upstream: u16) -> bool {
+        let service = self.service(packet.service);
+        let is_settled =
+            service.is_some_and(|s| s.is_settled_on(turn.now(), packet.fingerprint, upstream));
+        self.mode == Mode::Positive && !is_settled
+    }
+
     /// Handles a later packet of a flow that nobody has a record of.
     fn adopt(&mut self, turn: &mut Turn<'_, '_>, packet: Placed) {
         let service = self.service(packet.service);
@@ -239,9 +248,7 @@
         }
         record.seen = turn.now().into();
         record.is_home = true;
-        let direct = self.direct(turn.context, record.service, packet.fingerprint);
-        let is_direct = direct == Some(record.upstream);
-        if !is_direct && !record.is_positive && self.mode == Mode::Positive {
+        if !record.is_positive && self.needs_record(turn, &packet, record.upstream) {
             record.is_positive = true;
             record.is_confirmed = false;
         }
@@ -363,6 +370,10 @@
 
     /// Sends the confirmations that were gathered.
     pub(super) fn confirm(&mut self, turn: &mut Turn<'_, '_>) {
+        let now_ms = turn.now().ms_since(Instant::ZERO);
+        if !now_ms.is_multiple_of(CONFIRM_MS) {
+            return;
+        }
         for (home, halves) in std::mem::take(&mut self.confirming) {
             if let Some(vm) = turn.context.view.get(&home) {
                 turn.send(vm, Message::Held(halves));
--- a/crates/policy/src/flow/pin.rs
+++ b/crates/policy/src/flow/pin.rs
@@ -31,6 +31,9 @@
 /// Time after which a peer is asked again for its pins and marks, in milliseconds.
 const WANT_MS: u64 = 200;
 
+/// Time after a VM was seen to join within which it may have started, in milliseconds.
+const RESTART_MS: u64 = 1_000;
+
 /// Shortest time between two versions of pins that only lose buckets, in milliseconds.
 const SHRINK_MS: u64 = 10_000;
 
@@ -61,6 +64,8 @@
     departed: BTreeMap<Name, Instant>,
     /// The other VMs of the last view.
     others: BTreeSet<Name>,
+    /// Since when each of them is in the view, or is known to have started anew.
+    since: BTreeMap<Name, Instant>,
     /// VMs that have not said yet what bars direct forwarding.
     unsynced: BTreeSet<Name>,
     /// When they were last asked.
@@ -178,6 +183,10 @@
             pins.departed.insert(left.clone(), context.now);
         }
         pins.departed.retain(|name, _| !others.contains(name));
+        pins.since.retain(|name, _| others.contains(name));
+        for name in &joined {
+            pins.since.insert(name.clone(), context.now);
+        }
         pins.unsynced.retain(|name| others.contains(name));
         pins.waiting.retain(|name| others.contains(name));
         pins.unsynced.extend(joined.iter().cloned());
@@ -212,6 +221,7 @@
 
     /// Asks the peers that have not said what bars direct forwarding.
     fn want(&mut self, context: Context<'_>, out: &mut Vec<Action>) {
+        let memory_ms = self.memory_ms(context.now);
         let pins = &mut self.pins;
         let is_due = pins.wanted == Instant::ZERO || context.now.ms_since(pins.wanted) >= WANT_MS;
         if !is_due {
@@ -225,16 +235,26 @@
         pins.wanted = context.now;
         for name in asked {
             if let Some(vm) = context.view.get(&name) {
-                super::send(out, vm, Message::Want);
+                super::send(out, vm, Message::Want { memory_ms });
             }
         }
     }
 
     /// Says what bars direct forwarding.
-    pub(super) fn on_want(&mut self, turn: &mut Turn<'_, '_>, from: &Vm) {
+    ///
+    /// A VM that remembers less than the time for which it has been in the view has started anew:
+    /// what it held as home or backup is copied to it again.
+    pub(super) fn on_want(&mut self, turn: &mut Turn<'_, '_>, from: &Vm, memory_ms: u64) {
         if !turn.context.fresh {
             return;
         }
+        let now = turn.now();
+        let known = self.pins.since.get(&from.name);
+        let known_ms = known.map_or(0, |since| now.ms_since(*since));
+        if known_ms > memory_ms + RESTART_MS && self.handover.drop_restarted(&from.name, now) {
+            self.pins.since.insert(from.name.clone(), now);
+            self.move_records(turn.context, turn.context.view.clone());
+        }
         self.pin(turn.context);
         let cut = self.unreachable(turn.context).into_iter().collect();
         let known = Known {
--- a/crates/policy/src/flow/route.rs
+++ b/crates/policy/src/flow/route.rs
@@ -17,6 +17,9 @@
 /// Position of an upstream in [`Service::upstreams`] that stands for none.
 const NO_UPSTREAM: u16 = u16::MAX;
 
+/// Time after a generation was retired from which all live VMs know, in milliseconds.
+const SETTLED_MS: u64 = 10_000;
+
 /// An upstream that flows may be on, also after operators have drained it.
 #[derive(Debug, Clone)]
 pub(super) struct Upstream {
@@ -81,6 +84,8 @@
     pub(super) generations: Vec<Generation>,
     /// Every upstream that was ever in the configuration. Invariant: positions never change.
     pub(super) upstreams: Vec<Upstream>,
+    /// When the oldest retained generation last changed.
+    retired: Instant,
     /// Oldest generation that flows known here need once every VM holds this VM's pins.
     /// Invariant: never falls.
     pub(super) candidate: u64,
@@ -99,6 +104,7 @@
             is_listed: true,
             generations: Vec::new(),
             upstreams: Vec::new(),
+            retired: Instant::ZERO,
             candidate: 0,
             keep: 0,
             direct: Vec::new(),
@@ -119,6 +125,7 @@
             upstream.is_out = domain.is_some_and(|d| d.state == DomainState::Out);
         }
         let mut old = std::mem::take(&mut self.generations);
+        let oldest = old.first().map(|g| g.number);
         for wanted in &settings.generations {
             let same = old
                 .iter()
@@ -133,6 +140,9 @@
             }
             self.generations.push(generation);
         }
+        if self.generations.first().map(|g| g.number) != oldest {
+            self.retired = now;
+        }
         let first = self.generations.first().map_or(0, |g| g.number);
         self.candidate = self.candidate.max(first);
         self.keep = self.keep.max(first);
@@ -203,6 +213,15 @@
         !upstream.is_out && !bar.marked.contains(&position) && !bar.cut.contains(&upstream.domain)
     }
 
+    /// Whether every live VM takes this upstream for a flow without a record.
+    ///
+    /// VMs whose configuration is a little older still take the choice of a generation that was
+    /// retired just now.
+    pub(super) fn is_settled_on(&self, now: Instant, fingerprint: u64, upstream: u16) -> bool {
+        now.ms_since(self.retired) >= SETTLED_MS
+            && agreed(&self.generations, fingerprint) == Some(upstream)
+    }
+
     /// The upstream that later packets go to from any VM, where the bucket is direct.
     pub(super) fn direct(&self, fingerprint: u64) -> Option<u16> {
         self.direct
--- a/crates/policy/src/flow/sweep.rs
+++ b/crates/policy/src/flow/sweep.rs
@@ -5,7 +5,7 @@
 use model::{config::UpstreamState, name::Name};
 
 use super::{
-    Flows, Message, Target, Turn,
+    Flows, Message, Mode, Target, Turn,
     record::{Record, Stage},
 };
 use crate::{io::Context, time::Instant, view::Vm};
@@ -59,6 +59,9 @@
         let ended = self.expire(now);
         self.send_ended(turn, &ended);
         self.send_counts(turn);
+        if self.mode == Mode::Positive {
+            self.give_up_settled(now);
+        }
         self.spare_generations(turn.context);
     }
 
@@ -143,13 +146,17 @@
         for (position, service) in self.services.iter().enumerate() {
             let position = u16::try_from(position).unwrap_or(u16::MAX);
             for (number, upstream) in service.upstreams.iter().enumerate() {
-                let Some(steward) = context.view.steward(&service.name, &upstream.domain) else {
-                    continue;
-                };
                 let target = Target {
                     service: position,
                     upstream: u16::try_from(number).unwrap_or(u16::MAX),
                 };
+                if upstream.is_out {
+                    self.sweep.counted.remove(&target);
+                    continue;
+                }
+                let Some(steward) = context.view.steward(&service.name, &upstream.domain) else {
+                    continue;
+                };
                 if self.sweep.counted.get(&target) != Some(&steward.name) {
                     self.sweep.counted.insert(target, steward.name.clone());
                     changed.insert(target, 0);
@@ -187,6 +194,20 @@
             .collect()
     }
 
+    /// Gives up what the table tells by itself: the backup's records, and the home's claim on them.
+    fn give_up_settled(&mut self, now: Instant) {
+        let services = &self.services;
+        self.records.retain(|fingerprint, record| {
+            let service = services.get(usize::from(record.service));
+            let is_settled = record.is_positive
+                && service.is_some_and(|s| s.is_settled_on(now, *fingerprint, record.upstream));
+            if is_settled {
+                record.is_positive = false;
+            }
+            record.is_home || !is_settled
+        });
+    }
+
     /// Finds the generations that no flow needs any longer.
     fn spare_generations(&mut self, context: Context<'_>) {
         if self.handover.is_empty() {
--- a/crates/policy/tests/flow_support/mod.rs
+++ b/crates/policy/tests/flow_support/mod.rs
@@ -124,6 +124,8 @@
     pub cuts: BTreeSet<(Name, Name)>,
     /// Connections that upstreams announce, where not the usual number.
     pub connections: BTreeMap<Name, u32>,
+    /// Bytes of control messages by kind.
+    pub kinds: BTreeMap<&'static str, u64>,
     /// Packets handed over by the fabric, and relays between VMs that they caused.
     pub packets: u64,
     pub relays: u64,
@@ -171,6 +173,7 @@
             counts: BTreeMap::new(),
             cuts: BTreeSet::new(),
             connections: BTreeMap::new(),
+            kinds: BTreeMap::new(),
             packets: 0,
             relays: 0,
             activates: true,
@@ -585,7 +588,9 @@
         let out = domains.filter(|(_, d)| is_out(d)).map(|(n, _)| n.clone());
         let out: BTreeSet<Name> = out.collect();
         let view_changes = machine.view.out != out;
-        Arc::make_mut(&mut machine.view).out = out;
+        let view = Arc::make_mut(&mut machine.view);
+        view.out = out;
+        view.number += u64::from(view_changes);
         self.with(name, |machine, context, out| {
             machine.load.on_config(context, &old, out);
             machine.flows.on_config(context, &old, out);
@@ -747,7 +752,9 @@
                 F::Home { bytes, .. }
                 | F::Backup { bytes, .. }
                 | F::Steward { bytes, .. }
-                | F::Refused { bytes, .. },
+                | F::Refused { bytes, .. }
+                | F::Trace { bytes, .. }
+                | F::Traced { bytes, .. },
             ) => Some(bytes.0.len()),
             _ => None,
         };
@@ -763,7 +770,13 @@
             Some(packet) => {
                 machine.wrap_bytes += u64::try_from(frame.len() - packet).unwrap();
             }
-            None => machine.control_bytes += u64::try_from(frame.len()).unwrap(),
+            None => {
+                let bytes = u64::try_from(frame.len()).unwrap();
+                if matches!(message, Message::Flow(_)) {
+                    machine.control_bytes += bytes;
+                }
+                *self.kinds.entry(kind(message)).or_default() += bytes;
+            }
         }
     }
 
@@ -783,7 +796,13 @@
         };
         let flow = &mut self.flows[id];
         match flow.upstream {
-            None if packet.segment == Segment::Open => flow.upstream = Some(to),
+            None if packet.segment == Segment::Open => {
+                let number = usize::from(to.port() - FIRST_PORT);
+                let domain = domain(number % self.settings.domains);
+                let state = self.config.domains.get(&domain).map(|d| d.state);
+                flow.upstream = Some(to);
+                flow.is_given_up = state == Some(DomainState::Out);
+            }
             Some(expected) if expected == to => {
                 if packet.segment != Segment::Open {
                     flow.arrived += 1;
@@ -799,6 +818,21 @@
     }
 }
 
+/// What a control message is for.
+fn kind(message: &Message) -> &'static str {
+    use policy::flow::Message as F;
+    match message {
+        Message::Flow(F::Copy { .. } | F::CopyHeld { .. } | F::Moved(_)) => "copies",
+        Message::Flow(F::Held(_)) => "confirmations",
+        Message::Flow(F::Mark(_) | F::MarkDone(_)) => "marks",
+        Message::Flow(F::Pins { .. } | F::PinsHeld { .. }) => "pins",
+        Message::Flow(F::Want { .. } | F::Known(_)) => "syncs",
+        Message::Flow(F::Counts { .. } | F::Ended { .. }) => "counts",
+        Message::Flow(_) => "packets",
+        _ => "load",
+    }
+}
+
 fn flow_id(caller: SocketAddr) -> Option<usize> {
     let std::net::IpAddr::V4(ip) = caller.ip() else {
         return None;
