A VM that has just started decides nothing as home

It now drops packets for which it would be the home in its first 500 ms, and up to 3 s while it has found no peer.

--- a/crates/policy/src/flow.rs
+++ b/crates/policy/src/flow.rs
@@ -49,6 +49,9 @@
 /// Time after which a process that has found no peer counts as alone, in milliseconds.
 const ALONE_MS: u64 = 3_000;
 
+/// Time after its start in which a process may not have found all its peers, in milliseconds.
+const JOIN_MS: u64 = 500;
+
 /// Which way of keeping flows together is used; all but the default serve comparison.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Mode {
@@ -287,8 +290,14 @@
     /// peer counts as alone after a while.
     #[must_use]
     pub fn is_synced(&self, now: Instant) -> bool {
-        let is_alone = self.memory_ms(now) >= ALONE_MS;
-        self.pins.is_synced() && (self.handover.has_view() || is_alone)
+        self.pins.is_synced() && !self.is_joining(now)
+    }
+
+    /// Whether this process may not have found its peers yet, so that it can't tell whether it is
+    /// the home of a flow.
+    fn is_joining(&self, now: Instant) -> bool {
+        let memory_ms = self.memory_ms(now);
+        memory_ms < JOIN_MS || (memory_ms < ALONE_MS && !self.handover.has_view())
     }
 
     /// Share of the buckets of a service that later packets pass without the home.
--- a/crates/policy/src/flow/packet.rs
+++ b/crates/policy/src/flow/packet.rs
@@ -136,7 +136,7 @@
 
     /// Handles a packet as the flow's home; `is_asked` says that no other VM has a record.
     pub(super) fn at_home(&mut self, turn: &mut Turn<'_, '_>, packet: Placed, is_asked: bool) {
-        if !turn.context.fresh {
+        if !turn.context.fresh || self.is_joining(turn.now()) {
             turn.count(Counter::PacketUnknownFlow);
             return;
         }
--- a/crates/policy/tests/flow_faults.rs
+++ b/crates/policy/tests/flow_faults.rs
@@ -191,6 +191,31 @@
     assert!(net.machines[&vm(6)].flows.is_synced(at));
 }
 
+#[test]
+fn a_vm_that_has_found_no_peer_yet_decides_nothing_as_home() {
+    let mut net = net_in_change(46);
+    net.join(6);
+    for flow in 0..600 {
+        net.hand_to(&vm(6), flow, Segment::Later);
+    }
+    net.run(1_000);
+    assert_eq!(net.split(), 0);
+    continue_for(&mut net, 2);
+}
+
+#[test]
+fn a_vm_that_restarts_unseen_before_its_backup_dies_breaks_no_flow() {
+    for seed in 47..50 {
+        let mut net = net_in_change(seed);
+        let (home, backup) = (net.home(450), net.backup(450));
+        net.restart(&home);
+        net.run(4_000);
+        assert_eq!(net.continue_flows(0..600), NONE, "seed {seed}");
+        net.kill(&backup);
+        continue_for(&mut net, 3);
+    }
+}
+
 #[test]
 fn a_frozen_vm_that_wakes_forwards_nothing_by_old_knowledge() {
     for seed in 38..41 {
--- a/crates/policy/tests/flow_support/mod.rs
+++ b/crates/policy/tests/flow_support/mod.rs
@@ -378,6 +378,13 @@
         self.spread_views(self.settings.uneven_ms);
     }
 
+    /// Starts a VM anew so quickly that no other sees it leave.
+    pub fn restart(&mut self, vm: &Name) {
+        let number = (0..64).find(|n| self::vm(*n) == *vm).unwrap();
+        self.add_machine(number);
+        self.push(50, Later::View(vm.clone()));
+    }
+
     pub fn stop(&mut self, vm: &Name) {
         self.stopped.insert(vm.clone());
         self.with(vm, |machine, context, out| {
