--- a/crates/policy/src/flow/message.rs
+++ b/crates/policy/src/flow/message.rs
@@ -128,6 +128,8 @@
     pub count: u8,
     /// Position of the VM that is asked.
     pub position: u8,
+    /// Whether a VM that was asked knows that all VMs with the record may have crashed.
+    pub is_lost: bool,
 }
 
 /// A mark of an upstream that can't take new flows: later packets of its buckets go through homes.
--- a/crates/policy/src/flow/miss.rs
+++ b/crates/policy/src/flow/miss.rs
@@ -14,7 +14,7 @@
     packet::Placed,
     record::{Moment, Record, Stage},
 };
-use crate::view::Vm;
+use crate::{io::Counter, view::Vm};
 
 /// Time for which an earlier home may have taken an opening packet that comes again, in
 /// milliseconds.
@@ -29,10 +29,16 @@
         if direct.is_some() || self.mode != Mode::Positive {
             return false;
         }
-        self.trace_from(turn, packet, 0)
+        self.trace_from(turn, packet, 0, false)
     }
 
-    fn trace_from(&self, turn: &mut Turn<'_, '_>, packet: &Placed, position: u8) -> bool {
+    fn trace_from(
+        &self,
+        turn: &mut Turn<'_, '_>,
+        packet: &Placed,
+        position: u8,
+        is_lost: bool,
+    ) -> bool {
         let holders = self.holders(turn, packet);
         let Some(name) = holders.get(usize::from(position)) else {
             return false;
@@ -44,6 +50,7 @@
             view: turn.context.view.number,
             count: u8::try_from(holders.len()).unwrap_or(u8::MAX),
             position,
+            is_lost,
         };
         let bytes = packet.bytes.clone();
         turn.send(vm, Message::Trace { trace, bytes });
@@ -68,6 +75,8 @@
         let Some(packet) = self.place(turn, bytes) else {
             return;
         };
+        let is_lost = trace.is_lost || self.handover.may_be_lost(packet.fingerprint);
+        let trace = Trace { is_lost, ..trace };
         let record = self.records.get(&packet.fingerprint);
         let upstream = record
             .filter(|r| r.is_positive)
@@ -106,7 +115,15 @@
         let count = self.holders(turn, &packet).len();
         if trace.view != turn.context.view.number || usize::from(trace.count) != count {
             self.at_home(turn, packet, false);
-        } else if !self.trace_from(turn, &packet, trace.position + 1) {
+            return;
+        }
+        let next = trace.position + 1;
+        if self.trace_from(turn, &packet, next, trace.is_lost) {
+            return;
+        }
+        if trace.is_lost && packet.segment != Segment::Open {
+            turn.count(Counter::PacketUnknownFlow);
+        } else {
             self.at_home(turn, packet, true);
         }
     }
