--- a/crates/policy/benches/flow.rs
+++ b/crates/policy/benches/flow.rs
@@ -7,7 +7,7 @@
 mod flow_support;
 
 use std::{
-    collections::{BTreeMap, VecDeque},
+    collections::{BTreeMap, BTreeSet, VecDeque},
     time::Instant as Clock,
 };
 
@@ -86,7 +86,8 @@
     missed: Vec<(u8, u32)>,
     /// Flow whose packet is next.
     next: usize,
-    broken: usize,
+    /// Flows that got no packet through.
+    broken: BTreeSet<usize>,
 }
 
 impl Run {
@@ -106,7 +107,7 @@
             open: VecDeque::new(),
             missed: Vec::new(),
             next: 0,
-            broken: 0,
+            broken: BTreeSet::new(),
         };
         run.net.run(5_000);
         run.fill();
@@ -170,7 +171,7 @@
         *seen = state.arrived;
         *missed += 1;
         if *missed == BROKEN_AFTER {
-            self.broken += 1;
+            self.broken.insert(flow);
         }
         self.net.hand(flow, Segment::Later);
     }
@@ -197,13 +198,15 @@
         for (phase, change) in PHASES {
             self.phase(phase, change);
         }
-        let split = self.net.split();
-        println!("broken flows in all: {}", self.broken + split);
+        let flows = self.net.flows.iter().enumerate();
+        self.broken
+            .extend(flows.filter(|(_, f)| f.is_split).map(|(number, _)| number));
+        println!("broken flows in all: {}", self.broken.len());
     }
 
     fn phase(&mut self, phase: &str, change: fn(&mut Net)) {
         let split = self.net.split();
-        let broken = self.broken;
+        let broken = self.broken.len();
         let (packets, relays) = (self.net.packets, self.net.relays);
         let unknown = self.net.count(Counter::PacketUnknownFlow);
         let refused = self.net.count(Counter::PacketRefused);
@@ -245,7 +248,7 @@
             worst,
             spent(|(_, wrap)| *wrap),
             percent(self.net.relays - relays, self.net.packets - packets),
-            self.broken - broken,
+            self.broken.len() - broken,
             self.net.split() - split,
             positive,
             self.net.count(Counter::PacketUnknownFlow) - unknown,
--- a/crates/policy/src/flow/handover.rs
+++ b/crates/policy/src/flow/handover.rs
@@ -25,7 +25,7 @@
 const MAX_PAST: usize = 8;
 
 /// Budget for copies, in bytes a second.
-const COPY_BYTES_PER_S: u64 = 1_000;
+const COPY_BYTES_PER_S: u64 = 600;
 
 /// Budget for copies while this VM stops, in bytes a second.
 const STOP_BYTES_PER_S: u64 = 16_000;
--- a/crates/policy/src/flow/pin.rs
+++ b/crates/policy/src/flow/pin.rs
@@ -34,12 +34,35 @@
 /// Time after a VM was seen to join within which it may have started, in milliseconds.
 const RESTART_MS: u64 = 1_000;
 
+/// Shortest time between two versions of pins, in milliseconds.
+const GROW_MS: u64 = 3_000;
+
 /// Shortest time between two versions of pins that only lose buckets, in milliseconds.
 const SHRINK_MS: u64 = 10_000;
 
 /// Time for which the pins of a VM that has left are kept, in milliseconds.
 const DEPARTED_MS: u64 = 120_000;
 
+/// Whether new pins may wait for a while.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Urgency {
+    /// They are sent at most every [`GROW_MS`].
+    Paced,
+    /// They are needed at once.
+    Now,
+}
+
+/// What came of new pins.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Update {
+    /// The last version covers them.
+    Same,
+    /// There is a new version.
+    New,
+    /// They wait for a later version.
+    Late,
+}
+
 /// Bits by position of the service.
 type Bits = BTreeMap<u16, Vec<u8>>;
 
@@ -127,10 +150,10 @@
         }
     }
 
-    /// Takes this VM's pins as they are now; returns whether there is a new version.
-    fn update(&mut self, now: Instant, pins: Bits) -> bool {
+    /// Takes this VM's pins as they are now.
+    fn update(&mut self, now: Instant, pins: Bits, urgency: Urgency) -> Update {
         if pins == self.mine {
-            return false;
+            return Update::Same;
         }
         let grows = pins.iter().any(|(service, bits)| {
             let old = self
@@ -140,8 +163,12 @@
                 .unwrap_or_default();
             has_more(bits, old)
         });
-        if !grows && now.ms_since(self.changed) < SHRINK_MS {
-            return false;
+        let age_ms = now.ms_since(self.changed);
+        if !grows && age_ms < SHRINK_MS {
+            return Update::Same;
+        }
+        if grows && urgency == Urgency::Paced && self.version > 0 && age_ms < GROW_MS {
+            return Update::Late;
         }
         self.mine = pins;
         self.version += 1;
@@ -149,7 +176,7 @@
         self.sent = Instant::ZERO;
         self.waiting = self.others.clone();
         self.settle();
-        true
+        Update::New
     }
 
     /// Asks every peer anew.
@@ -255,7 +282,7 @@
             self.pins.since.insert(from.name.clone(), now);
             self.move_records(turn.context, turn.context.view.clone());
         }
-        self.pin(turn.context);
+        self.pin(turn.context, Urgency::Now);
         let cut = self.unreachable(turn.context).into_iter().collect();
         let known = Known {
             marks: self.known_marks(),
@@ -313,8 +340,8 @@
         .collect()
     }
 
-    /// Works out this VM's pins; returns their version.
-    pub(super) fn pin(&mut self, context: Context<'_>) -> u64 {
+    /// Works out this VM's pins; returns the version that covers them, where there is one yet.
+    pub(super) fn pin(&mut self, context: Context<'_>, urgency: Urgency) -> Option<u64> {
         let mut pins = Bits::new();
         for (fingerprint, record) in &self.records {
             if !record.is_positive {
@@ -338,10 +365,12 @@
                 set(pins.entry(record.service).or_default(), number);
             }
         }
-        if self.pins.update(context.now, pins) {
-            self.refresh(context);
+        match self.pins.update(context.now, pins, urgency) {
+            Update::Same => {}
+            Update::New => self.refresh(context),
+            Update::Late => return None,
         }
-        self.pins.version
+        Some(self.pins.version)
     }
 
     /// Whether every VM sends later packets of a bucket through homes for other reasons than pins.
--- a/crates/policy/src/flow/sweep.rs
+++ b/crates/policy/src/flow/sweep.rs
@@ -6,6 +6,7 @@
 
 use super::{
     Flows, Message, Mode, Target, Turn,
+    pin::Urgency,
     record::{Record, Stage},
 };
 use crate::{io::Context, time::Instant, view::Vm};
@@ -222,7 +223,9 @@
                 }
             }
         }
-        let version = self.pin(context);
+        let Some(version) = self.pin(context, Urgency::Paced) else {
+            return;
+        };
         self.marks.on_pinned(version);
         if version <= self.pins.held_version() {
             for service in &mut self.services {
--- a/crates/policy/tests/flow_random.rs
+++ b/crates/policy/tests/flow_random.rs
@@ -63,7 +63,6 @@
                 assert!(lost.is_empty(), "{lost:?} after {:?}", self.log);
             }
             assert_eq!(self.net.split(), 0, "after {:?}", self.log);
-            self.net.close_idle();
         }
     }
 
--- a/crates/policy/tests/flow_support/mod.rs
+++ b/crates/policy/tests/flow_support/mod.rs
@@ -514,6 +514,8 @@
             .map(|f| (f, self.flows[f].arrived))
             .collect();
         for _ in 0..8 {
+            self.close_idle();
+            waiting.retain(|(flow, _)| !self.flows[*flow].is_closed);
             for (flow, _) in &waiting {
                 self.hand(*flow, Segment::Later);
             }
@@ -527,7 +529,7 @@
     }
 
     /// Closes the flows of which no packet has arrived for the idle time: they have ended.
-    pub fn close_idle(&mut self) {
+    fn close_idle(&mut self) {
         let idle_ms = u64::from(self.settings.idle_ms);
         for flow in &mut self.flows {
             if flow.upstream.is_some() && self.now - flow.arrived_at >= idle_ms {
