--- a/crates/policy/benches/flow.rs
+++ b/crates/policy/benches/flow.rs
@@ -372,6 +372,14 @@
     let built = resident_kb();
     let mut out: Vec<Action> = Vec::new();
     let mut load = Load::default();
+    let start = |mode: Mode| {
+        let mut flows = Flows::with_mode(mode);
+        let mut out = Vec::new();
+        flows.on_config(context(0), &config, &mut out);
+        flows.on_view(context(0), &mut out);
+        flows.on_tick(context(0), &mut Load::default(), &mut out);
+        flows
+    };
     let mut pass = |flows: &mut Flows, ms: u64| {
         let start = Clock::now();
         for packet in &later {
@@ -381,16 +389,12 @@
         start.elapsed().as_nanos() / u128::from(wide(HELD))
     };
     // The home of every flow records each as its first packet comes.
-    let mut home = Flows::with_mode(Mode::RelayAll);
-    home.on_config(context(0), &config, &mut Vec::new());
-    home.on_view(context(0), &mut Vec::new());
-    let first_ns = pass(&mut home, 10);
+    let mut home = start(Mode::RelayAll);
+    let first_ns = pass(&mut home, 1_000);
     let (held, after) = (home.record_count(), resident_kb());
-    let home_ns = pass(&mut home, 20);
-    let mut direct = Flows::default();
-    direct.on_config(context(0), &config, &mut Vec::new());
-    direct.on_view(context(0), &mut Vec::new());
-    let direct_ns = pass(&mut direct, 10);
+    let home_ns = pass(&mut home, 1_010);
+    let mut direct = start(Mode::Positive);
+    let direct_ns = pass(&mut direct, 1_000);
     println!(
         "\nmemory: {held} records, {} B each (resident set {before}, {built}, {after} KB)",
         (after - built) * 1_024 / wide(held).max(1)
