--- a/crates/standin/src/experiment/cluster.rs
+++ b/crates/standin/src/experiment/cluster.rs
@@ -56,7 +56,7 @@
     Io(String, std::io::Error),
     /// settings of {0} can't be written: {1}
     Settings(String, serde_norway::Error),
-    /// {name} is not in service after 20 s; the end of its log {log}: {tail}
+    /// {name} is not in service: it ended, or 20 s have passed; the end of its log {log}: {tail}
     NotInService {
         /// The process.
         name: String,
