--- a/crates/standin/src/experiment/cluster.rs
+++ b/crates/standin/src/experiment/cluster.rs
@@ -415,6 +415,7 @@
             replicas: BTreeMap::new(),
             controls: Vec::new(),
             log: Level::Info,
+            found: true,
             seed: Some(seed),
         };
         all.insert(vm.name.clone(), settings);
