Count bytes between entry VMs by what they are spent on

Cause: the report must tell control from packets passed on. The metric oriole_peer_bytes_sent_total gets the label purpose; the demo's control figure is the sum over all purposes but packets and requests. Not measured yet.

--- a/crates/entry/src/engine.rs
+++ b/crates/entry/src/engine.rs
@@ -2,6 +2,7 @@
 
 use std::{
     cell::RefCell,
+    collections::BTreeMap,
     io::ErrorKind,
     net::{SocketAddr, UdpSocket},
     rc::Rc,
@@ -60,10 +61,20 @@
 struct Meters {
     send_failed: Counter,
     peer_messages: Counter,
-    peer_bytes: Counter,
+    /// Bytes to other entry VMs by what they are spent on.
+    peer_bytes: BTreeMap<&'static str, Counter>,
     report_dropped: Counter,
 }
 
+impl Meters {
+    fn sent(&mut self, purpose: &'static str, bytes: u64) {
+        self.peer_bytes
+            .entry(purpose)
+            .or_insert_with(|| counter!("oriole_peer_bytes_sent_total", "purpose" => purpose))
+            .increment(bytes);
+    }
+}
+
 impl Engine {
     /// Starts the machines.
     #[must_use]
@@ -92,7 +103,7 @@
             meters: Meters {
                 send_failed: counter!("oriole_sends_failed_total"),
                 peer_messages: counter!("oriole_peer_messages_sent_total"),
-                peer_bytes: counter!("oriole_peer_bytes_sent_total"),
+                peer_bytes: BTreeMap::new(),
                 report_dropped: counter!("oriole_reports_dropped_total"),
             },
             stopping: false,
@@ -232,7 +243,7 @@
             Action::Send { to, message } => match frame::encode(self.cluster(), &message) {
                 Ok(bytes) => {
                     self.meters.peer_messages.increment(1);
-                    self.meters.peer_bytes.increment(bytes.len() as u64);
+                    self.meters.sent(message.purpose(), bytes.len() as u64);
                     self.send(&self.outlets.peers, &bytes, to);
                 }
                 Err(error) => warn!(target: "peer", "message to {to} can't be sent: {error}"),
--- a/crates/policy/src/io.rs
+++ b/crates/policy/src/io.rs
@@ -125,6 +125,28 @@
     Config(Arc<Config>),
 }
 
+impl Message {
+    /// What its bytes are spent on, as metrics name it. Packets of flows that are passed on whole
+    /// are kept apart from the records of flows, since only the latter are control.
+    #[must_use]
+    pub fn purpose(&self) -> &'static str {
+        match self {
+            Self::Membership(_) => "membership",
+            Self::Flow(
+                flow::Message::Home { .. }
+                | flow::Message::Backup { .. }
+                | flow::Message::Steward { .. }
+                | flow::Message::Refused { .. },
+            ) => "packets",
+            Self::Flow(_) => "flow-records",
+            Self::Load(_) => "load",
+            Self::Request(_) => "requests",
+            Self::Announce(_) => "announcements",
+            Self::WantConfig | Self::Config(_) => "configuration",
+        }
+    }
+}
+
 /// What a machine sees of the VM that it runs on.
 #[derive(Debug, Clone, Copy)]
 pub struct Context<'a> {
--- a/crates/standin/src/experiment/cluster.rs
+++ b/crates/standin/src/experiment/cluster.rs
@@ -205,15 +205,7 @@
             let address = service.address.to_string();
             let idle = IDLE_MS.to_string();
             let name = service.name.as_str();
-            let put = [
-                "service",
-                "put",
-                name,
-                "--address",
-                &address,
-                "--idle-ms",
-                &idle,
-            ];
+            let put = ["service", "put", name, &address, "--idle-ms", &idle];
             self.ctl.retry(&put, START_LIMIT)?;
         }
         for service in &self.plan.services {
--- a/crates/standin/src/experiment/http.rs
+++ b/crates/standin/src/experiment/http.rs
@@ -30,18 +30,25 @@
     get(address, "/health").is_some()
 }
 
-/// Metrics by name, summed over their labels.
+/// A metric of the process by its label `label`; empty where it has none.
 #[must_use]
-pub fn metrics(address: SocketAddr) -> BTreeMap<String, f64> {
-    let mut sums = BTreeMap::new();
-    for line in get(address, "/metrics").unwrap_or_default().lines() {
+pub fn metric(address: SocketAddr, name: &str, label: &str) -> BTreeMap<String, f64> {
+    let text = get(address, "/metrics").unwrap_or_default();
+    let mut values = BTreeMap::new();
+    for line in text.lines() {
         let Some((metric, value)) = line.rsplit_once(' ') else {
             continue;
         };
-        let name = metric.split('{').next().unwrap_or_default();
-        if let (false, Ok(value)) = (name.starts_with('#'), value.parse::<f64>()) {
-            *sums.entry(name.to_owned()).or_default() += value;
+        let Some(labels) = metric.strip_prefix(name) else {
+            continue;
+        };
+        let key = labels
+            .split_once(&format!("{label}=\""))
+            .map(|(_, rest)| rest);
+        let key = key.and_then(|rest| rest.split('"').next());
+        if let (Some(key), Ok(value)) = (key, value.parse()) {
+            values.insert(key.to_owned(), value);
         }
     }
-    sums
+    values
 }
--- a/crates/standin/src/experiment/report.rs
+++ b/crates/standin/src/experiment/report.rs
@@ -12,6 +12,9 @@
     upstream::Stats,
 };
 
+/// Purposes of messages between entry VMs that grow with the traffic: not control.
+const DATA_PURPOSES: [&str; 2] = ["packets", "requests"];
+
 /// Result of an experiment.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct Report {
@@ -112,9 +115,26 @@
 /// What control costs.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct Control {
-    /// Mean over entry VMs of the bytes a second that they sent each other and to control VMs for
-    /// control, by their own metrics; none where they give none.
+    /// Mean over entry VMs of the bytes a second that they sent each other for control, by their
+    /// own metrics: all but the packets of flows and the messages of single requests. None where
+    /// no VM gave a figure.
     pub bytes_per_second_per_vm: Option<f64>,
+    /// The same by what the bytes are spent on, packets and requests included.
+    pub by_purpose: BTreeMap<String, f64>,
+}
+
+impl Control {
+    /// Makes the means out of the sums by purpose.
+    #[must_use]
+    pub fn new(by_purpose: BTreeMap<String, f64>) -> Self {
+        let is_control = |purpose: &str| !DATA_PURPOSES.contains(&purpose);
+        let control = by_purpose.iter().filter(|(p, _)| is_control(p));
+        let sum = control.map(|(_, bytes)| *bytes).sum();
+        Self {
+            bytes_per_second_per_vm: (!by_purpose.is_empty()).then_some(sum),
+            by_purpose,
+        }
+    }
 }
 
 impl Report {
@@ -248,6 +268,9 @@
             Some(bytes) => writeln!(f, "control    {bytes:.0} bytes/s a VM")?,
             None => writeln!(f, "control    not measured")?,
         }
+        for (purpose, bytes) in &self.control.by_purpose {
+            writeln!(f, "           {purpose}: {bytes:.0} bytes/s a VM")?;
+        }
         for (process, exit) in self.exits.iter().filter(|(_, exit)| *exit != "Graceful") {
             writeln!(f, "exit       {process}: {exit}")?;
         }
--- a/crates/standin/src/experiment/run.rs
+++ b/crates/standin/src/experiment/run.rs
@@ -9,6 +9,7 @@
 
 use model::name::Name;
 use serde_json::Value;
+use settings::entry;
 
 use super::{
     Action, Experiment,
@@ -43,8 +44,8 @@
 /// How far an upstream's announcements lag, in announcements.
 const LAG: usize = 5;
 
-/// Names of the metrics that count control bytes start with this.
-const CONTROL_BYTES: &str = "oriole_control_bytes";
+/// Metric of an entry VM for the bytes that it sent to others.
+const SENT_BYTES: &str = "oriole_peer_bytes_sent_total";
 
 /// What upstreams had seen at a time.
 #[derive(Debug, Clone, Default)]
@@ -72,7 +73,7 @@
     cluster.start_callers()?;
     let mut conductor = Conductor {
         started: Instant::now(),
-        control_bytes: control_bytes(&cluster),
+        sent_bytes: sent_bytes(&cluster),
         cluster,
         changes: Vec::new(),
         early_exits: BTreeMap::new(),
@@ -135,8 +136,8 @@
 struct Conductor {
     cluster: Cluster,
     started: Instant,
-    /// Control bytes at the start, by entry VM.
-    control_bytes: BTreeMap<Name, f64>,
+    /// Bytes that entry VMs had sent to others at the start, by purpose.
+    sent_bytes: BTreeMap<Name, BTreeMap<String, f64>>,
     changes: Vec<Change>,
     /// How processes ended that were stopped and started again.
     early_exits: BTreeMap<String, Exit>,
@@ -345,34 +346,29 @@
 
     fn control(&self) -> Control {
         let seconds = self.started.elapsed().as_secs_f64();
-        let now = control_bytes(&self.cluster);
-        // A VM that was restarted counts from 0 again; its bytes before are lost here.
-        let since = now
-            .iter()
-            .map(|(vm, bytes)| match self.control_bytes.get(vm) {
-                Some(before) if before <= bytes => bytes - before,
-                _ => *bytes,
-            });
-        let sum: f64 = since.sum();
+        let now = sent_bytes(&self.cluster);
         let vms = u32::try_from(now.len()).unwrap_or(u32::MAX);
-        Control {
-            bytes_per_second_per_vm: (vms > 0).then(|| sum / seconds / f64::from(vms)),
+        let mut by_purpose = BTreeMap::new();
+        for (vm, sent) in &now {
+            let before = self.sent_bytes.get(vm);
+            for (purpose, bytes) in sent {
+                // A VM that was restarted counts from 0 again; its bytes before are lost here.
+                let before = before.and_then(|b| b.get(purpose)).filter(|b| *b <= bytes);
+                let since = bytes - before.copied().unwrap_or_default();
+                *by_purpose.entry(purpose.clone()).or_default() += since / seconds / f64::from(vms);
+            }
         }
+        Control::new(by_purpose)
     }
 }
 
-/// Control bytes that each entry VM has sent, by its own metrics.
-fn control_bytes(cluster: &Cluster) -> BTreeMap<Name, f64> {
-    let mut bytes = BTreeMap::new();
-    for (name, settings) in &cluster.entry_settings {
-        let metrics = http::metrics(settings.http_listen);
-        let control = metrics.iter().filter(|(n, _)| n.starts_with(CONTROL_BYTES));
-        let values: Vec<f64> = control.map(|(_, value)| *value).collect();
-        if !values.is_empty() {
-            bytes.insert(name.clone(), values.iter().sum());
-        }
-    }
-    bytes
+/// Bytes that each entry VM has sent to others, by purpose, by its own metrics.
+fn sent_bytes(cluster: &Cluster) -> BTreeMap<Name, BTreeMap<String, f64>> {
+    let read = |(name, settings): (&Name, &entry::Settings)| {
+        let bytes = http::metric(settings.http_listen, SENT_BYTES, "purpose");
+        (name.clone(), bytes)
+    };
+    cluster.entry_settings.iter().map(read).collect()
 }
 
 fn sleep_until(at: Instant) {
