--- a/crates/standin/src/experiment/properties.rs
+++ b/crates/standin/src/experiment/properties.rs
@@ -58,6 +58,9 @@
     if requests.answered == 0 {
         broken.push("no request was answered".to_owned());
     }
+    if flows.opened == 0 {
+        broken.push("no flow was opened".to_owned());
+    }
     broken
 }
 
--- a/crates/standin/tests/report.rs
+++ b/crates/standin/tests/report.rs
@@ -31,6 +31,11 @@
             answered: 10,
             ..Requests::default()
         },
+        flows: Flows {
+            opened: 10,
+            kept: 10,
+            ..Flows::default()
+        },
         ..Report::default()
     }
 }
@@ -52,7 +57,7 @@
 #[test]
 fn each_count_of_a_fault_is_a_broken_property() {
     type Plant = fn(&mut Report);
-    let faults: [(&str, Plant); 8] = [
+    let faults: [(&str, Plant); 9] = [
         ("ran more than once", |r| r.requests.run_twice = 1),
         ("but ran", |r| r.requests.refused_but_run = 1),
         ("another request", |r| r.requests.wrong_answer = 1),
@@ -61,6 +66,7 @@
         ("flows broke", |r| r.flows.broken = 1),
         ("no answer", |r| r.requests.no_answer = 1),
         ("no request was answered", |r| r.requests.answered = 0),
+        ("no flow was opened", |r| r.flows.opened = 0),
     ];
     for (words, plant) in faults {
         let mut report = whole();
