--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,3 +1,8 @@
-//! cli
+//! `oriolectl`: the operators' client.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    let matches = cli::args::command().get_matches();
+    cli::run(&matches)
+}
--- a/crates/control/src/operator.rs
+++ b/crates/control/src/operator.rs
@@ -118,7 +118,7 @@
                     Err(_) => unknown("the command was not committed in time"),
                 }
             }
-            Ok(Asked::Replace { old, new, .. }) => self.replace(old.as_str(), new.as_str()).await,
+            Ok(Asked::Replace { old, new }) => self.replace(old.as_str(), new.as_str()).await,
             Err(invalid) => self.refuse_invalid(request, &invalid).await,
         }
     }
--- a/crates/rpc/src/convert.rs
+++ b/crates/rpc/src/convert.rs
@@ -55,8 +55,6 @@
         old: Name,
         /// Name of the control VM that comes.
         new: Name,
-        /// Where the new one takes the streams of other control VMs.
-        new_address: SocketAddr,
     },
 }
 
@@ -101,7 +99,6 @@
             return Ok(Asked::Replace {
                 old: name("old", &m.old)?,
                 new: name("new", &m.new)?,
-                new_address: address("new_address", &m.new_address)?,
             });
         }
     };
