--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod exchange;
 pub mod lease;
 pub mod operator;
+pub mod peer;
 pub mod process;
 pub mod read;
 pub mod replica;
--- a/crates/control/src/process.rs
+++ b/crates/control/src/process.rs
@@ -75,8 +75,20 @@
 }
 
 async fn start_replica(settings: &Settings, token: CancellationToken) -> Result<Handle, Error> {
-    let _ = (settings, token);
-    Ok(Handle::alone())
+    let peers = settings
+        .replicas
+        .iter()
+        .map(|(name, address)| (name.to_string(), *address))
+        .collect();
+    let replica = replica::Settings {
+        name: settings.name.to_string(),
+        folder: settings.data_folder.clone(),
+        address: settings.peer_listen,
+        peers,
+        found: settings.found,
+        ..replica::Settings::default()
+    };
+    Handle::start(replica, token).await.map_err(Error::Replica)
 }
 
 async fn start_streams(settings: &Settings, state: &State, root: &Supervisor) -> Result<(), Error> {
--- a/crates/policy/src/membership.rs
+++ b/crates/policy/src/membership.rs
@@ -108,6 +108,9 @@
     pub view: bool,
     /// Index of the configuration that a live peer has, where it said so.
     pub peer_index: Option<u64>,
+    /// Whether the peer said so in answer to a probe that this VM still waited for, and not in a
+    /// datagram that may have lain unread for long.
+    pub acknowledged: bool,
 }
 
 /// The membership machine of one VM.
@@ -181,6 +184,12 @@
         self.index = index;
     }
 
+    /// Waits no longer for the acknowledgement of a probe: this VM stood still, and what arrives
+    /// now may be old.
+    pub fn forget_probe(&mut self) {
+        self.probe = None;
+    }
+
     /// Spreads that this VM stops on purpose.
     pub fn leave(&mut self, view: &mut View, out: &mut Vec<Action>) {
         self.me.state = State::Leaving;
@@ -208,6 +217,7 @@
     ) -> Change {
         let before = view.number;
         let mut peer_index = None;
+        let waited = self.probe.is_some();
         match message {
             Message::Join(member) => {
                 self.learn(now, view, member);
@@ -230,6 +240,7 @@
         Change {
             view: view.number != before,
             peer_index,
+            acknowledged: waited && self.probe.is_none(),
         }
     }
 
@@ -253,7 +264,7 @@
         self.rejoin(now, out);
         Change {
             view: view.number != before,
-            peer_index: None,
+            ..Change::default()
         }
     }
 
--- a/crates/policy/src/node.rs
+++ b/crates/policy/src/node.rs
@@ -9,6 +9,8 @@
 use model::{
     announce::Announcement,
     config::{Config, DomainState},
+    delivery,
+    key::{hash, mix},
     name::Name,
 };
 
@@ -70,6 +72,10 @@
     confirmed: Instant,
     /// When a peer may next be asked for its configuration.
     next_ask: Instant,
+    /// Whether the configuration was confirmed since this process last stood still.
+    fresh: bool,
+    /// When the last event came.
+    last_event: Instant,
 }
 
 /// The state of one entry VM, as the dump shows it.
@@ -92,17 +98,20 @@
     /// Starts the machines.
     #[must_use]
     pub fn new(settings: Settings, now: Instant) -> Self {
+        let seed = mix(settings.seed, hash(0, settings.name.as_str().as_bytes()));
         let me = Vm::new(settings.name.clone(), settings.domain, settings.address);
         Self {
             config: Arc::new(Config::default()),
             membership: Membership::new(&me, settings.incarnation, settings.seeds, settings.seed),
             view: View::new(me),
             flows: Flows::default(),
-            load: Load::default(),
-            requests: Requests::default(),
+            load: Load::new(settings.incarnation),
+            requests: Requests::new(settings.incarnation, seed),
             stopping: false,
             confirmed: now,
             next_ask: now,
+            fresh: true,
+            last_event: now,
         }
     }
 
@@ -118,11 +127,19 @@
         &self.view
     }
 
+    /// Whether this VM can vouch alone that a request which it does not know was not run. Until
+    /// then it serves requests that are not idempotent only where another VM vouches.
+    #[must_use]
+    pub fn is_informed(&self, now: Instant) -> bool {
+        self.requests.is_informed(now, &self.config)
+    }
+
     /// For each service, the oldest generation that a flow known here still needs.
     #[must_use]
     pub fn needed(&self, now: Instant) -> BTreeMap<Name, u64> {
         let config = self.config.clone();
-        self.flows.needed(context(now, &self.view, &config))
+        self.flows
+            .needed(context(now, &self.view, &config, self.fresh))
     }
 
     /// The state of this VM, for the dump.
@@ -149,13 +166,41 @@
     }
 
     /// Handles one event; what is to be done is added to `out`, in order.
+    ///
+    /// Messages to this VM itself are handled at once.
     pub fn handle(&mut self, now: Instant, event: Event, out: &mut Vec<Action>) {
+        let still_ms = now.ms_since(std::mem::replace(&mut self.last_event, now));
+        if still_ms > delivery::LEASE_MS {
+            self.fresh = false;
+            self.membership.forget_probe();
+        }
+        let start = out.len();
+        self.handle_one(now, event, out);
+        let Some(me) = self.view.get(&self.view.me).map(|vm| vm.address) else {
+            return;
+        };
+        let mut next = start;
+        while next < out.len() {
+            match &out[next] {
+                Action::Send { to, .. } if *to == me => {}
+                _ => {
+                    next += 1;
+                    continue;
+                }
+            }
+            if let Action::Send { message, .. } = out.remove(next) {
+                self.on_message(now, me, message, out);
+            }
+        }
+    }
+
+    fn handle_one(&mut self, now: Instant, event: Event, out: &mut Vec<Action>) {
         let config = self.config.clone();
-        let context = context(now, &self.view, &config);
+        let context = context(now, &self.view, &config, self.fresh);
         match event {
             Event::Tick => self.on_tick(now, out),
             Event::Config(new) => self.on_config(now, new, out),
-            Event::ControlCurrent => self.confirmed = now,
+            Event::ControlCurrent => self.confirm(now),
             Event::Announce(announcement) => {
                 out.push(Action::Report(announcement.clone()));
                 self.on_announce(now, announcement, Hop::First, out);
@@ -184,7 +229,7 @@
         let change = self.membership.on_tick(now, &mut self.view, out);
         self.on_membership(now, change, None, out);
         let config = self.config.clone();
-        let context = context(now, &self.view, &config);
+        let context = context(now, &self.view, &config, self.fresh);
         self.load.on_tick(context, out);
         self.flows.on_tick(context, &mut self.load, out);
         self.requests.on_tick(context, &mut self.load, out);
@@ -205,11 +250,17 @@
         };
         if index > self.config.index {
             self.ask_config(now, from, out);
-        } else {
-            self.confirmed = now;
+        } else if change.acknowledged {
+            self.confirm(now);
         }
     }
 
+    /// A control VM, or a peer that answered a probe of this VM, has no newer configuration.
+    fn confirm(&mut self, now: Instant) {
+        self.confirmed = now;
+        self.fresh = true;
+    }
+
     /// Asks a peer for its newer configuration, a few times a second at most.
     fn ask_config(&mut self, now: Instant, from: SocketAddr, out: &mut Vec<Action>) {
         if now < self.next_ask {
@@ -229,7 +280,7 @@
             return;
         }
         let old = std::mem::replace(&mut self.config, new.clone());
-        self.confirmed = now;
+        self.confirm(now);
         self.membership.set_index(new.index);
         let excluded: BTreeSet<Name> = new
             .domains
@@ -242,7 +293,7 @@
             self.view.out = excluded;
             self.view.number += 1;
         }
-        let context = context(now, &self.view, &new);
+        let context = context(now, &self.view, &new, self.fresh);
         self.load.on_config(context, &old, out);
         self.flows.on_config(context, &old, out);
         self.requests.on_config(context, &old, out);
@@ -253,14 +304,14 @@
 
     fn on_stop(&mut self, now: Instant, out: &mut Vec<Action>) {
         let config = self.config.clone();
-        let context = context(now, &self.view, &config);
+        let context = context(now, &self.view, &config, self.fresh);
         self.flows.on_stop(context, out);
         self.requests.on_stop(context, out);
     }
 
     fn on_view(&mut self, now: Instant, out: &mut Vec<Action>) {
         let config = self.config.clone();
-        let context = context(now, &self.view, &config);
+        let context = context(now, &self.view, &config, self.fresh);
         self.load.on_view(context, out);
         self.flows.on_view(context, out);
         self.requests.on_view(context, &mut self.load, out);
@@ -278,7 +329,7 @@
         out: &mut Vec<Action>,
     ) {
         let config = self.config.clone();
-        let context = context(now, &self.view, &config);
+        let context = context(now, &self.view, &config, self.fresh);
         let steward = self
             .view
             .steward(&announcement.service, &announcement.domain);
@@ -311,7 +362,7 @@
         };
         let vm = vm.clone();
         let config = self.config.clone();
-        let context = context(now, &self.view, &config);
+        let context = context(now, &self.view, &config, self.fresh);
         match message {
             Message::Membership(_) => {}
             Message::Flow(message) => {
@@ -344,6 +395,11 @@
     Second,
 }
 
-fn context<'a>(now: Instant, view: &'a View, config: &'a Config) -> Context<'a> {
-    Context { now, view, config }
+fn context<'a>(now: Instant, view: &'a View, config: &'a Config, fresh: bool) -> Context<'a> {
+    Context {
+        now,
+        view,
+        config,
+        fresh,
+    }
 }
--- a/crates/policy/tests/membership.rs
+++ b/crates/policy/tests/membership.rs
@@ -2,9 +2,9 @@
 
 #![expect(clippy::unwrap_used, reason = "a test may panic")]
 
-mod support;
+mod membership_support;
 
-use support::{Network, address};
+use membership_support::{Network, address};
 
 #[test]
 fn all_find_each_other_from_two_seeds() {
