--- a/crates/standin/src/announce.rs
+++ b/crates/standin/src/announce.rs
@@ -65,11 +65,11 @@
             Ok(answer) if answer.taken => self.client = Some(client),
             Ok(answer) => {
                 let (upstream, reason) = (&announcement.upstream, answer.reason);
-                log::warn!("announce: {upstream} is refused: {reason}.");
+                log::warn!(target: "announce", "{upstream} is refused: {reason}.");
             }
             Err(error) => {
                 let upstream = &announcement.upstream;
-                log::info!("announce: {upstream} tries another entry VM: {error}.");
+                log::info!(target: "announce", "{upstream} tries another entry VM: {error}.");
             }
         }
         self.client.is_some()
--- a/crates/standin/src/caller/flow.rs
+++ b/crates/standin/src/caller/flow.rs
@@ -183,7 +183,7 @@
                 self.context.tally.flow_kept();
             }
             Err(lost) => {
-                log::info!("caller: flow {} on {upstream} was lost: {lost:?}.", self.id);
+                log::info!(target: "caller", "flow {} on {upstream} was lost: {lost:?}.", self.id);
                 self.context.tally.flow_lost(&upstream, &domain, opened);
             }
         }
--- a/crates/standin/src/caller/request.rs
+++ b/crates/standin/src/caller/request.rs
@@ -244,7 +244,7 @@
 fn is_own(context: &Context, work: &Work, response: &Response) -> bool {
     let done = message::decode::<Done>(&response.payload.0);
     let Some(done) = done else {
-        log::warn!("caller: answer to request {} can't be read.", work.id);
+        log::warn!(target: "caller", "answer to request {} can't be read.", work.id);
         context.tally.requests(|r| r.wrong_answer += 1);
         return false;
     };
@@ -253,7 +253,7 @@
     }
     if done.id != work.id {
         let (wanted, got) = (work.id, done.id);
-        log::warn!("caller: request {wanted} got the answer to {got}.");
+        log::warn!(target: "caller", "request {wanted} got the answer to {got}.");
         context.tally.requests(|r| r.wrong_answer += 1);
     }
     done.id == work.id && done.service == work.service
@@ -268,7 +268,7 @@
         }
         coap::TIMEOUT => (Outcome::Unknown, None),
         code => {
-            log::warn!("caller: a request got code {}.{:02}.", code >> 5, code & 31);
+            log::warn!(target: "caller", "a request got code {}.{:02}.", code >> 5, code & 31);
             (Outcome::Failed, None)
         }
     }
--- a/crates/standin/src/caller/tally.rs
+++ b/crates/standin/src/caller/tally.rs
@@ -251,7 +251,7 @@
         } else {
             state.report.flows.broken += 1;
             state.second().broken += 1;
-            log::warn!("caller: a flow on upstream {upstream} of {domain} is broken.");
+            log::warn!(target: "caller", "a flow on upstream {upstream} of {domain} is broken.");
         }
     }
 
--- a/crates/standin/src/channel.rs
+++ b/crates/standin/src/channel.rs
@@ -80,7 +80,7 @@
     let mut lines = AsyncBufReader::new(read).lines();
     while let Ok(Some(line)) = lines.next_line().await {
         let Ok(command) = serde_json::from_str(&line) else {
-            log::warn!("channel: a command isn't understood: {line}");
+            log::warn!(target: "channel", "a command isn't understood: {line}");
             return;
         };
         let Ok(mut text) = serde_json::to_string(&answer(command)) else {
--- a/crates/standin/src/experiment/report.rs
+++ b/crates/standin/src/experiment/report.rs
@@ -201,7 +201,7 @@
         let value = u32::try_from(value(stats)).unwrap_or(u32::MAX);
         let all = values.entry(stats.service.clone()).or_default();
         all.push(f64::from(value));
-        log::debug!("report: {name} has {value}.");
+        log::debug!(target: "report", "{name} has {value}.");
     }
     let over_mean = |all: &Vec<f64>| {
         let sum: f64 = all.iter().sum();
--- a/crates/standin/src/fabric.rs
+++ b/crates/standin/src/fabric.rs
@@ -113,7 +113,7 @@
         };
         if changed {
             let word = if is_down { "down" } else { "up" };
-            log::info!("fabric: entry VM {entry} is {word}.");
+            log::info!(target: "fabric", "entry VM {entry} is {word}.");
         }
     }
 
--- a/crates/standin/src/upstream/server.rs
+++ b/crates/standin/src/upstream/server.rs
@@ -90,7 +90,7 @@
         self.requests.abort();
         self.warmth.reset();
         let name = &self.settings.name;
-        log::warn!("upstream: {name} got more than it bears and collapsed.");
+        log::warn!(target: "upstream", "{name} got more than it bears and collapsed.");
     }
 
     fn draw_service_time(&mut self) -> u64 {
