--- a/crates/policy/src/history.rs
+++ b/crates/policy/src/history.rs
@@ -57,6 +57,13 @@
         frozen
     }
 
+    /// Notes the view in force, on a side of a network partition that has not the majority.
+    pub(crate) fn observe_apart(&mut self, now: Instant, view: &View, longest_ms: u64) {
+        self.observe(now, view, longest_ms);
+        // The other side has homes that this one knows nothing of.
+        self.since = now;
+    }
+
     /// Notes the view in force.
     pub(crate) fn observe(&mut self, now: Instant, view: &View, longest_ms: u64) {
         let ended = |ended: Instant| now.ms_since(ended) > longest_ms;
@@ -92,6 +99,11 @@
         })
     }
 
+    /// Whether each of the domains had a live VM in all earlier views.
+    pub(crate) fn reached<'a>(&self, mut domains: impl Iterator<Item = &'a Name>) -> bool {
+        domains.all(|domain| self.past.iter().all(|(_, view)| view.reaches(domain)))
+    }
+
     /// Whether this VM was home or backup of a key for all of the longest deadline.
     pub(crate) fn covers(&self, now: Instant, me: &Name, key: u64, longest_ms: u64) -> bool {
         self.is_informed(now, longest_ms) && self.pairs(key).all(|pair| pair.has(me))
--- a/crates/policy/src/request.rs
+++ b/crates/policy/src/request.rs
@@ -196,8 +196,7 @@
 
     /// The view has changed.
     pub fn on_view(&mut self, context: Context<'_>, _load: &mut Load, out: &mut Vec<Action>) {
-        let longest = longest_ms(context.config);
-        self.history.observe(context.now, context.view, longest);
+        self.observe(context);
         self.orphan_lost(context);
         self.leave_lost(context, out);
     }
@@ -205,8 +204,7 @@
     /// Time has passed.
     pub fn on_tick(&mut self, context: Context<'_>, _load: &mut Load, out: &mut Vec<Action>) {
         self.wake(context, out);
-        let longest = longest_ms(context.config);
-        self.history.observe(context.now, context.view, longest);
+        self.observe(context);
         while let Some(key) = self.store.pop_due(context.now) {
             self.care_for(context, &key, out);
         }
@@ -237,6 +235,17 @@
         (self.store.len(), self.store.bytes())
     }
 
+    /// Notes the view in force.
+    fn observe(&mut self, context: Context<'_>) {
+        let longest = longest_ms(context.config);
+        if has_majority(context) {
+            self.history.observe(context.now, context.view, longest);
+        } else {
+            self.history
+                .observe_apart(context.now, context.view, longest);
+        }
+    }
+
     /// Brings a request to the VM that deals with it.
     fn route(
         &mut self,
@@ -464,6 +473,7 @@
         content: content(request),
         body: body(request),
         service: service.clone(),
+        idempotent: request.method.is_idempotent(),
         message_id: request.message_id,
         confirmable: request.confirmable,
         deadline,
--- a/crates/policy/src/request/holder.rs
+++ b/crates/policy/src/request/holder.rs
@@ -10,7 +10,7 @@
 use super::{
     Requests,
     message::{AttemptOutcome, Intent, Known, Message},
-    record::{Done, Held, Orphaned, Phase, Record},
+    record::{Done, Held, Orphaned, Phase, Record, Reserve},
     response, send,
 };
 use crate::{
@@ -81,13 +81,14 @@
     fn hold(&mut self, context: Context<'_>, from: &Vm, intent: &Intent) -> Known {
         let now = context.now;
         let keep_ms = longest_ms(context.config) + MAX_DELAY_MS;
-        if !self.store.make_room(now, 0, keep_ms) {
+        if !self.store.make_room(now, 0, keep_ms, Reserve::Used) {
             return Known::Full;
         }
         let record = Record {
             content: intent.content,
             body: intent.body,
             service: intent.service.clone(),
+            idempotent: false,
             message_id: intent.message_id,
             confirmable: intent.confirmable,
             deadline: now.plus_ms(u64::from(intent.left_ms)),
--- a/crates/policy/src/request/home.rs
+++ b/crates/policy/src/request/home.rs
@@ -15,7 +15,7 @@
     has_majority, holders,
     message::{AttemptOutcome, Intent, Known, Message},
     over_at,
-    record::{Done, Granting, Held, Phase, Record, Working},
+    record::{Done, Granting, Held, Phase, Record, Reserve, Working},
     response, send, send_load,
 };
 use crate::{
@@ -35,9 +35,6 @@
 /// Time between two sendings of an answer to a holder that has not recorded it, in milliseconds.
 const RECORD_RESEND_MS: u64 = 200;
 
-/// Time that holders have to answer, in milliseconds.
-const GRANT_MS: u64 = 400;
-
 /// Time that a steward has to take an attempt that may be tried elsewhere, in milliseconds.
 const TAKE_MS: u64 = 200;
 
@@ -89,17 +86,19 @@
         let keep_ms = longest_ms(context.config) + MAX_DELAY_MS;
         let bytes = request.payload.0.len();
         let idempotent = request.method.is_idempotent();
-        if !self.store.make_room(now, bytes, keep_ms) {
-            let refusal = self.refusal(context, &key, idempotent, DEFAULT_RETRY_MS);
-            self.count(&refusal, out);
-            out.push(answer(key.caller, &request, refusal));
+        // What is refused for want of room is recorded too, since a copy that was under way may
+        // run otherwise after the refusal.
+        let takes = self.store.make_room(now, bytes, keep_ms, Reserve::Kept);
+        if !takes && !self.store.make_room(now, 0, keep_ms, Reserve::Used) {
             return;
         }
         self.retries = (self.retries + 1).min(RETRY_MAX);
         let left_ms = request.deadline_ms.unwrap_or_default();
         let deadline = now.plus_ms(u64::from(left_ms));
-        let phase = Phase::Backoff;
-        let record = super::record(&request, service, deadline, phase);
+        let mut record = super::record(&request, service, deadline, Phase::Backoff);
+        if !takes {
+            record.request = None;
+        }
         self.store.insert(key.clone(), record);
         if idempotent {
             self.attempt(context, &key, out);
@@ -118,7 +117,7 @@
             record.holders.clone_from(&holders);
             record.phase = Phase::Granting(Granting {
                 unheard: holders,
-                until: now.plus_ms(GRANT_MS).min(give_up_at(record.deadline)),
+                until: give_up_at(record.deadline),
                 resend_at: now,
                 ..Granting::default()
             });
@@ -234,11 +233,12 @@
             return;
         };
         let service = record.service.clone();
+        let takes = record.request.is_some();
         let chosen = self
             .gauges
             .choose(context, &mut self.rng, &service, &record.tried);
         let in_time = now < give_up_at(record.deadline) && record.attempts < MAX_ATTEMPTS;
-        let Some(chosen) = chosen.filter(|_| in_time) else {
+        let Some(chosen) = chosen.filter(|_| in_time && takes) else {
             self.refuse(context, key, out);
             return;
         };
@@ -422,9 +422,7 @@
         let Some(record) = self.store.get(key) else {
             return;
         };
-        let method = record.request.as_ref().map(|r| r.method);
-        let idempotent = method.is_some_and(coap::Method::is_idempotent);
-        if !idempotent || !self.take_retry() {
+        if !record.idempotent || !self.take_retry() {
             self.finish(context, key, response(coap::TIMEOUT, None), out);
             return;
         }
@@ -457,13 +455,9 @@
             Phase::Backoff => self.attempt(context, key, out),
             Phase::Working(working) => {
                 let late = now.ms_since(working.since) >= TAKE_MS && !working.taken;
-                let idempotent = record
-                    .request
-                    .as_ref()
-                    .is_some_and(|r| r.method.is_idempotent());
                 if now >= give_up_at(deadline) {
                     self.abandon(context, key, out);
-                } else if late && idempotent {
+                } else if late && record.idempotent {
                     self.lose_attempt(context, key, out);
                 } else if !working.taken {
                     self.send_work(context, key, out);
@@ -548,8 +542,8 @@
         });
     }
 
-    /// Refuses a request that this VM has not dispatched, or whose last attempt certainly has
-    /// not run.
+    /// Gives up a request that this VM has not dispatched, or whose last attempt certainly has
+    /// not run: it is refused as not run where no other VM may run it either.
     pub(super) fn refuse(
         &mut self,
         context: Context<'_>,
@@ -564,33 +558,35 @@
             return;
         }
         let retry_ms = record.retry_after_ms.unwrap_or(DEFAULT_RETRY_MS);
-        // Once the holders have granted, it is known that no home before this one ran it.
-        let granting = matches!(record.phase, Phase::Granting(_));
-        let method = record.request.as_ref().map(|r| r.method);
-        let certain = !granting || method.is_some_and(coap::Method::is_idempotent);
-        let refusal = self.refusal(context, key, certain, retry_ms);
-        self.finish(context, key, refusal, out);
+        let certain = match record.phase {
+            // Before all holders have granted, another VM may have run it, or may run it yet.
+            Phase::Granting(_) => false,
+            _ if !record.idempotent => true,
+            // Of an idempotent request no other VM holds an intent.
+            _ => self.is_only_home(context, key),
+        };
+        let code = if certain {
+            coap::UNAVAILABLE
+        } else {
+            coap::TIMEOUT
+        };
+        self.finish(context, key, response(code, Some(retry_ms)), out);
     }
 
-    /// "Not run" where that is certain, else "outcome unknown".
-    fn refusal(
-        &self,
-        context: Context<'_>,
-        key: &key::Request,
-        certain: bool,
-        retry_after_ms: u32,
-    ) -> coap::Response {
+    /// Whether no other VM has been the home of a request for the longest deadline, as far as
+    /// this VM can know: a cut-off failure domain has homes of its own.
+    fn is_only_home(&self, context: Context<'_>, key: &key::Request) -> bool {
         let longest = longest_ms(context.config);
+        let place = key.fingerprint();
         let me = &context.view.me;
-        let covers = || {
-            let place = key.fingerprint();
-            self.history.covers(context.now, me, place, longest) && has_majority(context)
-        };
-        if certain || covers() {
-            response(coap::UNAVAILABLE, Some(retry_after_ms))
-        } else {
-            response(coap::TIMEOUT, None)
-        }
+        let mut domains = context.config.domains.keys();
+        self.history.reached(domains.clone())
+            && domains.all(|domain| context.view.reaches(domain))
+            && self.history.is_informed(context.now, longest)
+            && self
+                .history
+                .pairs(place)
+                .all(|p| p.home.as_ref() == Some(me))
     }
 
     /// Records the answer, answers the caller, and tells the holders of the intent.
--- a/crates/policy/src/request/record.rs
+++ b/crates/policy/src/request/record.rs
@@ -13,6 +13,9 @@
 /// Bodies of requests and answers that one VM keeps at most, in bytes.
 pub const MAX_BYTES: usize = 32 << 20;
 
+/// Records out of [`MAX_RECORDS`] that are kept for intents of other homes and for refusals.
+const RESERVE: usize = MAX_RECORDS / 8;
+
 /// Time for which an answer is kept for repeats while there is room, in milliseconds:
 /// `EXCHANGE_LIFETIME` of RFC 7252, section 4.8.2.
 pub const ANSWER_MS: u64 = 247_000;
@@ -26,6 +29,8 @@
     pub(crate) body: u64,
     /// Service that is asked.
     pub(crate) service: Name,
+    /// Whether running it again changes nothing.
+    pub(crate) idempotent: bool,
     /// Message id of the last copy, to which the answer is an acknowledgement.
     pub(crate) message_id: u16,
     /// Whether the caller wants an acknowledgement.
@@ -157,6 +162,15 @@
     }
 }
 
+/// Whether a new record may use the room that is kept for intents and refusals.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Reserve {
+    /// It may not.
+    Kept,
+    /// It may.
+    Used,
+}
+
 /// All records of one VM, with the moments at which they need care.
 #[derive(Debug, Default)]
 pub(crate) struct Store {
@@ -219,8 +233,18 @@
 
     /// Makes room for one more record with `bytes` of body, by forgetting answers that are older
     /// than `keep_ms`; false where there is none.
-    pub(crate) fn make_room(&mut self, now: Instant, bytes: usize, keep_ms: u64) -> bool {
-        while self.records.len() >= MAX_RECORDS || self.bytes + bytes > MAX_BYTES {
+    pub(crate) fn make_room(
+        &mut self,
+        now: Instant,
+        bytes: usize,
+        keep_ms: u64,
+        reserve: Reserve,
+    ) -> bool {
+        let most = match reserve {
+            Reserve::Kept => MAX_RECORDS - RESERVE,
+            Reserve::Used => MAX_RECORDS,
+        };
+        while self.records.len() >= most || (bytes > 0 && self.bytes + bytes > MAX_BYTES) {
             let Some((at, key)) = self.answered.first().cloned() else {
                 return false;
             };
--- a/crates/policy/tests/support/callers.rs
+++ b/crates/policy/tests/support/callers.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
+use model::key;
 use policy::time::Instant;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -18,6 +19,8 @@
     pub(crate) deadline: Instant,
     /// Answers in the order in which they came.
     pub(crate) answers: Vec<coap::Response>,
+    /// When the last answer came.
+    pub(crate) last: Instant,
     /// When the first answer came.
     pub(crate) answered: Option<Instant>,
     caller: SocketAddr,
@@ -88,6 +91,7 @@
             sent: now,
             deadline: now.plus_ms(u64::from(deadline_ms)),
             answers: Vec::new(),
+            last: now,
             answered: None,
             caller,
             request,
@@ -122,9 +126,25 @@
             "token of another request"
         );
         request.answers.push(response);
+        request.last = now;
         request.answered.get_or_insert(now);
     }
 
+    /// One more copy of a request.
+    pub(crate) fn copy(&self, id: u64) -> (SocketAddr, coap::Request) {
+        let request = &self.requests[&id];
+        (request.caller, request.request.clone())
+    }
+
+    /// The key of a request.
+    pub(crate) fn key(&self, id: u64) -> key::Request {
+        let request = &self.requests[&id];
+        key::Request {
+            caller: request.caller,
+            token: request.request.token.clone(),
+        }
+    }
+
     /// How many requests got this code as their first answer.
     pub(crate) fn first(&self, code: u8) -> usize {
         let first = self.requests.values().filter_map(|r| r.answers.first());
--- a/crates/policy/tests/support/mod.rs
+++ b/crates/policy/tests/support/mod.rs
@@ -217,32 +217,22 @@
         net
     }
 
-    /// Gives every live VM the view of all live VMs at once.
+    /// Gives every VM its view of the VMs that it can reach, at once.
     pub(crate) fn agree(&mut self) {
-        let live = self.live();
-        for to in live.keys().cloned().collect::<Vec<_>>() {
-            self.at(
-                0,
-                Item::View {
-                    to,
-                    vms: live.clone(),
-                },
-            );
-        }
+        self.agree_after(0, 0);
     }
 
-    /// Gives every live VM the view of all live VMs, each after its own delay.
+    /// Gives every VM its view of the VMs that it can reach, each after its own delay.
     pub(crate) fn agree_after(&mut self, min_ms: u64, max_ms: u64) {
         let live = self.live();
         for to in live.keys().cloned().collect::<Vec<_>>() {
             let delay = self.rng.random_range(min_ms..=max_ms);
-            self.at(
-                delay,
-                Item::View {
-                    to,
-                    vms: live.clone(),
-                },
-            );
+            let mut vms = live.clone();
+            vms.retain(|vm, _| {
+                let reached = !self.cut.contains(&(to.clone(), vm.clone()));
+                *vm == to || (reached && !self.vms[vm].frozen)
+            });
+            self.at(delay, Item::View { to, vms });
         }
     }
 
@@ -280,6 +270,20 @@
         self.cut.insert((other.clone(), one.clone()));
     }
 
+    /// Cuts a failure domain off from the others.
+    pub(crate) fn cut_domain(&mut self, domain: &Name) {
+        let (inside, outside): (Vec<_>, Vec<_>) = self
+            .vms
+            .values()
+            .map(|e| (e.vm.name.clone(), e.vm.domain == *domain))
+            .partition(|(_, inside)| *inside);
+        for (one, _) in &inside {
+            for (other, _) in &outside {
+                self.cut(one, other);
+            }
+        }
+    }
+
     pub(crate) fn at(&mut self, ms: u64, item: Item) {
         self.at_us(ms * 1_000, item);
     }
@@ -305,7 +309,11 @@
     }
 
     pub(crate) fn run_ms(&mut self, ms: u64) {
-        let end = self.now.plus_ms(ms);
+        self.run_us(ms * 1_000);
+    }
+
+    pub(crate) fn run_us(&mut self, us: u64) {
+        let end = Instant(self.now.0 + us);
         while let Some(entry) = self.queue.first_entry() {
             if entry.key().0 > end {
                 break;
@@ -519,6 +527,11 @@
                         assert!(ran > 0, "{what}: request {id} was answered and never ran");
                     }
                     coap::UNAVAILABLE => {
+                        let ran = match request.method {
+                            coap::Method::Post => ran,
+                            // A copy that comes later may run an idempotent request.
+                            _ => self.runs_before(*id, request.last),
+                        };
                         assert_eq!(
                             ran, 0,
                             "{what}: request {id} ran and was refused as not run"
@@ -535,11 +548,20 @@
         }
     }
 
+    fn runs_before(&self, id: u64, at: Instant) -> u32 {
+        let runs = self.upstreams.iter().flat_map(|u| &u.ran);
+        u32::try_from(
+            runs.filter(|(other, when)| *other == id && *when < at)
+                .count(),
+        )
+        .unwrap()
+    }
+
     /// How often each request ran.
     pub(crate) fn runs(&self) -> BTreeMap<u64, u32> {
         let mut runs = BTreeMap::new();
         for upstream in &self.upstreams {
-            for id in &upstream.ran {
+            for (id, _) in &upstream.ran {
                 *runs.entry(*id).or_default() += 1;
             }
         }
--- a/crates/policy/tests/support/upstream.rs
+++ b/crates/policy/tests/support/upstream.rs
@@ -1,6 +1,6 @@
 //! An upstream: slots, cold start, shedding, and a log of what it ran.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
 use model::{announce::Announcement, name::Name};
@@ -57,8 +57,8 @@
     pub(crate) mute: bool,
     /// What it says of its warmth, in percent.
     pub(crate) says_warmth: u8,
-    /// Ids of the requests that it has started, in order.
-    pub(crate) ran: Vec<u64>,
+    /// The requests that it has started, and when, in order.
+    pub(crate) ran: Vec<(u64, Instant)>,
     /// Requests that arrived while all slots were busy.
     pub(crate) over_slots: u32,
     /// Requests that arrived while it bore no more, though slots were free.
@@ -68,6 +68,7 @@
     /// Requests that it answered.
     pub(crate) done: u32,
     running: BTreeMap<Vec<u8>, Running>,
+    seen: BTreeSet<(Name, u16)>,
     collapsed_until: Instant,
     warm_up: u32,
     rng: Pcg64Mcg,
@@ -94,6 +95,7 @@
             busy_us: 0,
             done: 0,
             running: BTreeMap::new(),
+            seen: BTreeSet::new(),
             collapsed_until: Instant::ZERO,
             warm_up: 0,
             rng: Pcg64Mcg::seed_from_u64(seed ^ (n as u64) << 32),
@@ -130,7 +132,8 @@
         if self.mute || now < self.collapsed_until {
             return Arrival::Silent;
         }
-        if self.running.contains_key(&request.token) {
+        // A message id that it has seen is a copy that the network made (RFC 7252, section 4.5).
+        if !self.seen.insert((from.clone(), request.message_id)) {
             return Arrival::Silent;
         }
         let busy = self.running.len();
@@ -153,7 +156,7 @@
         }
         let payload: [u8; 8] = (*request.payload.0).try_into().unwrap();
         let id = u64::from_be_bytes(payload);
-        self.ran.push(id);
+        self.ran.push((id, now));
         let left_ms = u64::from(request.deadline_ms.unwrap_or(60_000));
         let running = Running {
             from: from.clone(),
