Vouch for the past only with the present view counted in

Home and backup died together; the new home had the new view, the VM that it asked still had the old one and claimed to have been home or backup all along, since only earlier views were looked at.

Now the present view counts too, and a home that has seen the past goes by its own views alone; the claim of another only serves a fresh home.

--- a/crates/policy/src/history.rs
+++ b/crates/policy/src/history.rs
@@ -93,10 +93,7 @@
 
     /// Home and backup of a key under each earlier view.
     pub(crate) fn pairs(&self, key: u64) -> impl Iterator<Item = Pair> + '_ {
-        self.past.iter().map(move |(_, view)| Pair {
-            home: view.home(key).map(|vm| vm.name.clone()),
-            backup: view.backup(key).map(|vm| vm.name.clone()),
-        })
+        self.past.iter().map(move |(_, view)| Pair::of(view, key))
     }
 
     /// Whether each of the domains had a live VM in all earlier views.
@@ -104,9 +101,12 @@
         domains.all(|domain| self.past.iter().all(|(_, view)| view.reaches(domain)))
     }
 
-    /// Whether this VM was home or backup of a key for all of the longest deadline.
+    /// Whether this VM was home or backup of a key for all of the longest deadline, and still is.
     pub(crate) fn covers(&self, now: Instant, me: &Name, key: u64, longest_ms: u64) -> bool {
-        self.is_informed(now, longest_ms) && self.pairs(key).all(|pair| pair.has(me))
+        let still = self.current.as_ref().map(|view| Pair::of(view, key));
+        self.is_informed(now, longest_ms)
+            && still.is_some_and(|pair| pair.has(me))
+            && self.pairs(key).all(|pair| pair.has(me))
     }
 
     /// Whether a VM was lost, without having announced that it stops, that may have left
@@ -133,6 +133,13 @@
 }
 
 impl Pair {
+    fn of(view: &View, key: u64) -> Self {
+        Self {
+            home: view.home(key).map(|vm| vm.name.clone()),
+            backup: view.backup(key).map(|vm| vm.name.clone()),
+        }
+    }
+
     /// Whether `vm` is one of the two.
     pub(crate) fn has(&self, vm: &Name) -> bool {
         self.names().any(|name| name == vm)
--- a/crates/policy/src/request/home.rs
+++ b/crates/policy/src/request/home.rs
@@ -217,8 +217,12 @@
         }
         let place = key.fingerprint();
         let vouched = |pair: &crate::history::Pair| pair.names().any(|vm| vouching.contains(vm));
-        let known_new =
-            granting.covered || (informed && self.history.pairs(place).all(|p| vouched(&p)));
+        // A VM that was started lately has no past views of its own to go by.
+        let known_new = if informed {
+            self.history.pairs(place).all(|p| vouched(&p))
+        } else {
+            granting.covered
+        };
         if known_new && has_majority(context) {
             self.attempt(context, key, out);
         } else {
