--- /dev/null
+++ b/crates/entry/benches/data_path.rs
@@ -0,0 +1,295 @@
+//! The data path of an entry VM beside a bare UDP relay, in one run.
+//!
+//! `cargo bench -p entry` sends packets of established flows through both, in turns, and prints
+//! packets a second with a bounded number under way, and the added latency at a fixed rate.
+
+#![expect(clippy::unwrap_used, reason = "a bench may panic")]
+
+use std::{
+    net::{SocketAddr, UdpSocket},
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
+    thread,
+    time::{Duration, Instant},
+};
+
+use entry::{
+    engine::Engine,
+    sockets::{self, Addresses},
+};
+use hdrhistogram::Histogram;
+use model::{
+    announce::Announcement,
+    command::{Command, Entry},
+    config::{Config, Service},
+    name::Name,
+};
+use policy::{
+    io::{Event, TICK_MS},
+    node::Settings,
+};
+use tokio::sync::mpsc;
+use tokio_util::sync::CancellationToken;
+use wire::gue::{self, Segment};
+
+/// Flows that the packets belong to.
+const FLOWS: u16 = 200;
+
+/// Packets under way at most.
+const WINDOW: u64 = 128;
+
+/// Span of one measurement.
+const SPAN: Duration = Duration::from_secs(2);
+
+/// Measurements of each kind, in turns.
+const TURNS: usize = 5;
+
+/// Packets a second while latency is measured.
+const PACED: u32 = 20_000;
+
+/// Bytes of payload of each packet.
+const PAYLOAD: usize = 200;
+
+fn main() {
+    let sink = UdpSocket::bind("127.0.0.1:0").unwrap();
+    let upstream = sink.local_addr().unwrap();
+    let received = Arc::new(AtomicU64::new(0));
+    let latencies = Arc::new(std::sync::Mutex::new(Histogram::<u64>::new(3).unwrap()));
+    let epoch = Instant::now();
+    start_sink(sink, epoch, received.clone(), latencies.clone());
+
+    let relay = start_relay(upstream);
+    let entry = start_entry(upstream);
+    open_flows(entry);
+
+    let mut rates = [Vec::new(), Vec::new()];
+    let mut p99s = [Vec::new(), Vec::new()];
+    for _ in 0..TURNS {
+        for (kind, to) in [relay, entry].into_iter().enumerate() {
+            rates[kind].push(measure_rate(to, epoch, &received));
+            latencies.lock().unwrap().reset();
+            pace(to, epoch);
+            p99s[kind].push(latencies.lock().unwrap().value_at_quantile(0.99));
+        }
+    }
+    let [relay, entry] = rates.map(median);
+    let [relay_p99, entry_p99] = p99s.map(median);
+    println!("                  packets/s   p99 us at {PACED} packets/s");
+    println!("bare relay     {relay:>12}   {relay_p99:>12}");
+    println!("oriole-entry   {entry:>12}   {entry_p99:>12}");
+    println!(
+        "share of the relay's rate: {:.2} (target 0.80)",
+        entry as f64 / relay as f64
+    );
+    println!("added p99: {} us", entry_p99.saturating_sub(relay_p99));
+}
+
+fn median(mut values: Vec<u64>) -> u64 {
+    values.sort_unstable();
+    values[values.len() / 2]
+}
+
+/// Counts what arrives, and how long it was under way.
+fn start_sink(
+    socket: UdpSocket,
+    epoch: Instant,
+    received: Arc<AtomicU64>,
+    latencies: Arc<std::sync::Mutex<Histogram<u64>>>,
+) {
+    thread::spawn(move || {
+        let mut buffer = [0; 2_048];
+        loop {
+            let length = socket.recv(&mut buffer).unwrap();
+            received.fetch_add(1, Ordering::Relaxed);
+            let payload = gue::payload(&buffer[..length]).unwrap_or_default();
+            if let Some(sent) = payload.first_chunk::<8>() {
+                let now = u64::try_from(epoch.elapsed().as_micros()).unwrap();
+                let span = now.saturating_sub(u64::from_be_bytes(*sent));
+                latencies.lock().unwrap().saturating_record(span);
+            }
+        }
+    });
+}
+
+/// Receives and sends, and looks at nothing.
+fn start_relay(upstream: SocketAddr) -> SocketAddr {
+    let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
+    let address = socket.local_addr().unwrap();
+    thread::spawn(move || {
+        let mut buffer = [0; 2_048];
+        loop {
+            let length = socket.recv(&mut buffer).unwrap();
+            // A full buffer of the sink counts as loss, as in the entry VM.
+            let _ = socket.send_to(&buffer[..length], upstream);
+        }
+    });
+    address
+}
+
+/// An entry VM that is alone, with one service of one upstream.
+fn start_entry(upstream: SocketAddr) -> SocketAddr {
+    let (tell, told) = std::sync::mpsc::channel();
+    thread::spawn(move || {
+        let system = ntex::rt::System::build()
+            .name("entry")
+            .build(ntex::rt::DefaultRuntime);
+        system.block_on(async move {
+            let any: SocketAddr = "127.0.0.1:0".parse().unwrap();
+            let addresses = Addresses {
+                fabric: any,
+                requests: any,
+                peers: any,
+            };
+            let (inlets, outlets) = sockets::bind(addresses).unwrap();
+            let fabric = outlets.fabric.local_addr().unwrap();
+            let peers = outlets.peers.local_addr().unwrap();
+            let (control, _kept) = mpsc::channel(16);
+            let settings = Settings::new(name("vm-1"), name("north"), peers);
+            let engine = Engine::new(settings, any, outlets, control);
+            engine.handle(Event::Config(Arc::new(config(upstream))));
+            for (kind, socket) in inlets.sockets {
+                let engine = engine.clone();
+                ntex::rt::spawn(async move {
+                    let token = CancellationToken::new();
+                    sockets::read(kind, &socket, &engine, token).await.unwrap();
+                });
+            }
+            tell.send(fabric).unwrap();
+            let mut interval = tokio::time::interval(Duration::from_millis(TICK_MS));
+            loop {
+                interval.tick().await;
+                engine.handle(Event::Announce(announcement(upstream)));
+                engine.handle(Event::Tick);
+            }
+        });
+    });
+    told.recv().unwrap()
+}
+
+fn name(text: &str) -> Name {
+    Name::new(text).unwrap()
+}
+
+fn service_address() -> SocketAddr {
+    "10.9.0.1:443".parse().unwrap()
+}
+
+fn announcement(upstream: SocketAddr) -> Announcement {
+    Announcement {
+        service: name("stock"),
+        upstream: name("up-1"),
+        domain: name("north"),
+        flow_address: upstream,
+        request_address: upstream,
+        slots: 3,
+        connections: 100_000,
+        incarnation: 1,
+        held_flows: 0,
+        warmth_percent: 100,
+        leaving: false,
+    }
+}
+
+fn config(upstream: SocketAddr) -> Config {
+    let mut config = Config::default();
+    let service = name("stock");
+    let commands = [
+        Command::Found { cluster: 1 },
+        Command::PutDomain {
+            name: name("north"),
+        },
+        Command::PutService {
+            name: service.clone(),
+            service: Service::at(service_address()),
+        },
+        Command::Admit {
+            service: service.clone(),
+            upstream: name("up-1"),
+            announced: announcement(upstream).admitted(),
+        },
+        Command::Activate {
+            service,
+            generation: 1,
+        },
+    ];
+    for (index, command) in (1..).zip(commands) {
+        let entry = Entry::new("bench", index.to_string(), None, command);
+        config.apply(index, &entry).unwrap();
+    }
+    config
+}
+
+fn packet(flow: u16, segment: Segment, sent_us: u64) -> Vec<u8> {
+    let caller = SocketAddr::from(([10, 0, 0, 1], 10_000 + flow));
+    let mut payload = [0; PAYLOAD];
+    payload[..8].copy_from_slice(&sent_us.to_be_bytes());
+    gue::build(caller, service_address(), segment, 1, &payload)
+}
+
+/// Opens each flow a few times: a cold upstream takes only some at once.
+fn open_flows(entry: SocketAddr) {
+    let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
+    for _ in 0..50 {
+        for flow in 0..FLOWS {
+            socket
+                .send_to(&packet(flow, Segment::Open, 0), entry)
+                .unwrap();
+        }
+        thread::sleep(Duration::from_millis(100));
+    }
+}
+
+/// Packets a second that arrive while at most [`WINDOW`] are under way.
+fn measure_rate(to: SocketAddr, epoch: Instant, received: &AtomicU64) -> u64 {
+    let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
+    let packets: Vec<Vec<u8>> = (0..FLOWS)
+        .map(|flow| packet(flow, Segment::Later, micros(epoch)))
+        .collect();
+    let start = received.load(Ordering::Relaxed);
+    let started = Instant::now();
+    let (mut sent, mut stuck) = (0, Instant::now());
+    while started.elapsed() < SPAN {
+        let arrived = received.load(Ordering::Relaxed) - start;
+        if sent - arrived.min(sent) >= WINDOW {
+            // Whatever is not there after this time was dropped.
+            if stuck.elapsed() > Duration::from_millis(50) {
+                sent = arrived;
+            }
+            std::hint::spin_loop();
+            continue;
+        }
+        stuck = Instant::now();
+        let flow = usize::try_from(sent).unwrap() % packets.len();
+        socket.send_to(&packets[flow], to).unwrap();
+        sent += 1;
+    }
+    let arrived = received.load(Ordering::Relaxed) - start;
+    (arrived as f64 / started.elapsed().as_secs_f64()) as u64
+}
+
+/// Sends [`PACED`] packets a second, each with its time.
+fn pace(to: SocketAddr, epoch: Instant) {
+    let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
+    let started = Instant::now();
+    let gap = Duration::from_secs(1) / PACED;
+    let stop = AtomicBool::new(false);
+    let mut number: u32 = 0;
+    while !stop.load(Ordering::Relaxed) {
+        while started.elapsed() < gap * number {
+            std::hint::spin_loop();
+        }
+        let flow = u16::try_from(number % u32::from(FLOWS)).unwrap();
+        socket
+            .send_to(&packet(flow, Segment::Later, micros(epoch)), to)
+            .unwrap();
+        number += 1;
+        stop.store(started.elapsed() > SPAN, Ordering::Relaxed);
+    }
+    thread::sleep(Duration::from_millis(100));
+}
+
+fn micros(epoch: Instant) -> u64 {
+    u64::try_from(epoch.elapsed().as_micros()).unwrap()
+}
