--- a/crates/policy/tests/support/callers.rs
+++ b/crates/policy/tests/support/callers.rs
@@ -19,8 +19,8 @@
     pub(crate) deadline: Instant,
     /// Answers in the order in which they came.
     pub(crate) answers: Vec<coap::Response>,
-    /// When the last answer came.
-    pub(crate) last: Instant,
+    /// When each answer came.
+    pub(crate) times: Vec<Instant>,
     /// When the first answer came.
     pub(crate) answered: Option<Instant>,
     caller: SocketAddr,
@@ -91,7 +91,7 @@
             sent: now,
             deadline: now.plus_ms(u64::from(deadline_ms)),
             answers: Vec::new(),
-            last: now,
+            times: Vec::new(),
             answered: None,
             caller,
             request,
@@ -126,7 +126,7 @@
             "token of another request"
         );
         request.answers.push(response);
-        request.last = now;
+        request.times.push(now);
         request.answered.get_or_insert(now);
     }
 
--- a/crates/policy/tests/support/mod.rs
+++ b/crates/policy/tests/support/mod.rs
@@ -516,7 +516,7 @@
             if request.method == coap::Method::Post {
                 assert!(ran <= 1, "{what}: request {id} ran {ran} times");
             }
-            for response in &request.answers {
+            for (response, at) in request.answers.iter().zip(&request.times) {
                 match response.code {
                     coap::CHANGED => {
                         assert_eq!(
@@ -530,7 +530,7 @@
                         let ran = match request.method {
                             coap::Method::Post => ran,
                             // A copy that comes later may run an idempotent request.
-                            _ => self.runs_before(*id, request.last),
+                            _ => self.runs_before(*id, *at),
                         };
                         assert_eq!(
                             ran, 0,
