--- a/crates/policy/src/load.rs
+++ b/crates/policy/src/load.rs
@@ -39,7 +39,7 @@
 mod upstream;
 pub mod work;
 
-use job::Jobs;
+use job::{Jobs, Refused};
 use role::Role;
 use takeover::Handing;
 use work::{Ledger, Underway, Work};
@@ -47,6 +47,10 @@
 /// Attempts that one VM keeps as steward at most; those beyond get no answer from it.
 pub const MAX_JOBS: usize = 65_536;
 
+/// Attempts that were refused when they came, of which one VM keeps the number at most; those
+/// beyond get no answer from it.
+pub const MAX_REFUSED: usize = 262_144;
+
 /// Time for which an outcome is kept after the longest deadline, in milliseconds: a datagram that
 /// was delayed for longer in the network may run a request twice.
 pub const MAX_DELAY_MS: u64 = 5_000;
@@ -129,6 +133,8 @@
     roles: BTreeMap<Name, Role>,
     /// Attempts that were asked of this VM.
     jobs: Jobs,
+    /// Attempts that were refused when they came.
+    refused: Refused,
     /// Roles that are being handed over.
     handing: BTreeMap<Name, Handing>,
     /// Earlier views.
@@ -272,6 +278,7 @@
         while let Some(attempt) = self.jobs.pop_due(context.now) {
             self.care_for(context, attempt, out);
         }
+        self.refused.expire(context.now);
         self.ask_homes(context, out);
         self.expire_handing(context);
         let services: Vec<Name> = self.roles.keys().cloned().collect();
--- a/crates/policy/src/load/job.rs
+++ b/crates/policy/src/load/job.rs
@@ -1,13 +1,13 @@
 //! Attempts that this VM dispatched as steward, until their homes know what came of them.
 
 use std::{
-    collections::{BTreeMap, BTreeSet},
+    collections::{BTreeMap, BTreeSet, VecDeque},
     net::SocketAddr,
 };
 
 use model::{key, name::Name};
 
-use super::{role::GIVE_UP_MS, work::Outcome};
+use super::{MAX_REFUSED, role::GIVE_UP_MS, work::Outcome};
 use crate::{history::GRACE_MS, time::Instant};
 
 /// Where an attempt was dispatched.
@@ -73,6 +73,40 @@
     }
 }
 
+/// Attempts that were refused when they came, kept so that a copy of the home's message is not
+/// taken for a new attempt.
+#[derive(Debug, Default)]
+pub(crate) struct Refused {
+    attempts: BTreeSet<u64>,
+    /// With the moment at which each is forgotten, in that order nearly.
+    expiries: VecDeque<(Instant, u64)>,
+}
+
+impl Refused {
+    /// Adds an attempt; false where there is no room.
+    pub(crate) fn insert(&mut self, attempt: u64, expires: Instant) -> bool {
+        if self.attempts.len() >= MAX_REFUSED {
+            return false;
+        }
+        if self.attempts.insert(attempt) {
+            self.expiries.push_back((expires, attempt));
+        }
+        true
+    }
+
+    /// Whether an attempt was refused.
+    pub(crate) fn holds(&self, attempt: u64) -> bool {
+        self.attempts.contains(&attempt)
+    }
+
+    /// Forgets what has expired.
+    pub(crate) fn expire(&mut self, now: Instant) {
+        while let Some((_, attempt)) = self.expiries.pop_front_if(|(at, _)| *at <= now) {
+            self.attempts.remove(&attempt);
+        }
+    }
+}
+
 /// All attempts by number, with the moments at which they need care.
 #[derive(Debug, Default)]
 pub(crate) struct Jobs {
--- a/crates/policy/src/load/serve.rs
+++ b/crates/policy/src/load/serve.rs
@@ -44,51 +44,78 @@
             self.tell_again(context, attempt, out);
             return;
         }
-        if self.jobs.len() >= MAX_JOBS {
-            return;
-        }
         let now = context.now;
-        let epoch = self.roles.get(&work.service).map(|role| role.epoch);
+        let left_ms = u64::from(work.left_ms);
         let kept_ms = longest_ms(context.config) + MAX_DELAY_MS;
+        let deadline = now.plus_ms(left_ms);
+        let expires = deadline.plus_ms(kept_ms);
+        if let Err(outcome) = self.check_work(now, &work, deadline) {
+            if self.refused.insert(attempt, expires) {
+                self.refuse(context, from, &work, outcome, out);
+            }
+            return;
+        }
         let job = Job {
             key: work.key.clone(),
             content: work.content,
             service: work.service.clone(),
             home: from.name.clone(),
-            deadline: now.plus_ms(u64::from(work.left_ms)),
+            deadline,
             dispatched: None,
             report: None,
-            expires: now.plus_ms(u64::from(work.left_ms) + kept_ms),
+            expires,
         };
-        let deadline = job.deadline;
-        let meant_other_start = work.epoch != 0 && Self::start_of(work.epoch) != self.start;
         self.jobs.insert(attempt, job);
-        if meant_other_start {
-            self.report(context, attempt, Outcome::Stale, out);
-            return;
-        }
-        let checked = match self.roles.get(&work.service) {
-            Some(role) if epoch == Some(work.epoch) => role.check(now, deadline),
-            _ => Err(0),
-        };
-        if let Err(retry_after_ms) = checked {
-            self.report(context, attempt, not_run(retry_after_ms, false), out);
-            return;
-        }
         let service = work.service.clone();
         if let Some(role) = self.roles.get_mut(&service) {
             role.queue.push(Waiting { work, deadline });
         }
         self.pump(context, &service, out);
-        if self
-            .jobs
-            .get(attempt)
-            .is_some_and(|j| j.dispatched.is_none())
-        {
+        let waits = self.jobs.get(attempt);
+        if waits.is_some_and(|j| j.dispatched.is_none()) {
             self.tell_again(context, attempt, out);
         }
     }
 
+    /// Whether this VM can take an attempt; else what to tell its home.
+    fn check_work(&self, now: Instant, work: &Work, deadline: Instant) -> Result<(), Outcome> {
+        if self.refused.holds(work.attempt) || self.jobs.len() >= MAX_JOBS {
+            return Err(not_run(0, false));
+        }
+        if work.epoch != 0 && Self::start_of(work.epoch) != self.start {
+            return Err(Outcome::Stale);
+        }
+        match self.roles.get(&work.service) {
+            Some(role) if role.epoch == work.epoch => role
+                .check(now, deadline)
+                .map_err(|retry_after_ms| not_run(retry_after_ms, false)),
+            _ => Err(not_run(0, false)),
+        }
+    }
+
+    /// Tells a home once that its attempt was not taken; it asks again where that is lost.
+    fn refuse(
+        &self,
+        context: Context<'_>,
+        home: &Vm,
+        work: &Work,
+        outcome: Outcome,
+        out: &mut Vec<Action>,
+    ) {
+        let told = request::AttemptOutcome {
+            attempt: work.attempt,
+            key: work.key.clone(),
+            content: work.content,
+            service: work.service.clone(),
+            upstream: None,
+            outcome,
+            acknowledge: false,
+            hint: self.hint(context, &work.service),
+        };
+        let message = request::Message::Outcome(Box::new(told));
+        Self::tell(context, &home.name, message, out);
+    }
+
     /// Dispatches what waits, as far as slots are free.
     pub(crate) fn pump(&mut self, context: Context<'_>, service: &Name, out: &mut Vec<Action>) {
         let now = context.now;
@@ -403,6 +430,7 @@
                 service: service.clone(),
                 upstream: upstream.clone(),
                 outcome: outcome.clone(),
+                acknowledge: true,
                 hint,
             }));
             Self::tell(context, &vm, message, out);
--- a/crates/policy/src/request/home.rs
+++ b/crates/policy/src/request/home.rs
@@ -345,12 +345,10 @@
     ) {
         let attempt = told.attempt;
         let now = context.now;
-        send_load(
-            context,
-            &from.name,
-            load::Message::OutcomeAck { attempt },
-            out,
-        );
+        if told.acknowledge {
+            let ack = load::Message::OutcomeAck { attempt };
+            send_load(context, &from.name, ack, out);
+        }
         self.gauges
             .take(now, &told.service, &from.domain, &from.name, told.hint);
         match told.outcome {
--- a/crates/policy/src/request/message.rs
+++ b/crates/policy/src/request/message.rs
@@ -124,6 +124,9 @@
     pub upstream: Option<Name>,
     /// What came of it.
     pub outcome: work::Outcome,
+    /// Whether the steward tells it again until it is acknowledged. What was refused when it came
+    /// is told once, since the home asks again where that is lost.
+    pub acknowledge: bool,
     /// How busy the steward's upstreams are.
     pub hint: work::Hint,
 }
--- a/crates/policy/tests/support/mod.rs
+++ b/crates/policy/tests/support/mod.rs
@@ -5,6 +5,7 @@
 #![allow(dead_code, reason = "each test and bench uses its part")]
 #![allow(clippy::unwrap_used, reason = "a test fails by it")]
 
+pub(crate) mod baseline;
 pub(crate) mod callers;
 pub(crate) mod upstream;
 
@@ -29,6 +30,7 @@
 use rand_pcg::Pcg64Mcg;
 use wire::coap;
 
+use baseline::{Baseline, Rule};
 use callers::Callers;
 use upstream::Upstream;
 
@@ -65,6 +67,8 @@
     pub(crate) config: Arc<Config>,
     pub(crate) alive: bool,
     pub(crate) frozen: bool,
+    /// What decides in the place of the machines, in a comparison.
+    baseline: Option<Baseline>,
     /// What came while it was frozen.
     backlog: Vec<Item>,
     seed: u64,
@@ -217,6 +221,13 @@
         net
     }
 
+    /// Has every VM decide alone, by a rule.
+    pub(crate) fn compare_with(&mut self, rule: Rule) {
+        for (n, entry) in self.vms.values_mut().enumerate() {
+            entry.baseline = Some(Baseline::new(rule, &self.upstreams, n));
+        }
+    }
+
     /// Gives every VM its view of the VMs that it can reach, at once.
     pub(crate) fn agree(&mut self) {
         self.agree_after(0, 0);
@@ -435,19 +446,7 @@
             } => self.upstreams[upstream].cancel(message_id),
             Item::AnnounceTimer(n) => {
                 self.at(model::announce::INTERVAL_MS, Item::AnnounceTimer(n));
-                let upstream = &self.upstreams[n];
-                if upstream.announces {
-                    let announcement = upstream.announcement(&booking());
-                    let live = self.vms.values().filter(|e| e.alive);
-                    let near: Vec<Name> = live
-                        .filter(|e| e.vm.domain == announcement.domain)
-                        .map(|e| e.vm.name.clone())
-                        .collect();
-                    if !near.is_empty() {
-                        let to = near[self.rng.random_range(0..near.len())].clone();
-                        self.send(Item::Announce { to, announcement });
-                    }
-                }
+                self.announce(n);
             }
             Item::Answer { caller, response } => self.callers.answered(now, caller, response),
             Item::Caller(id) => {
@@ -477,6 +476,32 @@
         });
     }
 
+    /// Has an upstream announce itself to any VM of its failure domain.
+    fn announce(&mut self, upstream: usize) {
+        let upstream = &self.upstreams[upstream];
+        if !upstream.announces {
+            return;
+        }
+        let announcement = upstream.announcement(&booking());
+        let near: Vec<Name> = self
+            .vms
+            .values()
+            .filter(|e| e.alive && e.vm.domain == announcement.domain)
+            .map(|e| e.vm.name.clone())
+            .collect();
+        if near.is_empty() {
+            return;
+        }
+        let to = near[self.rng.random_range(0..near.len())].clone();
+        self.send(Item::Announce { to, announcement });
+    }
+
+    /// Starts an upstream anew; like a real one, it announces itself before it serves.
+    pub(crate) fn restart_upstream(&mut self, upstream: usize) {
+        self.upstreams[upstream].restart();
+        self.announce(upstream);
+    }
+
     fn reply(&mut self, upstream: usize, to: Name, response: coap::Response) {
         let upstream = self.upstreams[upstream].request_address;
         self.send(Item::Reply {
@@ -580,12 +605,17 @@
             config: config.clone(),
             alive: true,
             frozen: false,
+            baseline: None,
             backlog: Vec::new(),
             seed,
         }
     }
 
     fn handle(&mut self, now: Instant, item: Item, out: &mut Vec<Action>) {
+        if let Some(baseline) = &mut self.baseline {
+            baseline.handle(item, out);
+            return;
+        }
         self.handle_one(now, item, out);
         let mut next = 0;
         while next < out.len() {
--- a/crates/policy/tests/support/upstream.rs
+++ b/crates/policy/tests/support/upstream.rs
@@ -108,6 +108,14 @@
         self.warm_up = 0;
     }
 
+    /// Starts anew: what was running is lost, and it is cold.
+    pub(crate) fn restart(&mut self) {
+        self.incarnation += 1;
+        self.running.clear();
+        self.seen.clear();
+        self.chill();
+    }
+
     pub(crate) fn announcement(&self, service: &Name) -> Announcement {
         let mut flow_address = self.request_address;
         flow_address.set_port(6080);
