Take 16 good answers for each step of the ramp

Cause: after a cold start the ramp stepped up faster than the upstream warmed; an upstream that collapses then takes two seconds to come back.

Ruled out: following what the upstream says of its warmth, which may lag or be wrong; it still only slows the ramp.

--- a/crates/policy/src/load/ramp.rs
+++ b/crates/policy/src/load/ramp.rs
@@ -7,7 +7,7 @@
 use crate::time::Instant;
 
 /// Good answers for each request borne at a time that a step up needs.
-const ANSWERS_PER_STEP: u32 = 4;
+const ANSWERS_PER_STEP: u32 = 16;
 
 /// Least time between two steps up, in milliseconds.
 const STEP_MS: u64 = 100;
