--- a/crates/policy/src/load/role.rs
+++ b/crates/policy/src/load/role.rs
@@ -19,7 +19,7 @@
 const FIRST_SERVICE_US: u64 = 10_000;
 
 /// Requests that may wait, for each one that the upstreams bear at a time.
-const QUEUE_PER_SLOT: usize = 8;
+const QUEUE_PER_SLOT: usize = 3;
 
 /// Time before a deadline at which a request is given up, in milliseconds; the answer needs it to
 /// reach the caller.
