Wire replacement and stopping of the replica, and test three control VMs

The replica now outlives the RPC at a planned stop, since calls under way need it; before, one token stopped both at once. A replica that stops by itself ends the daemon.

Tests with three real processes: leader killed, all restarted, one frozen, no quorum left, entry VMs spread over control VMs.

--- a/crates/cli/src/list.rs
+++ b/crates/cli/src/list.rs
@@ -98,6 +98,7 @@
         println!("{key:8} {}", status[key].to_string().trim_matches('"'));
     }
     println!("{:8} {}", "version", status["freshness"]["version"]);
+    println!("{:8} {}", "voters", show::cell(&status["voters"]));
     for (title, key, columns) in [
         ("Entry VMs", "entry_vms", ENTRY_VMS),
         ("Failure domains", "domains", DOMAINS),
--- a/crates/cli/src/show.rs
+++ b/crates/cli/src/show.rs
@@ -52,7 +52,8 @@
 }
 
 /// A value in one cell.
-fn cell(value: &Value) -> String {
+#[must_use]
+pub fn cell(value: &Value) -> String {
     match value {
         Value::Null => "-".to_owned(),
         Value::Bool(true) => "yes".to_owned(),
--- a/crates/control/src/dump.rs
+++ b/crates/control/src/dump.rs
@@ -33,6 +33,8 @@
             "leader": status.leader,
             "term": status.term,
             "committed": status.committed,
+            "voters": status.voters,
+            "learners": status.learners,
         },
         "entry_vms": vms,
         "live_entry_vms": live,
--- a/crates/control/src/operator.rs
+++ b/crates/control/src/operator.rs
@@ -15,6 +15,9 @@
 /// Time that the log may take to commit a command before its outcome counts as unknown.
 const COMMIT_WAIT: Duration = Duration::from_secs(4);
 
+/// Time that one call waits for a replacement of a control VM.
+const REPLACE_WAIT: Duration = Duration::from_secs(4);
+
 /// Answers operators' calls.
 #[derive(Debug, Clone)]
 pub struct Service {
@@ -193,12 +196,22 @@
         }
     }
 
+    /// Replaces a control VM; a call that takes long goes on, and asking again joins it.
     async fn replace(&self, old: &str, new: &str) -> Outcome {
-        let _ = (old, new);
-        self.refused(
-            RefusalKind::Unsupported,
-            "control replace is not wired to the replicas yet: nothing was changed",
-        )
+        log::info!(target: "operator", "control VM {old} is to be replaced by {new}");
+        let replaced = timeout(REPLACE_WAIT, self.state.replica.replace(old, new)).await;
+        match replaced {
+            Ok(Ok(())) => Outcome::Accepted(schema::Accepted {
+                index: self.state.replica.status().committed,
+                version: self.state.replica.latest().version,
+                change: 0,
+            }),
+            Ok(Err(replica::Error::Refused(reason))) => {
+                self.refused(RefusalKind::Conflict, &reason)
+            }
+            Ok(Err(error)) => self.not_applied(&error),
+            Err(_) => unknown("the new control VM is still catching up"),
+        }
     }
 
     fn refused(&self, kind: RefusalKind, reason: &str) -> Outcome {
--- a/crates/control/src/process.rs
+++ b/crates/control/src/process.rs
@@ -1,5 +1,7 @@
 //! Builds the parts of the daemon and runs them.
 
+use std::time::Duration;
+
 use daemon::{
     http::{self, Question},
     supervisor::{Restart, Supervisor},
@@ -11,6 +13,7 @@
 use tokio::{
     net::TcpListener,
     sync::{mpsc, watch},
+    time::timeout,
 };
 use tokio_util::sync::CancellationToken;
 
@@ -22,6 +25,9 @@
     steps,
 };
 
+/// Time that the replica gets to hand leadership over and to stop.
+const REPLICA_STOP: Duration = Duration::from_secs(3);
+
 /// Questions about the process that may wait.
 const QUESTIONS: usize = 16;
 
@@ -47,7 +53,9 @@
 /// Says what failed and which setting to look at.
 pub async fn run(settings: Settings, token: CancellationToken) -> Result<(), Error> {
     let metrics = http::record_metrics().map_err(Error::Http)?;
-    let replica = start_replica(&settings, token.clone()).await?;
+    // The replica outlives the rest, so that calls under way at a stop still get their answers.
+    let replica_token = CancellationToken::new();
+    let replica = start_replica(&settings, replica_token.clone()).await?;
     let (publish, delivered) = watch::channel(state::strip(&replica.latest()));
     let state = State::new(settings.name.clone(), replica.clone(), delivered);
     let root = Supervisor::new("control", token.clone());
@@ -55,6 +63,7 @@
     ntex::rt::spawn(state::publish(replica.watch(), publish));
     start_streams(&settings, &state, &root).await?;
     start_steps(&state, &root);
+    watch_replica(&replica, &root);
     start_http(&settings, metrics, &state, &root);
 
     let listen = settings.rpc_listen;
@@ -69,8 +78,11 @@
         settings.name, settings.domain, settings.delivery_listen
     );
     let outcome = root.wait().await;
-    // Calls that run are finished first.
     rpc.stop(true).await;
+    replica_token.cancel();
+    if timeout(REPLICA_STOP, replica.stopped()).await.is_err() {
+        log::warn!(target: "control", "the replica did not stop in time: nothing synced is lost");
+    }
     outcome.map_err(Error::Task)
 }
 
@@ -116,6 +128,20 @@
     Ok(())
 }
 
+/// Ends the daemon when its replica stops by itself, as when its disk fails.
+fn watch_replica(replica: &Handle, root: &Supervisor) {
+    let replica = replica.clone();
+    root.child("replica", Restart::Never, move |token| {
+        let replica = replica.clone();
+        async move {
+            tokio::select! {
+                () = token.cancelled() => Ok(()),
+                reason = replica.stopped() => Err(reason),
+            }
+        }
+    });
+}
+
 fn start_steps(state: &State, root: &Supervisor) {
     let state = state.clone();
     root.child("steps", Restart::OnFailure, move |token| {
--- a/crates/control/src/read.rs
+++ b/crates/control/src/read.rs
@@ -78,7 +78,7 @@
         entry_vms: entry_vms(state),
         domains: domains.collect(),
         services: services.collect(),
-        voters: Vec::new(),
+        voters: replica.voters.iter().map(text).collect(),
     }
 }
 
--- a/crates/control/src/step.rs
+++ b/crates/control/src/step.rs
@@ -6,16 +6,13 @@
 use std::collections::BTreeMap;
 
 use model::{
-    command::{Command, Entry},
+    command::{Command, Entry, SYSTEM},
     config::{Config, Service, Stage},
     name::Name,
 };
 
 use crate::lease::Table;
 
-/// Operator of the system's own steps.
-pub const OPERATOR: &str = "control";
-
 /// What the leader remembers between two looks.
 #[derive(Debug, Default)]
 pub struct Stepper {
@@ -115,5 +112,5 @@
         Command::Retire { service, keep } => format!("retire/{service}/{keep}/{index}"),
         _ => format!("{index}"),
     };
-    Entry::new(OPERATOR, request, None, command)
+    Entry::new(SYSTEM, request, None, command)
 }
--- /dev/null
+++ b/crates/control/tests/three.rs
@@ -0,0 +1,150 @@
+//! Three real control VMs: one is killed, frozen, restarted or replaced.
+
+mod common;
+
+use common::{
+    Cluster, accepted, block_on, entry::Entry, eventually, name, put_domain, put_service, request,
+};
+use rpc::schema::{self, ReadRequest, apply_response::Outcome};
+
+/// Number of the control VM that leads, as `asked` says.
+async fn leader(cluster: &Cluster, asked: usize) -> usize {
+    eventually(async || {
+        let client = cluster.client(asked).await;
+        let status = client.status(&ReadRequest::default()).await.ok()?;
+        let leads = |s: &settings::control::Settings| s.name.as_str() == &*status.leader;
+        let fresh = status.freshness.linearizable;
+        cluster.settings.iter().position(leads).filter(|_| fresh)
+    })
+    .await
+}
+
+/// Failure domains that a linearizable read through control VM `asked` shows.
+async fn domains(cluster: &Cluster, asked: usize) -> usize {
+    eventually(async || {
+        let client = cluster.client(asked).await;
+        let status = client.status(&ReadRequest::default()).await.ok()?;
+        status
+            .freshness
+            .linearizable
+            .then_some(status.domains.len())
+    })
+    .await
+}
+
+#[test]
+fn what_was_accepted_outlives_the_leaders_death_and_a_restart_of_all() {
+    block_on(async {
+        let mut cluster = Cluster::start(3);
+        for number in 0..10 {
+            let domain = format!("domain-{number}");
+            accepted(cluster.apply(&request(&domain, put_domain(&domain))).await);
+        }
+        let dead = leader(&cluster, 0).await;
+        cluster.kill(dead);
+        let first = request("10", put_domain("domain-10"));
+        let answer = accepted(cluster.apply(&first).await);
+        for number in 0..3 {
+            if number != dead {
+                cluster.kill(number);
+            }
+        }
+        for number in 0..3 {
+            cluster.run(number);
+        }
+        assert_eq!(domains(&cluster, dead).await, 11);
+        // The resend still gets its first answer.
+        assert_eq!(accepted(cluster.apply(&first).await), answer);
+    });
+}
+
+#[test]
+fn an_entry_vm_leaves_a_frozen_control_vm_and_gets_what_is_new() {
+    block_on(async {
+        let cluster = Cluster::start(3);
+        accepted(cluster.apply(&request("1", put_domain("vejle"))).await);
+        let frozen = (leader(&cluster, 0).await + 1) % 3;
+        let mut controls: Vec<_> = cluster.settings.iter().map(|s| s.delivery_listen).collect();
+        let entry = Entry::start("entry-1", vec![controls.remove(frozen)]);
+        eventually(async || (!entry.config().domains.is_empty()).then_some(())).await;
+        drop(entry);
+
+        let all = cluster.settings.iter().map(|s| s.delivery_listen).collect();
+        let entry = Entry::start("entry-1", all);
+        eventually(async || (!entry.config().domains.is_empty()).then_some(())).await;
+        cluster.signal(frozen, "STOP");
+        let others = (0..3).find(|number| *number != frozen).unwrap();
+        let client = cluster.client(others).await;
+        let service = request("2", put_service("booking", "10.9.0.1:443"));
+        eventually(async || client.apply(&service).await.ok()).await;
+        eventually(async || {
+            entry
+                .config()
+                .services
+                .contains_key(&name("booking"))
+                .then_some(())
+        })
+        .await;
+        cluster.signal(frozen, "CONT");
+        assert_eq!(domains(&cluster, frozen).await, 1);
+    });
+}
+
+#[test]
+fn a_control_vm_without_quorum_says_how_old_its_answer_is_and_renews_no_lease() {
+    block_on(async {
+        let mut cluster = Cluster::start(3);
+        accepted(cluster.apply(&request("1", put_domain("vejle"))).await);
+        assert_eq!(domains(&cluster, 0).await, 1);
+        cluster.kill(1);
+        cluster.kill(2);
+        let client = cluster.client(0).await;
+        let old = eventually(async || {
+            let status = client.status(&ReadRequest::default()).await.ok()?;
+            (!status.freshness.linearizable).then_some(status)
+        })
+        .await;
+        assert_eq!(old.domains.len(), 1);
+        assert!(!old.freshness.reason.is_empty());
+        // A command is either not run for want of a leader, or its outcome is unknown.
+        let second = request("2", put_domain("horsens"));
+        let outcome = client.apply(&second).await.unwrap().outcome.unwrap();
+        match outcome {
+            Outcome::Refused(refused) => assert_eq!(refused.kind, schema::RefusalKind::NoLeader),
+            Outcome::Unknown(_) => {}
+            Outcome::Accepted(_) => panic!("accepted without a quorum"),
+        }
+        let entry = Entry::start("entry-1", vec![cluster.settings[0].delivery_listen]);
+        tokio::time::sleep(std::time::Duration::from_secs(2)).await;
+        assert_eq!(
+            entry.config().index,
+            0,
+            "a control VM out of touch answered"
+        );
+        cluster.run(1);
+        eventually(async || (entry.config().index > 0).then_some(())).await;
+    });
+}
+
+#[test]
+fn each_control_vm_knows_the_entry_vms_of_the_others() {
+    block_on(async {
+        let cluster = Cluster::start(3);
+        accepted(cluster.apply(&request("1", put_domain("vejle"))).await);
+        let entries: Vec<Entry> = cluster
+            .settings
+            .iter()
+            .enumerate()
+            .map(|(n, s)| Entry::start(&format!("entry-{n}"), vec![s.delivery_listen]))
+            .collect();
+        for number in 0..3 {
+            let client = cluster.client(number).await;
+            eventually(async || {
+                let status = client.status(&ReadRequest::default()).await.ok()?;
+                let live = status.entry_vms.iter().filter(|vm| vm.live && vm.index > 0);
+                (live.count() == entries.len()).then_some(())
+            })
+            .await;
+        }
+    });
+}
--- a/crates/rpc/src/convert.rs
+++ b/crates/rpc/src/convert.rs
@@ -5,7 +5,7 @@
 use displaydoc::Display;
 use model::{
     announce::Announcement,
-    command::{Command, Entry},
+    command::{Command, Entry, SYSTEM},
     config::{
         Change, ChangeKind, ChangeState, DEFAULT_DEADLINE_MS, DEFAULT_IDLE_MS, DomainState,
         Refusal, Service, Upstream, UpstreamState,
@@ -22,9 +22,6 @@
 /// Longest request id, in bytes.
 pub const MAX_REQUEST_ID: usize = 128;
 
-/// Operator of the system's own steps, which no operator may use.
-pub const RESERVED_OPERATOR: &str = "control";
-
 /// field `{field}`: {reason}
 #[derive(Debug, Display, Clone, PartialEq, Eq)]
 pub struct Invalid {
@@ -113,7 +110,7 @@
         let reason = format!("must have 1 to {MAX_OPERATOR} bytes: shorten or set it");
         return Err(Invalid::new("operator", reason));
     }
-    if operator == RESERVED_OPERATOR {
+    if operator == SYSTEM {
         let reason = "\"control\" is kept for the system's own steps: use your own name";
         return Err(Invalid::new("operator", reason));
     }
