Prove the store and the replicas under seeded faults, and mend what that found

Cause: nothing had shown the store on failing disks or the replicas under faults.

Done now needs an answer to a heartbeat that was sent after the request, so heartbeats are numbered.

--- a/crates/consensus/src/replica.rs
+++ b/crates/consensus/src/replica.rs
@@ -427,15 +427,19 @@
         }
     }
 
-    /// On a leader, whether `id` has answered lately.
+    /// On a leader, the latest round of heartbeats that was sent, and the latest one that `id`
+    /// answered.
     #[must_use]
-    pub fn answers(&self, id: Id) -> bool {
+    pub fn rounds(&self, id: Id) -> Option<(u64, u64)> {
         let Role::Leader(leader) = &self.role else {
-            return false;
+            return None;
         };
-        let heard = leader.progress.get(&id);
-        let limit = self.settings.election_ticks;
-        id == self.settings.id || heard.is_some_and(|p| p.silent < limit)
+        let answered = match leader.progress.get(&id) {
+            Some(progress) => progress.round,
+            None if id == self.settings.id => leader.round,
+            None => 0,
+        };
+        Some((leader.round, answered))
     }
 
     /// Whether the present membership isn't known to be committed.
@@ -444,6 +448,16 @@
         self.log.membership_index() > self.commit
     }
 
+    /// On a leader, whether `id` has answered lately.
+    fn answers(&self, id: Id) -> bool {
+        let Role::Leader(leader) = &self.role else {
+            return false;
+        };
+        let heard = leader.progress.get(&id);
+        let limit = self.settings.election_ticks;
+        id == self.settings.id || heard.is_some_and(|p| p.silent < limit)
+    }
+
     fn send(&mut self, to: Id, body: Body) {
         let term = self.term;
         self.ready.messages.push((to, Message { term, body }));
--- a/crates/consensus/src/replica/append.rs
+++ b/crates/consensus/src/replica/append.rs
@@ -35,6 +35,7 @@
     pub(super) fn beat(&mut self) {
         if let Role::Leader(leader) = &mut self.role {
             leader.heartbeat = 0;
+            leader.round += 1;
         }
         for to in self.others() {
             if !self.send_missing(to) {
--- a/crates/consensus/src/replica/client.rs
+++ b/crates/consensus/src/replica/client.rs
@@ -125,7 +125,6 @@
             return;
         }
         leader.round_due = false;
-        leader.round += 1;
         self.beat();
         self.settle_reads();
     }
--- a/crates/control/src/replica/machine/member.rs
+++ b/crates/control/src/replica/machine/member.rs
@@ -26,6 +26,9 @@
     newcomers: BTreeMap<String, Newcomer>,
     /// Replacements that this VM was asked for, by token.
     replacements: BTreeMap<u64, Replace>,
+    /// As leader: term and round of heartbeats at which a replacement was first asked for, by who
+    /// asked and its number.
+    asked: BTreeMap<(Id, u64), (u64, u64)>,
 }
 
 #[derive(Debug)]
@@ -175,7 +178,7 @@
         }
         for (context, old, new) in due {
             if leader == self.replica.id() {
-                let state = self.advance_replacement(&old, &new);
+                let state = self.advance_replacement((leader, context), &old, &new);
                 self.on_replace_reply(context, state);
             } else {
                 self.send(leader, Body::Replace { context, old, new });
@@ -184,7 +187,7 @@
     }
 
     pub(super) fn on_replace(&mut self, from: &Sender, context: u64, old: &str, new: &str) {
-        let state = self.advance_replacement(old, new);
+        let state = self.advance_replacement((from.id, context), old, new);
         self.send(from.id, Body::ReplaceReply { context, state });
     }
 
@@ -209,10 +212,11 @@
     /// Each step follows from the membership alone, so that any leader can go on with it. An even
     /// number of voters tells that a replacement is half done, since clusters are founded with an
     /// odd one.
-    fn advance_replacement(&mut self, old: &str, new: &str) -> Replacement {
+    fn advance_replacement(&mut self, asker: (Id, u64), old: &str, new: &str) -> Replacement {
         if !self.replica.is_leader() {
             return Replacement::Waits("the leader has changed".to_owned());
         }
+        let asked_at = self.note_asked(asker);
         let membership = self.replica.membership().clone();
         let is_half_done = membership.voters.len().is_multiple_of(2);
         let fresh = self.newcomer(new).map(|n| n.sender.id);
@@ -239,7 +243,7 @@
             true => voters.pop(),
             false => named(&membership.voters, old).pop(),
         };
-        if !self.has_synced_all(newcomer) {
+        if !self.has_synced_all(newcomer, asked_at) {
             return Replacement::Waits(format!("replica {new} hasn't synced everything yet"));
         }
         match replaced {
@@ -252,11 +256,24 @@
         }
     }
 
-    /// Whether `id` answers and has synced everything that is committed.
-    fn has_synced_all(&self, id: Id) -> bool {
+    /// The round of heartbeats at which a replacement was first asked for in this term.
+    fn note_asked(&mut self, asker: (Id, u64)) -> u64 {
+        let term = self.replica.term();
+        let (round, _) = self.replica.rounds(self.replica.id()).unwrap_or_default();
+        let asked = &mut self.members.asked;
+        asked.retain(|_, (t, _)| *t == term);
+        asked.entry(asker).or_insert((term, round)).1
+    }
+
+    /// Whether `id` has synced everything that is committed, and has answered a heartbeat that
+    /// was sent after round `asked_at`. One that was lost before it was to be replaced under its
+    /// own name would else still count for a moment.
+    fn has_synced_all(&self, id: Id, asked_at: u64) -> bool {
         let commit = self.replica.commit();
         let matched = self.replica.matched(id);
-        self.replica.answers(id) && matched.is_some_and(|m| m >= commit)
+        let rounds = self.replica.rounds(id);
+        rounds.is_some_and(|(_, answered)| answered > asked_at)
+            && matched.is_some_and(|m| m >= commit)
     }
 
     fn add_newcomer(&mut self, name: &str) -> Replacement {
--- /dev/null
+++ b/crates/control/tests/cluster/net.rs
@@ -0,0 +1,326 @@
+//! A few machines, and a network between them that loses, delays, repeats and reorders.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use consensus::{Entry, Id};
+use control::{
+    peer::Envelope,
+    replica::machine::{Answer, Fault, Machine, Output, Settings},
+};
+use rand::{Rng, SeedableRng, seq::SliceRandom};
+use rand_pcg::Pcg64Mcg;
+
+use crate::fake::Memory;
+
+/// One control VM.
+pub(crate) struct Node {
+    pub(crate) settings: Settings,
+    pub(crate) disk: Memory,
+    /// `None` while its process is down.
+    pub(crate) machine: Option<Machine<Memory>>,
+    pub(crate) is_frozen: bool,
+    /// Committed entries up to here were compared with those of the others.
+    checked: u64,
+}
+
+/// How bad the network is, in percent.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Quality {
+    pub(crate) lost: u32,
+    pub(crate) repeated: u32,
+    pub(crate) delayed: u32,
+}
+
+/// The machines, the network, and what was seen so far.
+pub(crate) struct Net {
+    pub(crate) rng: Pcg64Mcg,
+    pub(crate) nodes: Vec<Node>,
+    pub(crate) now: u64,
+    pub(crate) quality: Quality,
+    /// Pairs of nodes, from and to, between which nothing passes.
+    pub(crate) cuts: BTreeSet<(usize, usize)>,
+    /// Messages on their way: when, from, to.
+    flight: Vec<(u64, usize, usize, Envelope)>,
+    /// Answers with the node that gave them.
+    pub(crate) answers: Vec<(usize, Answer)>,
+    /// Leader of each term.
+    leaders: BTreeMap<u64, Id>,
+    /// All that was ever committed.
+    committed: BTreeMap<u64, Entry>,
+    /// Violations of an invariant; empty for as long as all is well.
+    pub(crate) violations: Vec<String>,
+}
+
+impl Net {
+    pub(crate) fn new(seed: u64, count: usize) -> Self {
+        let peers: BTreeMap<String, String> = (0..count)
+            .map(|i| (format!("c{i}"), i.to_string()))
+            .collect();
+        let mut net = Self {
+            rng: Pcg64Mcg::seed_from_u64(seed),
+            nodes: Vec::new(),
+            now: 0,
+            quality: Quality {
+                lost: 0,
+                repeated: 0,
+                delayed: 0,
+            },
+            cuts: BTreeSet::new(),
+            flight: Vec::new(),
+            answers: Vec::new(),
+            leaders: BTreeMap::new(),
+            committed: BTreeMap::new(),
+            violations: Vec::new(),
+        };
+        for i in 0..count {
+            net.add_node(format!("c{i}"), peers.clone());
+        }
+        net
+    }
+
+    /// Adds a control VM with an empty disk, which isn't started yet.
+    pub(crate) fn add_node(&mut self, name: String, peers: BTreeMap<String, String>) -> usize {
+        let settings = Settings {
+            name,
+            address: self.nodes.len().to_string(),
+            peers,
+            snapshot_every: 20,
+            consensus: consensus::Settings {
+                max_bytes: 200,
+                ..consensus::Settings::default()
+            },
+            ..Settings::default()
+        };
+        self.nodes.push(Node {
+            settings,
+            disk: Memory::default(),
+            machine: None,
+            is_frozen: false,
+            checked: 0,
+        });
+        self.nodes.len() - 1
+    }
+
+    /// Starts the process of a node that is down.
+    pub(crate) fn start(&mut self, node: usize) {
+        let fresh = (self.rng.random_range(1..u64::MAX), self.rng.random());
+        let seed = self.rng.random();
+        let started = &mut self.nodes[node];
+        started.settings = Settings {
+            fresh,
+            seed,
+            ..started.settings.clone()
+        };
+        started.is_frozen = false;
+        match Machine::open(started.disk.clone(), started.settings.clone()) {
+            Ok(machine) => started.machine = Some(machine),
+            // It was killed again, or its disk was full.
+            Err(Fault::Store(store::Error::Io { .. } | store::Error::Full { .. })) => {
+                self.kill(node, true);
+            }
+            Err(fault) => self.violations.push(fault.to_string()),
+        }
+    }
+
+    pub(crate) fn start_all(&mut self) {
+        for node in 0..self.nodes.len() {
+            if self.nodes[node].machine.is_none() {
+                self.start(node);
+            }
+        }
+    }
+
+    /// The process dies, or the machine loses power.
+    pub(crate) fn kill(&mut self, node: usize, loses_power: bool) {
+        self.nodes[node].machine = None;
+        match loses_power {
+            true => self.nodes[node].disk.crash(&mut self.rng),
+            false => self.nodes[node].disk.kill(),
+        }
+    }
+
+    /// The machine is lost with its disk, and another comes in its place.
+    pub(crate) fn empty_disk(&mut self, node: usize) {
+        self.nodes[node].machine = None;
+        self.nodes[node].disk = Memory::default();
+        self.nodes[node].checked = 0;
+    }
+
+    pub(crate) fn machine(&mut self, node: usize) -> Option<&mut Machine<Memory>> {
+        let node = &mut self.nodes[node];
+        node.machine.as_mut().filter(|_| !node.is_frozen)
+    }
+
+    /// Node that leads in the highest term, if any.
+    pub(crate) fn leader(&self) -> Option<usize> {
+        let term = |i: usize| {
+            let machine = self.nodes[i].machine.as_ref()?;
+            let replica = machine.replica();
+            replica.is_leader().then(|| replica.term())
+        };
+        (0..self.nodes.len())
+            .max_by_key(|i| term(*i))
+            .filter(|i| term(*i).is_some())
+    }
+
+    /// Lets one tick pass: messages arrive in any order, then each machine ticks or is late.
+    pub(crate) fn step(&mut self) {
+        self.now += 1;
+        let now = self.now;
+        let (mut due, rest) = std::mem::take(&mut self.flight)
+            .into_iter()
+            .partition(|(at, _, to, _)| *at <= now && !self.nodes[*to].is_frozen);
+        self.flight = rest;
+        let due: &mut Vec<_> = &mut due;
+        due.shuffle(&mut self.rng);
+        for (_, from, to, envelope) in due.drain(..) {
+            if !self.cuts.contains(&(from, to)) {
+                self.with(to, |m| m.receive(envelope));
+            }
+        }
+        for node in 0..self.nodes.len() {
+            if self.rng.random_range(0..100) < 90 {
+                self.with(node, Machine::tick);
+            }
+        }
+        self.check();
+    }
+
+    /// Does something with a machine that runs, and all that follows from it. One whose disk
+    /// fails is down.
+    pub(crate) fn with(
+        &mut self,
+        node: usize,
+        act: impl FnOnce(&mut Machine<Memory>) -> Result<(), Fault>,
+    ) {
+        let Some(machine) = self.machine(node) else {
+            return;
+        };
+        match act(machine).and_then(|()| machine.flush()) {
+            Ok(output) => self.take(node, output),
+            Err(Fault::Store(_)) => self.kill(node, true),
+            Err(fault) => {
+                self.violations.push(fault.to_string());
+                self.kill(node, false);
+            }
+        }
+    }
+
+    fn take(&mut self, node: usize, output: Output) {
+        let answers = output.answers.into_iter().map(|a| (node, a));
+        self.answers.extend(answers);
+        for (address, envelope) in output.envelopes {
+            let to = address.parse().unwrap();
+            let percent = |rng: &mut Pcg64Mcg, share| rng.random_range(0..100) < share;
+            if percent(&mut self.rng, self.quality.lost) {
+                continue;
+            }
+            let copies = 1 + u32::from(percent(&mut self.rng, self.quality.repeated));
+            for _ in 0..copies {
+                let late = percent(&mut self.rng, self.quality.delayed);
+                let delay = self.rng.random_range(1..if late { 60 } else { 3 });
+                let envelope = envelope.clone();
+                self.flight.push((self.now + delay, node, to, envelope));
+            }
+        }
+    }
+
+    /// Compares what the replicas hold: one leader a term, one entry an index, and each leader
+    /// holds all that was committed before.
+    fn check(&mut self) {
+        for node in &mut self.nodes {
+            let Some(machine) = &node.machine else {
+                continue;
+            };
+            let replica = machine.replica();
+            let (base, commit) = (replica.base_index(), replica.commit());
+            for entry in replica.entries(base.max(node.checked) + 1, commit) {
+                let first = self.committed.entry(entry.index);
+                if first.or_insert_with(|| entry.clone()) != entry {
+                    let index = entry.index;
+                    self.violations.push(format!("two entries at {index}"));
+                }
+            }
+            node.checked = node.checked.max(commit);
+            if !replica.is_leader() {
+                continue;
+            }
+            let term = replica.term();
+            let known = self.leaders.get(&term).copied();
+            if known.is_some_and(|id| id != replica.id()) {
+                self.violations.push(format!("two leaders in term {term}"));
+            }
+            if known.is_none() {
+                self.leaders.insert(term, replica.id());
+                let lost = self.committed.range(base + 1..).find(|(index, entry)| {
+                    entry.term < term && replica.entries(**index, **index) != [(*entry).clone()]
+                });
+                if let Some((index, _)) = lost {
+                    let text = format!("leader of term {term} lacks committed entry {index}");
+                    self.violations.push(text);
+                }
+            }
+        }
+    }
+
+    /// Steps until `is_done`, or for `most` ticks; says whether it was.
+    pub(crate) fn step_until(&mut self, most: u64, is_done: impl Fn(&mut Self) -> bool) -> bool {
+        for _ in 0..most {
+            if is_done(self) {
+                return true;
+            }
+            self.step();
+        }
+        is_done(self)
+    }
+
+    /// Ends all faults.
+    pub(crate) fn heal(&mut self) {
+        self.cuts.clear();
+        self.quality = Quality {
+            lost: 0,
+            repeated: 0,
+            delayed: 0,
+        };
+        for node in &mut self.nodes {
+            node.is_frozen = false;
+            node.disk.kill();
+        }
+        self.start_all();
+    }
+
+    /// Starts all and waits until the cluster is founded everywhere.
+    pub(crate) fn found(&mut self) {
+        self.start_all();
+        let is_founded = |net: &mut Self| {
+            let founded = |n: &Node| n.machine.as_ref().is_some_and(|m| m.config().cluster != 0);
+            net.nodes.iter().all(founded)
+        };
+        assert!(self.step_until(500, is_founded), "no cluster was founded");
+    }
+}
+
+impl std::fmt::Display for Net {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        writeln!(f, "violations: {:?}", self.violations)?;
+        for (i, node) in self.nodes.iter().enumerate() {
+            let Some(machine) = &node.machine else {
+                writeln!(f, "{i}: down")?;
+                continue;
+            };
+            let replica = machine.replica();
+            writeln!(
+                f,
+                "{i}: id {:x} term {} leader {:?} commit {} last {} base {} membership {:?}",
+                replica.id(),
+                replica.term(),
+                replica.leader(),
+                replica.commit(),
+                replica.last_index(),
+                replica.base_index(),
+                replica.membership(),
+            )?;
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/control/tests/cluster/repair.rs
@@ -0,0 +1,227 @@
+//! Lost disks, replacements, and a second loss right after one.
+
+use control::replica::{Error, machine::Answer};
+use model::{
+    command::{Command, Entry},
+    name::Name,
+};
+use rand::Rng;
+
+use crate::{fault::strike, net::Net};
+
+/// Ticks within which a cluster without faults must get somewhere.
+const PATIENCE: u64 = 3_000;
+
+fn propose(net: &mut Net, node: usize, token: u64) {
+    let name = Name::new(format!("domain-{token}")).unwrap();
+    let command = Command::PutDomain { name };
+    let entry = Entry::new("op", token.to_string(), None, command);
+    net.with(node, |m| {
+        m.propose(token, entry);
+        Ok(())
+    });
+}
+
+fn has_answer(net: &Net, test: impl Fn(&Answer) -> bool) -> bool {
+    net.answers.iter().any(|(_, a)| test(a))
+}
+
+/// Commits a command through `node`.
+fn commit(net: &mut Net, node: usize, token: u64) {
+    propose(net, node, token);
+    let is_done = |net: &mut Net| {
+        has_answer(
+            net,
+            |a| matches!(a, Answer::Proposed(t, Ok(_)) if *t == token),
+        )
+    };
+    assert!(
+        net.step_until(PATIENCE, is_done),
+        "command {token} isn't committed"
+    );
+}
+
+/// Replaces a replica, and asks again until it is done, as operators do.
+fn replace(net: &mut Net, node: usize, old: &str, new: &str) {
+    for token in 10_000.. {
+        net.with(node, |m| {
+            m.replace(token, old, new);
+            Ok(())
+        });
+        let answer = |a: &Answer| match a {
+            Answer::Replaced(t, outcome) if *t == token => Some(outcome.clone()),
+            _ => None,
+        };
+        let is_done = |net: &mut Net| has_answer(net, |a| answer(a).is_some());
+        assert!(net.step_until(PATIENCE, is_done), "no answer");
+        let outcome = net.answers.drain(..).find_map(|(_, a)| answer(&a));
+        match outcome.unwrap() {
+            Ok(()) => return,
+            Err(Error::NoLeader | Error::Refused(_)) if token < 10_010 => {}
+            Err(error) => panic!("{error}"),
+        }
+    }
+}
+
+fn assert_holds(net: &mut Net, node: usize, count: u64) {
+    net.answers.clear();
+    let token = 20_000;
+    net.with(node, |m| {
+        m.read(token);
+        Ok(())
+    });
+    let is_done = |net: &mut Net| has_answer(net, |a| matches!(a, Answer::Read(_, Ok(_))));
+    let is_read = net.step_until(PATIENCE, is_done);
+    assert!(is_read, "no read:\n{net}");
+    let found = net.answers.iter().find_map(|(_, a)| match a {
+        Answer::Read(_, Ok(config)) => Some(config.domains.len()),
+        _ => None,
+    });
+    assert_eq!(found, Some(count as usize));
+}
+
+#[test]
+fn a_second_loss_right_after_a_repair_loses_nothing() {
+    for seed in 0..40 {
+        let mut net = Net::new(seed, 3);
+        net.found();
+        for token in 0..50 {
+            commit(&mut net, token as usize % 3, token);
+        }
+        let (first, second) = match seed % 3 {
+            0 => (0, 1),
+            1 => (1, 2),
+            _ => (2, 0),
+        };
+        let third = 3 - first - second;
+        net.empty_disk(first);
+        net.start(first);
+        let name = format!("c{first}");
+        replace(&mut net, third, &name, &name);
+        // The very tick that says so is the last of the second one.
+        net.empty_disk(second);
+        assert_holds(&mut net, third, 50);
+        commit(&mut net, first, 50);
+        assert_holds(&mut net, first, 51);
+        assert_eq!(net.violations, Vec::<String>::new(), "seed {seed}");
+    }
+}
+
+#[test]
+fn a_replica_of_another_name_takes_the_place_of_a_lost_one_under_faults() {
+    for seed in 0..20 {
+        let mut net = Net::new(seed, 3);
+        net.found();
+        for token in 0..30 {
+            commit(&mut net, 0, token);
+        }
+        let peers = net.nodes[0].settings.peers.clone();
+        net.empty_disk(2);
+        let new = net.add_node("c3".to_owned(), peers);
+        net.start(new);
+        // Faults of all kinds in the middle of it; the lost one stays lost.
+        net.with(1, |m| {
+            m.replace(9_999, "c2", "c3");
+            Ok(())
+        });
+        for _ in 0..400 {
+            strike(&mut net);
+            net.step();
+            net.empty_disk(2);
+        }
+        net.heal();
+        net.empty_disk(2);
+        replace(&mut net, 1, "c2", "c3");
+        net.empty_disk(0);
+        assert_holds(&mut net, 1, 30);
+        commit(&mut net, new, 30);
+        assert_eq!(net.violations, Vec::<String>::new(), "seed {seed}");
+    }
+}
+
+#[test]
+fn an_emptied_disk_neither_founds_a_second_cluster_nor_votes() {
+    for seed in 0..20 {
+        let mut net = Net::new(seed, 3);
+        net.found();
+        commit(&mut net, 1, 0);
+        let cluster = net.nodes[1].machine.as_ref().unwrap().config().cluster;
+        // The one that founded it, and with it the quorum.
+        net.empty_disk(0);
+        net.kill(1, false);
+        net.start(0);
+        for _ in 0..500 {
+            net.step();
+        }
+        assert_eq!(net.leader(), None, "an emptied disk counted for a quorum");
+        net.start(1);
+        assert!(net.step_until(PATIENCE, |net| net.leader().is_some()));
+        let found = net.nodes[1].machine.as_ref().unwrap().config().cluster;
+        assert_eq!(found, cluster);
+        assert_eq!(net.violations, Vec::<String>::new(), "seed {seed}");
+    }
+}
+
+#[test]
+fn a_replica_that_votes_already_can_not_take_the_place_of_another() {
+    let mut net = Net::new(1, 3);
+    net.found();
+    net.with(0, |m| {
+        m.replace(1, "c0", "c1");
+        Ok(())
+    });
+    let refused = |a: &Answer| matches!(a, Answer::Replaced(1, Err(Error::Refused(r))) if r.contains("already"));
+    assert!(net.step_until(PATIENCE, |net| has_answer(net, refused)));
+    assert_eq!(
+        net.nodes[0].machine.as_ref().unwrap().status().voters.len(),
+        3
+    );
+}
+
+#[test]
+fn a_cut_off_replica_comes_back_without_ending_the_leaders_term() {
+    for seed in 0..20 {
+        let mut net = Net::new(seed, 3);
+        net.found();
+        commit(&mut net, 0, 0);
+        assert!(net.step_until(PATIENCE, |net| net.leader().is_some()));
+        let leader = net.leader().unwrap();
+        let term = |net: &Net| net.nodes[leader].machine.as_ref().unwrap().replica().term();
+        let before = term(&net);
+        let away = (leader + 1) % 3;
+        // Only what it sends passes, or only what it gets, or nothing.
+        let pairs = (0..3).flat_map(|i| [(away, i), (i, away)]);
+        let kept = net.rng.random_range(0..3);
+        net.cuts = pairs
+            .enumerate()
+            .filter(|(n, _)| n % 2 != kept)
+            .map(|(_, p)| p)
+            .collect();
+        for _ in 0..300 {
+            net.step();
+        }
+        net.cuts.clear();
+        for _ in 0..100 {
+            net.step();
+        }
+        assert_eq!(
+            (net.leader(), term(&net)),
+            (Some(leader), before),
+            "seed {seed}"
+        );
+    }
+}
+
+#[test]
+fn a_planned_stop_hands_leadership_over_without_an_election_timeout() {
+    let mut net = Net::new(3, 3);
+    net.found();
+    let leader = net.leader().unwrap();
+    net.with(leader, |m| {
+        assert!(m.hand_over());
+        Ok(())
+    });
+    // Less than the shortest election timeout.
+    let moved = net.step_until(9, |net| net.leader().is_some_and(|l| l != leader));
+    assert!(moved);
+}
--- a/crates/store/src/store.rs
+++ b/crates/store/src/store.rs
@@ -313,24 +313,25 @@
         if snapshot.as_ref().map_or(0, |s| s.index) < log.base {
             return Err(Error::Missing(SNAPSHOT.to_owned()));
         }
-        if log.is_torn {
-            let cut = self.disk.truncate(&file, log.length);
-            cut.map_err(|e| Error::io("cutting", &file, &e))?;
-            let synced = self.disk.sync(&file);
-            synced.map_err(|e| Error::io("syncing", &file, &e))?;
-        }
         self.length = log.length;
         self.hard_state = log.hard_state;
+        let entries = match &snapshot {
+            Some(snapshot) => behind(snapshot, log.entries),
+            None => log.entries,
+        };
+        match &snapshot {
+            // A crash came between the snapshot and the log behind it.
+            Some(snapshot) if snapshot.index > log.base => {
+                self.write_log(self.sequence + 1, snapshot.index, &entries)?;
+            }
+            _ => self.settle(&file, log.is_torn)?,
+        }
         for number in 1..self.sequence {
             let old = log_name(number);
             if self.read(&old)?.is_some() {
                 self.remove(&old)?;
             }
         }
-        let entries = match &snapshot {
-            Some(snapshot) => behind(snapshot, log.entries),
-            None => log.entries,
-        };
         let stored = Stored {
             hard_state: log.hard_state,
             snapshot,
@@ -339,6 +340,20 @@
         Ok(Opened { stored, notices })
     }
 
+    /// Cuts a log file behind its last whole record, where it `is_torn`, and syncs what was read:
+    /// a process that died before its sync may have left it in the cache alone.
+    fn settle(&mut self, file: &str, is_torn: bool) -> Result<(), Error> {
+        if is_torn {
+            let cut = self.disk.truncate(file, self.length);
+            cut.map_err(|e| Error::io("cutting", file, &e))?;
+        }
+        let synced = self.disk.sync(file);
+        synced.map_err(|e| Error::io("syncing", file, &e))?;
+        let synced = self.disk.sync_folder();
+        synced.map_err(|e| Error::io("syncing the folder of", file, &e))?;
+        self.write_mark()
+    }
+
     /// Compares the log with what was synced at least.
     fn check_mark(&self, file: &str, found: u64, notices: &mut Vec<String>) -> Result<(), Error> {
         let bytes = self.read(MARK)?.unwrap_or_default();
