--- a/crates/policy/src/io.rs
+++ b/crates/policy/src/io.rs
@@ -125,6 +125,28 @@
     Config(Arc<Config>),
 }
 
+impl Message {
+    /// What its bytes are spent on, as metrics name it. Packets of flows that are passed on whole
+    /// are kept apart from the records of flows, since only the latter are control.
+    #[must_use]
+    pub fn purpose(&self) -> &'static str {
+        match self {
+            Self::Membership(_) => "membership",
+            Self::Flow(
+                flow::Message::Home { .. }
+                | flow::Message::Backup { .. }
+                | flow::Message::Steward { .. }
+                | flow::Message::Refused { .. },
+            ) => "packets",
+            Self::Flow(_) => "flow-records",
+            Self::Load(_) => "load",
+            Self::Request(_) => "requests",
+            Self::Announce(_) => "announcements",
+            Self::WantConfig | Self::Config(_) => "configuration",
+        }
+    }
+}
+
 /// What a machine sees of the VM that it runs on.
 #[derive(Debug, Clone, Copy)]
 pub struct Context<'a> {
@@ -134,6 +156,9 @@
     pub view: &'a View,
     /// The configuration by which to decide.
     pub config: &'a Config,
+    /// Whether the configuration was confirmed since this process last stood still for longer
+    /// than its lease. Without it, nothing is decided by this VM's own knowledge.
+    pub fresh: bool,
 }
 
 impl Context<'_> {
@@ -171,6 +196,8 @@
     RequestRepeat,
     /// Answers of upstreams that match no attempt.
     ReplyUnmatched,
+    /// Answers of upstreams to attempts that were given up.
+    ReplyLate,
     /// Messages of VMs that are not known.
     MessageUnknownPeer,
 }
@@ -192,6 +219,7 @@
             Self::RequestUnknown => "oriole_requests_outcome_unknown_total",
             Self::RequestRepeat => "oriole_requests_repeated_total",
             Self::ReplyUnmatched => "oriole_replies_unmatched_total",
+            Self::ReplyLate => "oriole_replies_late_total",
             Self::MessageUnknownPeer => "oriole_messages_unknown_peer_total",
         }
     }
