Let superseded changes end, and keep refusals and answers true

Cause: a drain that was taken back before its generation was active waited for ever, since the generation was dropped; and a change whose generation another replaced was called in force with any later one, also when its effect had been undone.

A change that a later one undid is now Superseded, and any other is in force when the newest generation of its services is active. Generation numbers are never used twice, since an entry VM may have seen the dropped one. A drained upstream leaves as soon as no generation names it. Taking a domain out is no longer refused for too many generations: its packets must stop within seconds. It may leave a service without any upstream; the change names such services, since a zone goes out at short notice. An upstream in a domain that is out may be drained: it isn't the last one that takes work. The system's own steps are not kept among the first answers.

Ruled out: refusing to take the last domain out; letting a change await the generation that replaces its own by number, since the number of a dropped one is taken by none.

--- a/crates/model/src/command.rs
+++ b/crates/model/src/command.rs
@@ -107,3 +107,14 @@
         keep: u64,
     },
 }
+
+impl Command {
+    /// Whether it is a step of the system itself, for which no first answer is kept.
+    #[must_use]
+    pub fn is_step(&self) -> bool {
+        matches!(
+            self,
+            Self::Found { .. } | Self::Activate { .. } | Self::Retire { .. }
+        )
+    }
+}
--- a/crates/model/src/config.rs
+++ b/crates/model/src/config.rs
@@ -4,7 +4,10 @@
 //! [`Config::apply`], in the order of the replicated log, so that equal indices mean equal
 //! configurations on every VM.
 
-use std::{collections::BTreeMap, net::SocketAddr};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+};
 
 use serde::{Deserialize, Serialize};
 
@@ -26,7 +29,8 @@
 /// Finished planned changes that are kept for `oriolectl change list`.
 pub const MAX_FINISHED_CHANGES: usize = 1_024;
 
-/// Generations that one service may retain.
+/// Generations that one service may retain. Taking a failure domain out is never refused for it:
+/// its flows are given up, and it must get no packet after a few seconds.
 pub const MAX_GENERATIONS: usize = 8;
 
 /// The cluster configuration at one index of the replicated log.
@@ -48,7 +52,8 @@
     /// Planned changes by number, which is the index of the command that asked for it.
     pub changes: BTreeMap<u64, Change>,
     /// First answers to commands by operator and request id, for resends.
-    /// Invariant: at most [`MAX_ANSWERS`]; the oldest index goes first.
+    /// Invariants: at most [`MAX_ANSWERS`]; the oldest index goes first; none of the system's own
+    /// steps, whose resends are [`Refusal::Stale`] by themselves.
     pub answers: BTreeMap<(String, String), Applied>,
 }
 
@@ -84,9 +89,14 @@
     pub upstreams: BTreeMap<Name, Upstream>,
     /// Retained generations of the flow table, oldest first.
     ///
-    /// Invariants: numbers grow; at most [`MAX_GENERATIONS`]; only the last may be
-    /// [`Stage::Prepared`]; the first is the one to which flows without a record belong.
+    /// Invariants: numbers grow; at most [`MAX_GENERATIONS`], but for those that failure domains
+    /// taken out add; only the last may be [`Stage::Prepared`]; the first is the one to which
+    /// flows without a record belong.
     pub generations: Vec<Generation>,
+    /// Number of the last generation that was prepared, also when it was dropped again.
+    ///
+    /// A number never stands for two sets of weights: an entry VM may have seen the first.
+    pub last_generation: u64,
 }
 
 impl Service {
@@ -99,6 +109,7 @@
             idle_ms: DEFAULT_IDLE_MS,
             upstreams: BTreeMap::new(),
             generations: Vec::new(),
+            last_generation: 0,
         }
     }
 }
@@ -162,8 +173,11 @@
     pub state: ChangeState,
     /// Operator who asked for it.
     pub operator: String,
-    /// Service and generation that must be active for it to be in force, if any.
+    /// Service and generation that must be active for it to be in force, if any. A later
+    /// generation that replaces one before it is active counts as well.
     pub awaits: BTreeMap<Name, u64>,
+    /// Services that it leaves without any upstream that takes new work.
+    pub leaves_empty: BTreeSet<Name>,
     /// Index of the command after which nothing of it was left to apply.
     pub done_index: Option<u64>,
 }
@@ -192,4 +206,6 @@
     Accepted,
     /// Its generations are active: every live entry VM has applied it.
     InForce,
+    /// A later change undid it before it was in force; it never will be.
+    Superseded,
 }
--- a/crates/model/src/config/apply.rs
+++ b/crates/model/src/config/apply.rs
@@ -55,7 +55,7 @@
     },
     /// upstream {0} is the last one of its service that takes new work: admit another first
     LastUpstream(Name),
-    /// service {0} retains its limit of table generations: wait until old flows end
+    /// service {0} still has open flows of as many earlier changes as it may retain: wait until the oldest of these flows end, then ask again with a new request id
     TooManyGenerations(Name),
     /// the step is out of date: nothing to do
     Stale,
@@ -85,7 +85,9 @@
             *self = next;
             Ok(())
         });
-        self.remember(key, index, &outcome);
+        if !entry.command.is_step() {
+            self.remember(key, index, &outcome);
+        }
         outcome
     }
 
@@ -213,10 +215,12 @@
             return Err(Refusal::UnknownUpstream(upstream.clone()));
         };
         leaving.state = UpstreamState::Draining;
-        let awaits = self.regenerate([service.clone()])?;
-        if self.weights(service).is_empty() {
+        // In a domain that is out it took no new work anyway.
+        if self.weights(service).is_empty() && self.takes_work(service) {
             return Err(Refusal::LastUpstream(upstream.clone()));
         }
+        let awaits = self.regenerate([service.clone()])?;
+        self.service_mut(service)?.forget_drained();
         let kind = ChangeKind::Drain(service.clone(), upstream.clone());
         self.record(entry, kind, awaits);
         Ok(())
@@ -233,7 +237,10 @@
             .filter(|(_, s)| s.upstreams.values().any(|u| u.domain == *name))
             .map(|(service, _)| service.clone())
             .collect();
-        let awaits = self.regenerate(affected)?;
+        let awaits = match state {
+            DomainState::Out => self.prepare(affected),
+            DomainState::In => self.regenerate(affected)?,
+        };
         let kind = match state {
             DomainState::Out => ChangeKind::DomainOut(name.clone()),
             DomainState::In => ChangeKind::DomainIn(name.clone()),
@@ -265,35 +272,47 @@
             return Err(Refusal::Stale);
         }
         state.generations.retain(|g| g.number >= keep);
-        let needed: Vec<Name> = state
-            .generations
-            .iter()
-            .flat_map(|g| g.weights.keys().cloned())
-            .collect();
-        // A drained upstream whose last flow has ended needs no entry any longer.
-        state
-            .upstreams
-            .retain(|name, u| u.state == UpstreamState::Admitted || needed.contains(name));
+        state.forget_drained();
         Ok(())
     }
 
-    /// Prepares a new generation for each service whose weights changed, and says which.
+    /// Prepares a new generation for each service whose weights changed, and says which; refuses
+    /// that where a service has too many.
     fn regenerate(
         &mut self,
         services: impl IntoIterator<Item = Name>,
     ) -> Result<BTreeMap<Name, u64>, Refusal> {
+        let awaits = self.prepare(services);
+        let is_full = |name: &&Name| {
+            let service = self.services.get(*name);
+            service.is_some_and(|s| s.generations.len() > MAX_GENERATIONS)
+        };
+        match awaits.keys().find(is_full) {
+            Some(name) => Err(Refusal::TooManyGenerations(name.clone())),
+            None => Ok(awaits),
+        }
+    }
+
+    /// Prepares a new generation for each service whose weights changed, and says which.
+    fn prepare(&mut self, services: impl IntoIterator<Item = Name>) -> BTreeMap<Name, u64> {
         let mut awaits = BTreeMap::new();
         for name in services {
             let weights = self.weights(&name);
-            let service = self.service_mut(&name)?;
+            let Some(service) = self.services.get_mut(&name) else {
+                continue;
+            };
             if let Some(number) = service.prepare(weights) {
-                awaits.insert(name.clone(), number);
-            }
-            if service.generations.len() > MAX_GENERATIONS {
-                return Err(Refusal::TooManyGenerations(name));
+                awaits.insert(name, number);
             }
         }
-        Ok(awaits)
+        awaits
+    }
+
+    /// Whether any upstream of `service` takes new work by its newest generation.
+    fn takes_work(&self, service: &Name) -> bool {
+        let service = self.services.get(service);
+        let newest = service.and_then(|s| s.generations.last());
+        newest.is_some_and(|g| !g.weights.is_empty())
     }
 
     /// Weights of the upstreams of `service` that take new work.
@@ -315,10 +334,12 @@
     }
 
     fn record(&mut self, entry: &Entry, kind: ChangeKind, awaits: BTreeMap<Name, u64>) {
+        let is_empty = |service: &&Name| self.weights(service).is_empty();
         let change = Change {
             kind,
             state: ChangeState::Accepted,
             operator: entry.operator.clone(),
+            leaves_empty: awaits.keys().filter(is_empty).cloned().collect(),
             awaits,
             done_index: None,
         };
@@ -326,16 +347,24 @@
         self.finish_changes();
     }
 
-    /// Marks the changes in force whose generations are all active.
+    /// Marks the changes that were undone, and those in force: their generations are active, or
+    /// later ones that replaced them.
     fn finish_changes(&mut self) {
         let index = self.index;
-        let services = &self.services;
-        let reached = |(service, number): (&Name, &u64)| {
-            services.get(service).is_none_or(|s| s.is_active(*number))
-        };
-        for change in self.changes.values_mut() {
-            if change.state == ChangeState::Accepted && change.awaits.iter().all(reached) {
-                change.state = ChangeState::InForce;
+        let mut finished = Vec::new();
+        for (number, change) in &self.changes {
+            if change.state != ChangeState::Accepted {
+                continue;
+            }
+            if !self.holds(&change.kind) {
+                finished.push((*number, ChangeState::Superseded));
+            } else if change.awaits.keys().all(|s| self.is_settled(s)) {
+                finished.push((*number, ChangeState::InForce));
+            }
+        }
+        for (number, state) in finished {
+            if let Some(change) = self.changes.get_mut(&number) {
+                change.state = state;
                 change.done_index = Some(index);
             }
         }
@@ -351,6 +380,34 @@
     }
 }
 
+impl Config {
+    /// Whether what a change asked for is still so.
+    fn holds(&self, kind: &ChangeKind) -> bool {
+        let upstream = |service: &Name, upstream: &Name| {
+            let service = self.services.get(service);
+            service
+                .and_then(|s| s.upstreams.get(upstream))
+                .map(|u| u.state)
+        };
+        let domain = |name: &Name| self.domains.get(name).map(|d| d.state);
+        match kind {
+            ChangeKind::Service(_) => true,
+            ChangeKind::Admit(s, u) => upstream(s, u) == Some(UpstreamState::Admitted),
+            ChangeKind::Drain(s, u) => upstream(s, u) != Some(UpstreamState::Admitted),
+            ChangeKind::DomainOut(name) => domain(name) == Some(DomainState::Out),
+            ChangeKind::DomainIn(name) => domain(name) == Some(DomainState::In),
+        }
+    }
+
+    /// Whether the newest generation of `service` is active. It always is the one that the
+    /// present configuration asks for.
+    fn is_settled(&self, service: &Name) -> bool {
+        let service = self.services.get(service);
+        let newest = service.and_then(|s| s.generations.last());
+        newest.is_none_or(|g| g.stage == Stage::Active)
+    }
+}
+
 impl Service {
     /// Adds a prepared generation unless the last one already has these weights.
     ///
@@ -362,7 +419,6 @@
                 .filter(|g| g.stage == Stage::Prepared)
                 .map(|g| g.number);
         }
-        let number = last.map_or(1, |g| g.number + 1);
         self.generations.retain(|g| g.stage == Stage::Active);
         let same = self
             .generations
@@ -371,19 +427,22 @@
         if same {
             return None;
         }
+        self.last_generation += 1;
         self.generations.push(Generation {
-            number,
+            number: self.last_generation,
             weights,
             stage: Stage::Prepared,
         });
-        Some(number)
+        Some(self.last_generation)
     }
 
-    /// Whether `number`, or a later generation, is active.
-    fn is_active(&self, number: u64) -> bool {
-        self.generations
-            .iter()
-            .any(|g| g.number >= number && g.stage == Stage::Active)
+    /// Forgets drained upstreams that no retained generation names: their last flow has ended, or
+    /// they never had one.
+    fn forget_drained(&mut self) {
+        let generations = &self.generations;
+        let is_needed = |name: &Name| generations.iter().any(|g| g.weights.contains_key(name));
+        self.upstreams
+            .retain(|name, u| u.state == UpstreamState::Admitted || is_needed(name));
     }
 }
 
--- a/crates/rpc/src/convert.rs
+++ b/crates/rpc/src/convert.rs
@@ -229,6 +229,7 @@
     let state = match change.state {
         ChangeState::InForce if missing.is_empty() => "in-force",
         ChangeState::InForce | ChangeState::Accepted => "accepted",
+        ChangeState::Superseded => "superseded",
     };
     schema::Change {
         number,
