--- a/crates/policy/src/node.rs
+++ b/crates/policy/src/node.rs
@@ -76,6 +76,8 @@
     fresh: bool,
     /// When the last event came.
     last_event: Instant,
+    /// When this process last stood still until.
+    woke: Instant,
 }
 
 /// The state of one entry VM, as the dump shows it.
@@ -94,6 +96,9 @@
 /// Time between two requests for a peer's configuration, in milliseconds.
 const ASK_CONFIG_MS: u64 = 200;
 
+/// Time after this process stood still in which messages may be older, in milliseconds.
+const BUFFERED_MS: u64 = 500;
+
 impl Node {
     /// Starts the machines.
     #[must_use]
@@ -112,6 +117,7 @@
             next_ask: now,
             fresh: true,
             last_event: now,
+            woke: now,
         }
     }
 
@@ -169,11 +175,7 @@
     ///
     /// Messages to this VM itself are handled at once.
     pub fn handle(&mut self, now: Instant, event: Event, out: &mut Vec<Action>) {
-        let still_ms = now.ms_since(std::mem::replace(&mut self.last_event, now));
-        if still_ms > delivery::LEASE_MS {
-            self.fresh = false;
-            self.membership.forget_probe();
-        }
+        self.check_clock(now);
         let start = out.len();
         self.handle_one(now, event, out);
         let Some(me) = self.view.get(&self.view.me).map(|vm| vm.address) else {
@@ -255,12 +257,6 @@
         }
     }
 
-    /// A control VM, or a peer that answered a probe of this VM, has no newer configuration.
-    fn confirm(&mut self, now: Instant) {
-        self.confirmed = now;
-        self.fresh = true;
-    }
-
     /// Asks a peer for its newer configuration, a few times a second at most.
     fn ask_config(&mut self, now: Instant, from: SocketAddr, out: &mut Vec<Action>) {
         if now < self.next_ask {
@@ -302,6 +298,26 @@
         }
     }
 
+    /// A control VM, or a peer that answered a probe of this VM, has no newer configuration.
+    ///
+    /// What arrives right after this process stood still may have waited in a buffer since before,
+    /// and confirms nothing.
+    fn confirm(&mut self, now: Instant) {
+        self.confirmed = now;
+        self.fresh |= now.ms_since(self.woke) >= BUFFERED_MS;
+    }
+
+    /// Notes when this process stood still for longer than its lease: others may have gone on
+    /// without it.
+    fn check_clock(&mut self, now: Instant) {
+        let still_ms = now.ms_since(std::mem::replace(&mut self.last_event, now));
+        if still_ms > delivery::LEASE_MS {
+            self.fresh = false;
+            self.woke = now;
+            self.membership.forget_probe();
+        }
+    }
+
     fn on_stop(&mut self, now: Instant, out: &mut Vec<Action>) {
         let config = self.config.clone();
         let context = context(now, &self.view, &config, self.fresh);
--- a/crates/standin/src/experiment/cluster.rs
+++ b/crates/standin/src/experiment/cluster.rs
@@ -56,7 +56,7 @@
     Io(String, std::io::Error),
     /// settings of {0} can't be written: {1}
     Settings(String, serde_norway::Error),
-    /// {name} is not in service after 20 s; the end of its log {log}: {tail}
+    /// {name} is not in service: it ended, or 20 s have passed; the end of its log {log}: {tail}
     NotInService {
         /// The process.
         name: String,
@@ -205,15 +205,7 @@
             let address = service.address.to_string();
             let idle = IDLE_MS.to_string();
             let name = service.name.as_str();
-            let put = [
-                "service",
-                "put",
-                name,
-                "--address",
-                &address,
-                "--idle-ms",
-                &idle,
-            ];
+            let put = ["service", "put", name, &address, "--idle-ms", &idle];
             self.ctl.retry(&put, START_LIMIT)?;
         }
         for service in &self.plan.services {
