--- a/crates/control/tests/three.rs
+++ b/crates/control/tests/three.rs
@@ -5,7 +5,7 @@
 use common::{
     Cluster, accepted, block_on, entry::Entry, eventually, name, put_domain, put_service, request,
 };
-use rpc::schema::{self, ReadRequest, apply_response::Outcome};
+use rpc::schema::{self, ReadRequest, apply_request, apply_response::Outcome};
 
 /// Number of the control VM that leads, as `asked` says.
 async fn leader(cluster: &Cluster, asked: usize) -> usize {
@@ -126,6 +126,29 @@
     });
 }
 
+#[test]
+fn a_control_vm_with_an_emptied_disk_is_replaced_under_its_name() {
+    block_on(async {
+        let mut cluster = Cluster::start(3);
+        accepted(cluster.apply(&request("1", put_domain("vejle"))).await);
+        let lost = (leader(&cluster, 0).await + 1) % 3;
+        cluster.kill(lost);
+        std::fs::remove_dir_all(&cluster.settings[lost].data_folder).unwrap();
+        cluster.run(lost);
+        let lost_name = cluster.settings[lost].name.to_string();
+        let command = apply_request::Command::ControlReplace(schema::ControlReplace {
+            old: lost_name.as_str().into(),
+            new: lost_name.as_str().into(),
+        });
+        accepted(cluster.apply(&request("2", command)).await);
+        // A second loss right after the repair loses nothing.
+        let second = (lost + 1) % 3;
+        cluster.kill(second);
+        accepted(cluster.apply(&request("3", put_domain("horsens"))).await);
+        assert_eq!(domains(&cluster, lost).await, 2);
+    });
+}
+
 #[test]
 fn each_control_vm_knows_the_entry_vms_of_the_others() {
     block_on(async {
