Test stewards under faults, admission of flows, repeats and bounds

Cause: the hard cases of the issue had no tests: a cold start at full load without a word, the last warm upstream lost, the same fault twice, stewards dying one after the other, frozen, or stopping on purpose, untrue reports, full records.

Found by it and mended: - a new steward that had heard all homes before the former one's ledger came threw what that knew of the upstreams away, and began cold: it now takes that part, once, also after it settled; - the pace of new flows doubled once a second only by calls, whether or not flows had come: it now doubles where the pace was used up.

--- a/crates/policy/benches/load.rs
+++ b/crates/policy/benches/load.rs
@@ -128,7 +128,7 @@
     // The warm-up is at a load that nobody refuses.
     net.arrivals(capacity * case.load.min(0.7), 0.5, WARM_MS);
     net.run_ms(WARM_MS + 200);
-    let first = net.callers.requests.len() as u64 + 1;
+    net.callers.mark();
     let before: Vec<(u64, u32, u32)> = net
         .upstreams
         .iter()
@@ -150,12 +150,7 @@
     net.run_ms(2_000);
     let over: u32 = sum(&net, &before, |u, b| u.over_slots - b.1);
     let over_cold: u32 = sum(&net, &before, |u, b| u.over_cold - b.2);
-    let asked: Vec<&Request> = net
-        .callers
-        .requests
-        .range(first..)
-        .map(|(_, r)| r)
-        .collect();
+    let asked: Vec<&Request> = net.callers.marked().collect();
     let mut times: Vec<u64> = asked.iter().filter_map(|r| good_time(r)).collect();
     times.sort_unstable();
     let seconds = MEASURE_MS as f64 / 1e3;
--- a/crates/policy/src/load/flows.rs
+++ b/crates/policy/src/load/flows.rs
@@ -14,7 +14,8 @@
 /// connections: one in this many, at least one.
 const COLD_PART: u32 = 400;
 
-/// Time without a bad outcome after which the bound on new flows doubles, in milliseconds.
+/// Time without a bad outcome after which the bound on new flows doubles, if as many came
+/// meanwhile as one window takes, in milliseconds.
 const DOUBLE_MS: u64 = 1_000;
 
 /// Time that a new steward waits for the homes' counts, in milliseconds.
@@ -35,6 +36,8 @@
     pace: u32,
     /// When the pace last changed.
     pace_changed: Instant,
+    /// New flows since then.
+    since_change: u32,
     /// Start of the window.
     window: Instant,
     /// New flows in the window.
@@ -51,6 +54,7 @@
             connections,
             pace: cold_pace(connections),
             pace_changed: now,
+            since_change: 0,
             window: now,
             in_window: 0,
         }
@@ -58,8 +62,7 @@
 
     /// The upstream turned cold: its flows are gone, or in doubt, and it bears few new ones.
     pub(crate) fn restart(&mut self, now: Instant, lost_flows: bool) {
-        self.pace = cold_pace(self.connections);
-        self.pace_changed = now;
+        self.set_pace(now, cold_pace(self.connections));
         if lost_flows {
             self.held = 0;
         }
@@ -67,8 +70,7 @@
 
     /// A bad outcome: it bears half as many new flows.
     pub(crate) fn halve(&mut self, now: Instant) {
-        self.pace = (self.pace / 2).max(cold_pace(self.connections));
-        self.pace_changed = now;
+        self.set_pace(now, (self.pace / 2).max(cold_pace(self.connections)));
     }
 
     /// Takes over what another steward counted.
@@ -107,6 +109,7 @@
         }
         self.held += 1;
         self.in_window += 1;
+        self.since_change = self.since_change.saturating_add(1);
         Admission::Admitted
     }
 
@@ -130,11 +133,18 @@
             self.window = now;
             self.in_window = 0;
         }
-        if self.pace < self.connections && now.ms_since(self.pace_changed) >= DOUBLE_MS {
-            self.pace = self.pace.saturating_mul(2).min(self.connections);
-            self.pace_changed = now;
+        let proved = self.since_change >= self.pace;
+        if proved && now.ms_since(self.pace_changed) >= DOUBLE_MS {
+            let doubled = self.pace.saturating_mul(2);
+            self.set_pace(now, doubled.min(self.connections.max(1)));
         }
     }
+
+    fn set_pace(&mut self, now: Instant, pace: u32) {
+        self.pace = pace;
+        self.pace_changed = now;
+        self.since_change = 0;
+    }
 }
 
 fn cold_pace(connections: u32) -> u32 {
--- a/crates/policy/src/load/role.rs
+++ b/crates/policy/src/load/role.rs
@@ -56,6 +56,8 @@
     pub(crate) queue: Queue,
     /// What is still to be learned; nothing is dispatched until then.
     pub(crate) settling: Option<Settling>,
+    /// Whether the earlier steward has handed over what it knew.
+    adopted: bool,
     /// Attempts of an earlier steward that may be at any upstream, and until when at most.
     floating: BTreeMap<u64, Instant>,
     /// Usual time of a request at any of the upstreams, in microseconds.
@@ -70,6 +72,7 @@
             upstreams: BTreeMap::new(),
             queue: Queue::default(),
             settling: Some(settling),
+            adopted: false,
             floating: BTreeMap::new(),
             service_us: 0,
         }
@@ -130,8 +133,11 @@
     }
 
     /// The earlier steward has said all that it knew.
+    ///
+    /// What it knew of the upstreams counts also where the homes have answered before it; it is
+    /// taken once.
     pub(crate) fn adopt(&mut self, now: Instant, ledger: &Ledger) {
-        if self.settling.take().is_none() {
+        if std::mem::replace(&mut self.adopted, true) {
             return;
         }
         for standing in &ledger.upstreams {
@@ -139,7 +145,9 @@
                 upstream.adopt(now, standing);
             }
         }
-        self.note_underway(now, &ledger.underway);
+        if self.settling.take().is_some() {
+            self.note_underway(now, &ledger.underway);
+        }
     }
 
     fn note_underway(&mut self, now: Instant, underway: &[Underway]) {
--- a/crates/policy/tests/request_paths.rs
+++ b/crates/policy/tests/request_paths.rs
@@ -28,7 +28,7 @@
         net.arrivals(300.0, 0.5, 3_000);
         net.run_ms(5_000);
         net.check("below capacity");
-        let asked = net.callers.requests.len();
+        let asked = net.callers.asked();
         assert_eq!(net.callers.first(coap::CHANGED), asked, "{:?}", net.counts);
         assert_eq!(net.callers.unanswered(), 0);
         assert_eq!(net.counts.get(&Counter::ReplyUnmatched), None);
--- a/crates/policy/tests/support/callers.rs
+++ b/crates/policy/tests/support/callers.rs
@@ -37,6 +37,8 @@
     pub(crate) until: Instant,
     /// Whether callers send copies of what is not answered.
     pub(crate) repeats: bool,
+    /// The first request that counts in the numbers.
+    mark: u64,
     by_caller: BTreeMap<SocketAddr, u64>,
     rng: Pcg64Mcg,
 }
@@ -50,6 +52,7 @@
             deadline_ms: 1_000,
             until: Instant::ZERO,
             repeats: true,
+            mark: 0,
             by_caller: BTreeMap::new(),
             rng: Pcg64Mcg::seed_from_u64(seed ^ 0xCA11),
         }
@@ -136,6 +139,11 @@
         (request.caller, request.request.clone())
     }
 
+    /// Has the next answers bear another token than the request's own.
+    pub(crate) fn expect_token(&mut self, id: u64, token: Vec<u8>) {
+        self.requests.get_mut(&id).unwrap().request.token = token;
+    }
+
     /// The key of a request.
     pub(crate) fn key(&self, id: u64) -> key::Request {
         let request = &self.requests[&id];
@@ -145,17 +153,29 @@
         }
     }
 
+    /// Leaves the requests so far out of the numbers.
+    pub(crate) fn mark(&mut self) {
+        self.mark = self.requests.len() as u64 + 1;
+    }
+
+    /// The requests since the mark.
+    pub(crate) fn marked(&self) -> impl Iterator<Item = &Request> {
+        self.requests.range(self.mark..).map(|(_, request)| request)
+    }
+
+    /// How many requests there were since the mark.
+    pub(crate) fn asked(&self) -> usize {
+        self.marked().count()
+    }
+
     /// How many requests got this code as their first answer.
     pub(crate) fn first(&self, code: u8) -> usize {
-        let first = self.requests.values().filter_map(|r| r.answers.first());
+        let first = self.marked().filter_map(|r| r.answers.first());
         first.filter(|r| r.code == code).count()
     }
 
     /// How many requests got no answer.
     pub(crate) fn unanswered(&self) -> usize {
-        self.requests
-            .values()
-            .filter(|r| r.answers.is_empty())
-            .count()
+        self.marked().filter(|r| r.answers.is_empty()).count()
     }
 }
--- a/crates/policy/tests/support/mod.rs
+++ b/crates/policy/tests/support/mod.rs
@@ -101,6 +101,10 @@
         to: Name,
         vms: BTreeMap<Name, Vm>,
     },
+    Config {
+        to: Name,
+        config: Arc<Config>,
+    },
     Arrive {
         upstream: usize,
         from: Name,
@@ -281,6 +285,40 @@
         self.cut.insert((other.clone(), one.clone()));
     }
 
+    /// A VM announces that it stops; everybody learns it at once.
+    pub(crate) fn leave(&mut self, vm: &Name) {
+        self.vms.get_mut(vm).unwrap().vm.leaving = true;
+        self.agree();
+    }
+
+    /// Operators drain an upstream.
+    pub(crate) fn drain(&mut self, upstream: usize) {
+        let command = Command::Drain {
+            service: booking(),
+            upstream: self.upstreams[upstream].name.clone(),
+        };
+        self.apply(command);
+    }
+
+    /// Operators take a failure domain out.
+    pub(crate) fn domain_out(&mut self, domain: &Name) {
+        let name = domain.clone();
+        self.apply(Command::DomainOut { name });
+    }
+
+    /// Applies a command and gives every VM the configuration.
+    fn apply(&mut self, command: Command) {
+        let mut config = self.config.as_ref().clone();
+        let index = config.index + 1;
+        let entry = Entry::new("op", index.to_string(), None, command);
+        config.apply(index, &entry).unwrap();
+        self.config = Arc::new(config);
+        for to in self.live().into_keys() {
+            let config = self.config.clone();
+            self.at(2, Item::Config { to, config });
+        }
+    }
+
     /// Cuts a failure domain off from the others.
     pub(crate) fn cut_domain(&mut self, domain: &Name) {
         let (inside, outside): (Vec<_>, Vec<_>) = self
@@ -343,7 +381,8 @@
             | Item::Request { to, .. }
             | Item::Reply { to, .. }
             | Item::Announce { to, .. }
-            | Item::View { to, .. } => {
+            | Item::View { to, .. }
+            | Item::Config { to, .. } => {
                 let to = to.clone();
                 self.step_vm(&to, item);
             }
@@ -655,6 +694,18 @@
             requests.on_view(context, load, out);
             return;
         }
+        if let Item::Config { config: new, .. } = item {
+            let old = std::mem::replace(config, new);
+            let context = Context {
+                now,
+                view,
+                config,
+                fresh: true,
+            };
+            load.on_config(context, &old, out);
+            requests.on_config(context, &old, out);
+            return;
+        }
         let context = Context {
             now,
             view,
--- a/crates/policy/tests/support/upstream.rs
+++ b/crates/policy/tests/support/upstream.rs
@@ -46,6 +46,10 @@
     pub(crate) domain: Name,
     pub(crate) request_address: SocketAddr,
     pub(crate) slots: u16,
+    /// Slots that it says it has.
+    pub(crate) claims_slots: u16,
+    /// Requests that have arrived.
+    pub(crate) got: u32,
     pub(crate) service_us: u64,
     pub(crate) incarnation: u64,
     /// Requests that it bears at a time now.
@@ -53,6 +57,8 @@
     pub(crate) excess: Excess,
     pub(crate) announces: bool,
     pub(crate) leaving: bool,
+    /// Whether it stops work at the deadline or when it is cancelled.
+    pub(crate) minds_deadlines: bool,
     /// Whether it answers at all.
     pub(crate) mute: bool,
     /// What it says of its warmth, in percent.
@@ -81,12 +87,15 @@
             domain: domain.clone(),
             request_address: format!("10.1.0.{}:5683", n + 1).parse().unwrap(),
             slots: shape.slots,
+            claims_slots: shape.slots,
+            got: 0,
             service_us: shape.service_us,
             incarnation: 1,
             bears: shape.slots,
             excess: Excess::Shed,
             announces: true,
             leaving: false,
+            minds_deadlines: true,
             mute: false,
             says_warmth: 100,
             ran: Vec::new(),
@@ -125,7 +134,7 @@
             domain: self.domain.clone(),
             flow_address,
             request_address: self.request_address,
-            slots: self.slots,
+            slots: self.claims_slots,
             connections: 2_000,
             incarnation: self.incarnation,
             held_flows: 0,
@@ -135,6 +144,7 @@
     }
 
     pub(crate) fn arrive(&mut self, now: Instant, from: &Name, request: coap::Request) -> Arrival {
+        self.got += 1;
         // Work stops at the deadline that came with it.
         self.running.retain(|_, r| r.until > now);
         if self.mute || now < self.collapsed_until {
@@ -165,7 +175,8 @@
         let payload: [u8; 8] = (*request.payload.0).try_into().unwrap();
         let id = u64::from_be_bytes(payload);
         self.ran.push((id, now));
-        let left_ms = u64::from(request.deadline_ms.unwrap_or(60_000));
+        let named = request.deadline_ms.filter(|_| self.minds_deadlines);
+        let left_ms = u64::from(named.unwrap_or(60_000));
         let running = Running {
             from: from.clone(),
             message_id: request.message_id,
@@ -200,6 +211,8 @@
     }
 
     pub(crate) fn cancel(&mut self, message_id: u16) {
-        self.running.retain(|_, r| r.message_id != message_id);
+        if self.minds_deadlines {
+            self.running.retain(|_, r| r.message_id != message_id);
+        }
     }
 }
