--- a/crates/policy/src/flow/handover.rs
+++ b/crates/policy/src/flow/handover.rs
@@ -101,6 +101,12 @@
         self.current.is_some()
     }
 
+    /// Whether the view has changed in the last `ms` milliseconds.
+    pub(super) fn is_recent(&self, now: Instant, ms: u64) -> bool {
+        let last = self.past.last();
+        last.is_some_and(|past| now.ms_since(past.ended) < ms)
+    }
+
     /// Whether nothing is left to copy.
     pub(super) fn is_empty(&self) -> bool {
         self.queues.is_empty() && self.sent.is_empty()
--- a/crates/policy/src/node.rs
+++ b/crates/policy/src/node.rs
@@ -175,7 +175,12 @@
     ///
     /// Messages to this VM itself are handled at once.
     pub fn handle(&mut self, now: Instant, event: Event, out: &mut Vec<Action>) {
-        self.check_clock(now);
+        let still_ms = now.ms_since(std::mem::replace(&mut self.last_event, now));
+        if still_ms > delivery::LEASE_MS {
+            self.fresh = false;
+            self.woke = now;
+            self.membership.forget_probe();
+        }
         let start = out.len();
         self.handle_one(now, event, out);
         let Some(me) = self.view.get(&self.view.me).map(|vm| vm.address) else {
@@ -202,7 +207,7 @@
         match event {
             Event::Tick => self.on_tick(now, out),
             Event::Config(new) => self.on_config(now, new, out),
-            Event::ControlCurrent => self.confirm(now),
+            Event::ControlCurrent => self.confirm_buffered(now),
             Event::Announce(announcement) => {
                 out.push(Action::Report(announcement.clone()));
                 self.on_announce(now, announcement, Hop::First, out);
@@ -257,6 +262,19 @@
         }
     }
 
+    /// Notes that the configuration was confirmed, maybe by a message that had waited in a buffer
+    /// since before this process stood still.
+    fn confirm_buffered(&mut self, now: Instant) {
+        self.confirmed = now;
+        self.fresh |= now.ms_since(self.woke) >= BUFFERED_MS;
+    }
+
+    /// Notes that the configuration was confirmed in answer to a question.
+    fn confirm(&mut self, now: Instant) {
+        self.confirmed = now;
+        self.fresh = true;
+    }
+
     /// Asks a peer for its newer configuration, a few times a second at most.
     fn ask_config(&mut self, now: Instant, from: SocketAddr, out: &mut Vec<Action>) {
         if now < self.next_ask {
@@ -276,7 +294,7 @@
             return;
         }
         let old = std::mem::replace(&mut self.config, new.clone());
-        self.confirm(now);
+        self.confirm_buffered(now);
         self.membership.set_index(new.index);
         let excluded: BTreeSet<Name> = new
             .domains
@@ -298,26 +316,6 @@
         }
     }
 
-    /// A control VM, or a peer that answered a probe of this VM, has no newer configuration.
-    ///
-    /// What arrives right after this process stood still may have waited in a buffer since before,
-    /// and confirms nothing.
-    fn confirm(&mut self, now: Instant) {
-        self.confirmed = now;
-        self.fresh |= now.ms_since(self.woke) >= BUFFERED_MS;
-    }
-
-    /// Notes when this process stood still for longer than its lease: others may have gone on
-    /// without it.
-    fn check_clock(&mut self, now: Instant) {
-        let still_ms = now.ms_since(std::mem::replace(&mut self.last_event, now));
-        if still_ms > delivery::LEASE_MS {
-            self.fresh = false;
-            self.woke = now;
-            self.membership.forget_probe();
-        }
-    }
-
     fn on_stop(&mut self, now: Instant, out: &mut Vec<Action>) {
         let config = self.config.clone();
         let context = context(now, &self.view, &config, self.fresh);
