Let each fault strike at each step of a change

Cause: random schedules reach a given step of a change only by chance.

What was answered is true after the fault ends, the other two go on without the struck one, and a resend is done once.

--- a/crates/control/tests/cluster/main.rs
+++ b/crates/control/tests/cluster/main.rs
@@ -10,3 +10,4 @@
 mod net;
 mod operators;
 mod repair;
+mod step;
