--- /dev/null
+++ b/crates/policy/tests/flow_marks.rs
@@ -0,0 +1,80 @@
+//! Flows while upstreams refuse new ones.
+
+mod flow_support;
+
+use std::collections::BTreeSet;
+
+use flow_support::{Net, Settings, domain, service, upstream};
+use policy::io::Counter;
+
+const NONE: Vec<usize> = Vec::new();
+
+fn net(seed: u64) -> Net {
+    Net::new(Settings {
+        seed,
+        idle_ms: 15_000,
+        ..Settings::default()
+    })
+}
+
+#[test]
+fn a_full_upstream_gets_no_new_flow_and_its_buckets_go_elsewhere() {
+    let mut net = net(43);
+    let full = upstream(0);
+    net.connections.insert(full.clone(), 5);
+    net.run(2_000);
+    let flows = net.open(600);
+    assert!(flows.clone().all(|f| net.flows[f].upstream.is_some()));
+    let address = net.upstream_settings(0).flow_address;
+    let on_it = flows.filter(|f| net.flows[*f].upstream == Some(address));
+    assert!(on_it.count() <= 5);
+    assert_eq!(net.continue_flows(0..600), NONE);
+    assert!(net.machines.values().all(|m| m.flows.mark_count() == 1));
+    // The upstream has room again: the mark ends, and flows placed elsewhere stay.
+    net.connections.remove(&full);
+    for _ in 0..10 {
+        assert_eq!(net.continue_flows(0..net.flows.len()), NONE);
+        net.run(1_500);
+    }
+    assert!(net.machines.values().all(|m| m.flows.mark_count() == 0));
+    assert_eq!(net.split(), 0);
+}
+
+#[test]
+fn the_last_warm_upstream_lost_refuses_openings_and_keeps_flows() {
+    let mut net = Net::new(Settings {
+        seed: 44,
+        upstreams: 3,
+        idle_ms: 30_000,
+        ..Settings::default()
+    });
+    let flows = net.open(100);
+    for number in 0..3 {
+        net.connections.insert(upstream(number), 1);
+    }
+    net.run(2_000);
+    let late = net.open(20);
+    assert!(late.into_iter().all(|f| net.flows[f].upstream.is_none()));
+    assert!(net.count(Counter::PacketRefused) > 0);
+    assert_eq!(net.continue_flows(flows), NONE);
+    assert_eq!(net.split(), 0);
+}
+
+#[test]
+fn a_steward_that_dies_while_its_upstream_is_marked_leaves_the_mark_in_force() {
+    let mut net = net(45);
+    net.connections.insert(upstream(0), 5);
+    net.run(2_000);
+    net.open(300);
+    let view = net.machines.values().next().unwrap().view.clone();
+    let steward = view.steward(&service(), &domain(0)).unwrap().name.clone();
+    net.kill(&steward);
+    assert_eq!(net.continue_flows(0..300), NONE);
+    assert_eq!(net.split(), 0);
+    let marked: BTreeSet<usize> = net
+        .machines
+        .values()
+        .map(|m| m.flows.mark_count())
+        .collect();
+    assert_eq!(marked, BTreeSet::from([1]));
+}
