--- a/crates/standin/src/caller/flow.rs
+++ b/crates/standin/src/caller/flow.rs
@@ -183,7 +183,10 @@
                 self.context.tally.flow_kept();
             }
             Err(lost) => {
-                log::info!(target: "caller", "flow {} on {upstream} was lost: {lost:?}.", self.id);
+                let flow = self.id;
+                log::info!(target: "caller", "flow {flow} on {upstream} was lost: {lost:?}.");
+                // As a caller's transport does that gives a connection up.
+                self.send(Segment::Close, &Call::Close { flow }).await;
                 self.context.tally.flow_lost(&upstream, &domain, opened);
             }
         }
--- a/crates/standin/src/experiment/report.rs
+++ b/crates/standin/src/experiment/report.rs
@@ -62,6 +62,8 @@
     pub outcome_unknown: u64,
     /// Without any answer.
     pub no_answer: u64,
+    /// Of those with an unknown outcome or without an answer: run at an upstream.
+    pub unknown_run: u64,
     /// Answered with another code.
     pub failed: u64,
     /// Non-idempotent ones that ran more than once.
@@ -161,6 +163,7 @@
             refused_but_run: count(refused.filter(|id| runs.runs(**id) > 0)),
             outcome_unknown: seen.outcome_unknown,
             no_answer: seen.no_answer,
+            unknown_run: count(callers.unknown.iter().filter(|id| runs.runs(**id) > 0)),
             failed: seen.failed,
             run_twice: u64::try_from(runs.run_twice()).unwrap_or(u64::MAX),
             wrong_answer: seen.wrong_answer,
@@ -235,8 +238,9 @@
         )?;
         writeln!(
             f,
-            "           run twice {} refused but run {} wrong answer {} wrong service {}",
-            r.run_twice, r.refused_but_run, r.wrong_answer, r.wrong_service
+            "           run twice {} refused but run {} unknown and run {} wrong answer {} wrong \
+             service {}",
+            r.run_twice, r.refused_but_run, r.unknown_run, r.wrong_answer, r.wrong_service
         )?;
         writeln!(
             f,
--- a/crates/standin/src/experiment/run.rs
+++ b/crates/standin/src/experiment/run.rs
@@ -136,7 +136,8 @@
 struct Conductor {
     cluster: Cluster,
     started: Instant,
-    /// Bytes that entry VMs had sent to others at the start, by purpose.
+    /// Bytes that entry VMs had sent to others when the traffic started, by purpose; less what
+    /// they sent after that and before a restart, since they count from 0 then.
     sent_bytes: BTreeMap<Name, BTreeMap<String, f64>>,
     changes: Vec<Change>,
     /// How processes ended that were stopped and started again.
@@ -200,6 +201,7 @@
             Action::DomainIn(domain) => self.planned(&["domain", "in", domain.as_str()], change),
             Action::RollingRestart => self.restart_all(),
             Action::KillEntry => {
+                self.keep_sent_bytes(0);
                 self.cluster.entries[0].kill();
                 thread::sleep(KILL_PAUSE);
                 self.cluster.start_entry(0)
@@ -232,6 +234,7 @@
     fn restart_all(&mut self) -> Result<(), Error> {
         for index in 0..self.cluster.entries.len() {
             let name = self.cluster.entries[index].name().to_owned();
+            self.keep_sent_bytes(index);
             let exit = self.cluster.restart_entry(index)?;
             self.early_exits.insert(format!("{name} (restart)"), exit);
             thread::sleep(RESTART_PAUSE);
@@ -239,6 +242,19 @@
         Ok(())
     }
 
+    /// Keeps what an entry VM has sent, before it starts anew.
+    fn keep_sent_bytes(&mut self, index: usize) {
+        let name = &self.cluster.plan.entries[index].name;
+        let Some(settings) = self.cluster.entry_settings.get(name) else {
+            return;
+        };
+        let sent = http::metric(settings.http_listen, SENT_BYTES, "purpose");
+        let base = self.sent_bytes.entry(name.clone()).or_default();
+        for (purpose, bytes) in sent {
+            *base.entry(purpose).or_default() -= bytes;
+        }
+    }
+
     fn cut(&self, domain: &Name, on: bool) -> Result<(), Error> {
         let domain = domain.clone();
         self.cluster.caller(&Command::Cut { domain, on })?;
@@ -352,8 +368,7 @@
         for (vm, sent) in &now {
             let before = self.sent_bytes.get(vm);
             for (purpose, bytes) in sent {
-                // A VM that was restarted counts from 0 again; its bytes before are lost here.
-                let before = before.and_then(|b| b.get(purpose)).filter(|b| *b <= bytes);
+                let before = before.and_then(|b| b.get(purpose));
                 let since = bytes - before.copied().unwrap_or_default();
                 *by_purpose.entry(purpose.clone()).or_default() += since / seconds / f64::from(vms);
             }
