--- a/crates/policy/src/node.rs
+++ b/crates/policy/src/node.rs
@@ -76,6 +76,8 @@
     fresh: bool,
     /// When the last event came.
     last_event: Instant,
+    /// When this process last stood still until.
+    woke: Instant,
 }
 
 /// The state of one entry VM, as the dump shows it.
@@ -94,6 +96,9 @@
 /// Time between two requests for a peer's configuration, in milliseconds.
 const ASK_CONFIG_MS: u64 = 200;
 
+/// Time after this process stood still in which messages may be older, in milliseconds.
+const BUFFERED_MS: u64 = 500;
+
 impl Node {
     /// Starts the machines.
     #[must_use]
@@ -112,6 +117,7 @@
             next_ask: now,
             fresh: true,
             last_event: now,
+            woke: now,
         }
     }
 
@@ -172,6 +178,7 @@
         let still_ms = now.ms_since(std::mem::replace(&mut self.last_event, now));
         if still_ms > delivery::LEASE_MS {
             self.fresh = false;
+            self.woke = now;
             self.membership.forget_probe();
         }
         let start = out.len();
@@ -200,7 +207,7 @@
         match event {
             Event::Tick => self.on_tick(now, out),
             Event::Config(new) => self.on_config(now, new, out),
-            Event::ControlCurrent => self.confirm(now),
+            Event::ControlCurrent => self.confirm_buffered(now),
             Event::Announce(announcement) => {
                 out.push(Action::Report(announcement.clone()));
                 self.on_announce(now, announcement, Hop::First, out);
@@ -255,7 +262,14 @@
         }
     }
 
-    /// A control VM, or a peer that answered a probe of this VM, has no newer configuration.
+    /// Notes that the configuration was confirmed, maybe by a message that had waited in a buffer
+    /// since before this process stood still.
+    fn confirm_buffered(&mut self, now: Instant) {
+        self.confirmed = now;
+        self.fresh |= now.ms_since(self.woke) >= BUFFERED_MS;
+    }
+
+    /// Notes that the configuration was confirmed in answer to a question.
     fn confirm(&mut self, now: Instant) {
         self.confirmed = now;
         self.fresh = true;
@@ -280,7 +294,7 @@
             return;
         }
         let old = std::mem::replace(&mut self.config, new.clone());
-        self.confirm(now);
+        self.confirm_buffered(now);
         self.membership.set_index(new.index);
         let excluded: BTreeSet<Name> = new
             .domains
