Let the sides of a partition that has ended find each other at once

Now dead VMs are asked every 250 ms, a VM that refutes its death tells everyone at once, and news from a VM that counts as dead is answered. What is left: single VMs that keep routing by the old knowledge after the cut; looked into next.

--- a/crates/policy/src/membership.rs
+++ b/crates/policy/src/membership.rs
@@ -45,8 +45,9 @@
 /// Time that a suspicion stands before it is a death, in milliseconds.
 pub const SUSPICION_MS: u64 = 1_000;
 
-/// Time between two attempts to reach seeds or VMs that count as dead, in milliseconds.
-const REJOIN_MS: u64 = 1_000;
+/// Time between two attempts to reach seeds or VMs that count as dead, in milliseconds. It bounds
+/// how long two sides of a partition that has ended go on apart.
+const REJOIN_MS: u64 = 250;
 
 /// Time between two requests for a whole table, in milliseconds.
 const SYNC_MS: u64 = 20_000;
@@ -194,11 +195,8 @@
     pub fn leave(&mut self, view: &mut View, out: &mut Vec<Action>) {
         self.me.state = State::Leaving;
         self.me.incarnation += 1;
-        // Everyone is told at once: the process may be gone before gossip has spread it.
-        let news = Message::News(vec![self.me.clone()]);
-        for vm in view.others() {
-            push(out, vm.address, news.clone());
-        }
+        // The process may be gone before gossip has spread it.
+        self.tell_everyone(out);
         let name = self.me.name.clone();
         if let Some(vm) = view.vms.get_mut(&name) {
             vm.leaving = true;
@@ -220,11 +218,19 @@
         let waited = self.probe.is_some();
         match message {
             Message::Join(member) => {
-                self.learn(now, view, member);
+                self.learn(now, view, member, out);
                 self.send_table(from, out);
             }
-            Message::Table(members) => self.learn_table(now, view, members),
-            Message::News(members) => self.learn_all(now, view, members),
+            Message::Table(members) => {
+                self.learn_table(now, view, members, out);
+                self.tell_dead(from, out);
+            }
+            Message::News(members) => {
+                self.learn_all(now, view, members, out);
+                if !view.vms.values().any(|vm| vm.address == from) {
+                    push(out, from, Message::Join(self.me.clone()));
+                }
+            }
             Message::Ping(probe) => {
                 peer_index = Some(probe.index);
                 self.on_ping(now, view, from, probe, out);
@@ -332,7 +338,7 @@
         probe: Probe,
         out: &mut Vec<Action>,
     ) {
-        self.learn_all(now, view, probe.gossip);
+        self.learn_all(now, view, probe.gossip, out);
         let is_known = view.vms.values().any(|vm| vm.address == from);
         // While news is under way, digests differ for a while without anything being lost.
         let is_settled = self.table.quiet_ms(now) >= SETTLED_MS;
@@ -348,6 +354,14 @@
         }
     }
 
+    /// Tells every VM of this one's own state.
+    fn tell_everyone(&self, out: &mut Vec<Action>) {
+        let news = Message::News(vec![self.me.clone()]);
+        for to in self.table.addresses(|_| true) {
+            push(out, to, news.clone());
+        }
+    }
+
     /// Tells a VM that it counts as dead here, so that it answers with a larger incarnation.
     fn tell_dead(&self, to: SocketAddr, out: &mut Vec<Action>) {
         let claim = self.table.dead_at(to);
@@ -358,23 +372,35 @@
 
     /// Learns a part of another VM's table. Others know it already: were it passed on as news, a
     /// VM that starts would gossip about every other VM.
-    fn learn_table(&mut self, now: Instant, view: &mut View, members: Vec<Member>) {
+    fn learn_table(
+        &mut self,
+        now: Instant,
+        view: &mut View,
+        members: Vec<Member>,
+        out: &mut Vec<Action>,
+    ) {
         for member in members {
             let name = member.name.clone();
-            self.learn(now, view, member);
+            self.learn(now, view, member, out);
             self.table.hush(&name);
         }
     }
 
-    fn learn_all(&mut self, now: Instant, view: &mut View, members: Vec<Member>) {
+    fn learn_all(
+        &mut self,
+        now: Instant,
+        view: &mut View,
+        members: Vec<Member>,
+        out: &mut Vec<Action>,
+    ) {
         for member in members {
-            self.learn(now, view, member);
+            self.learn(now, view, member, out);
         }
     }
 
-    fn learn(&mut self, now: Instant, view: &mut View, member: Member) {
+    fn learn(&mut self, now: Instant, view: &mut View, member: Member, out: &mut Vec<Action>) {
         if member.name == self.me.name {
-            self.refute(&member);
+            self.refute(&member, out);
             return;
         }
         if self.table.merge(now, member.clone()) == Merge::Known {
@@ -384,12 +410,16 @@
     }
 
     /// Answers a suspicion against this VM with a larger incarnation.
-    fn refute(&mut self, claim: &Member) {
+    ///
+    /// Everyone is told at once, also those that count as dead here: after a partition, each side
+    /// must see the other before packets of the other's flows reach it.
+    fn refute(&mut self, claim: &Member, out: &mut Vec<Action>) {
         let is_newer = claim.incarnation > self.me.incarnation;
         let is_worse =
             claim.incarnation == self.me.incarnation && claim.state.rank() > self.me.state.rank();
         if is_newer || is_worse {
             self.me.incarnation = claim.incarnation + 1;
+            self.tell_everyone(out);
         }
     }
 
@@ -481,8 +511,8 @@
         }
         self.next_rejoin = now.plus_ms(REJOIN_MS);
         self.table.forget(now, FORGET_MS);
-        let mut candidates = self.table.dead_addresses();
-        let live = self.table.live_addresses();
+        let mut candidates = self.table.addresses(|state| state == State::Dead);
+        let live = self.table.addresses(|state| state != State::Dead);
         candidates.extend(self.seeds.iter().filter(|s| !live.contains(s)));
         if candidates.is_empty() {
             return;
--- a/crates/policy/src/membership/table.rs
+++ b/crates/policy/src/membership/table.rs
@@ -187,11 +187,6 @@
         self.rows.values().map(|row| row.member.clone())
     }
 
-    /// Addresses of the VMs that count as dead.
-    pub(super) fn dead_addresses(&self) -> Vec<SocketAddr> {
-        self.addresses(|state| state == State::Dead)
-    }
-
     /// Reports of the VMs at this address that count as dead.
     pub(super) fn dead_at(&self, address: SocketAddr) -> Vec<Member> {
         let dead = |row: &&Row| row.member.state == State::Dead && row.member.address == address;
@@ -202,11 +197,6 @@
             .collect()
     }
 
-    /// Addresses of the VMs that count as live.
-    pub(super) fn live_addresses(&self) -> Vec<SocketAddr> {
-        self.addresses(|state| state != State::Dead)
-    }
-
     /// Time without a report that changed anything, in milliseconds.
     pub(super) fn quiet_ms(&self, now: Instant) -> u64 {
         now.ms_since(self.changed)
@@ -217,7 +207,8 @@
         self.digest
     }
 
-    fn addresses(&self, pick: impl Fn(State) -> bool) -> Vec<SocketAddr> {
+    /// Addresses of the VMs whose state `pick` takes.
+    pub(super) fn addresses(&self, pick: impl Fn(State) -> bool) -> Vec<SocketAddr> {
         self.rows
             .values()
             .filter(|row| pick(row.member.state))
