--- a/crates/policy/src/request.rs
+++ b/crates/policy/src/request.rs
@@ -3,7 +3,9 @@
 //!
 //! - `message`: what VMs tell each other.
 //! - `record`: what a VM knows of each request, within bounds.
-//! - `home`: the life of a request at its home: intent, attempts, answer.
+//! - `home`: the life of a request at its home, from attempt to attempt.
+//! - `grant`: how the intent is held before the first attempt.
+//! - `answer`: how it ends.
 //! - `holder`: what a VM that holds intents of others does, also once they are lost.
 //! - `choice`: which steward gets the next attempt.
 //!
@@ -32,7 +34,9 @@
     view::Vm,
 };
 
+mod answer;
 mod choice;
+mod grant;
 mod holder;
 mod home;
 mod message;
@@ -165,7 +169,7 @@
                 informed,
                 covers,
             } => {
-                let grant = home::Grant {
+                let grant = grant::Grant {
                     known,
                     informed,
                     covers,
--- a/crates/policy/src/request/home.rs
+++ b/crates/policy/src/request/home.rs
@@ -4,23 +4,20 @@
 //! answered that it does not, and holds the intent from then on. It is tried again only where
 //! the steward, or the upstream, says that it certainly has not run.
 
-use std::collections::BTreeSet;
-
 use model::{key, name::Name};
 use rand::Rng;
 use wire::coap;
 
 use super::{
-    ANSWER_MS, DEFAULT_RETRY_MS, RETRY_COST, RETRY_MAX, Requests, Sent, answer, find_service,
-    has_majority, holders,
-    message::{AttemptOutcome, Intent, Known, Message},
+    RETRY_COST, RETRY_MAX, Requests, Sent, answer, find_service, has_majority,
+    message::AttemptOutcome,
     over_at,
-    record::{Done, Granting, Held, Phase, Record, Reserve, Working},
-    response, send, send_load,
+    record::{Phase, Record, Reserve, Working},
+    response, send_load,
 };
 use crate::{
     history::longest_ms,
-    io::{Action, Context, Counter},
+    io::{Action, Context},
     load::{
         self, MAX_DELAY_MS,
         work::{Outcome, Work},
@@ -30,10 +27,7 @@
 };
 
 /// Time between two sendings of an intent, an attempt or an answer, in milliseconds.
-const RESEND_MS: u64 = 40;
-
-/// Time between two sendings of an answer to a holder that has not recorded it, in milliseconds.
-const RECORD_RESEND_MS: u64 = 200;
+pub(super) const RESEND_MS: u64 = 40;
 
 /// Time that a steward has to take an attempt that may be tried elsewhere, in milliseconds.
 const TAKE_MS: u64 = 200;
@@ -47,14 +41,6 @@
 /// Attempts of one request.
 const MAX_ATTEMPTS: u32 = 6;
 
-/// What a holder said to an intent.
-#[derive(Debug)]
-pub(super) struct Grant {
-    pub(super) known: Known,
-    pub(super) informed: bool,
-    pub(super) covers: bool,
-}
-
 impl Requests {
     /// Takes a request that this VM has no record of.
     pub(super) fn begin(
@@ -109,129 +95,13 @@
         }
     }
 
-    /// Asks all that may know of a request, and has them hold the intent.
-    fn ask_holders(&mut self, context: Context<'_>, key: &key::Request, out: &mut Vec<Action>) {
-        let now = context.now;
-        let holders = holders(context, &self.history, key.fingerprint());
-        self.store.update(key, |record| {
-            record.holders.clone_from(&holders);
-            record.phase = Phase::Granting(Granting {
-                unheard: holders,
-                until: give_up_at(record.deadline),
-                resend_at: now,
-                ..Granting::default()
-            });
-        });
-        self.send_intent(context, key, out);
-        self.check_grants(context, key, out);
-    }
-
-    fn send_intent(&mut self, context: Context<'_>, key: &key::Request, out: &mut Vec<Action>) {
-        let now = context.now;
-        let start = self.start;
-        let to_send = self.store.update(key, |record| {
-            let Phase::Granting(granting) = &mut record.phase else {
-                return None;
-            };
-            granting.resend_at = now.plus_ms(RESEND_MS);
-            let intent = Intent {
-                key: key.clone(),
-                content: record.content,
-                body: record.body,
-                start,
-                service: record.service.clone(),
-                message_id: record.message_id,
-                confirmable: record.confirmable,
-                left_ms: left_ms(now, record.deadline),
-            };
-            let wake = granting.resend_at.min(granting.until);
-            Some((granting.unheard.clone(), intent, wake))
-        });
-        let Some((unheard, intent, wake)) = to_send.flatten() else {
-            return;
-        };
-        for vm in unheard {
-            send(context, &vm, Message::Intent(intent.clone()), out);
-        }
-        self.store.wake_at(key, wake);
-    }
-
-    /// Takes what a holder said.
-    pub(super) fn take_grant(
+    /// Sends a request to a steward, or refuses it where none is left.
+    pub(super) fn attempt(
         &mut self,
         context: Context<'_>,
-        from: &Vm,
         key: &key::Request,
-        content: u64,
-        grant: Grant,
         out: &mut Vec<Action>,
     ) {
-        let waits = self.store.get(key).is_some_and(|r| {
-            let granting = matches!(&r.phase, Phase::Granting(g) if g.unheard.contains(&from.name));
-            r.content == content && granting
-        });
-        if !waits {
-            return;
-        }
-        match grant.known {
-            Known::New => {
-                self.store.update(key, |record| {
-                    if let Phase::Granting(granting) = &mut record.phase {
-                        granting.unheard.remove(&from.name);
-                        granting.covered |= grant.covers;
-                        if grant.informed {
-                            granting.informed.insert(from.name.clone());
-                        }
-                    }
-                });
-                self.check_grants(context, key, out);
-            }
-            Known::Pending(owner) => {
-                self.store.update(key, |record| {
-                    record.phase = Phase::Held(Held { owner, start: 0 });
-                });
-                self.keep(context, key);
-            }
-            Known::Unknown => self.finish(context, key, response(coap::TIMEOUT, None), out),
-            Known::Answered(response) => self.finish(context, key, response, out),
-            Known::Full => self.refuse(context, key, out),
-        }
-    }
-
-    /// Goes on once all holders have granted.
-    fn check_grants(&mut self, context: Context<'_>, key: &key::Request, out: &mut Vec<Action>) {
-        let Some(record) = self.store.get(key) else {
-            return;
-        };
-        let Phase::Granting(granting) = &record.phase else {
-            return;
-        };
-        if !granting.unheard.is_empty() {
-            return;
-        }
-        let longest = longest_ms(context.config);
-        let mut vouching = granting.informed.clone();
-        let informed = self.history.is_informed(context.now, longest);
-        if informed {
-            vouching.insert(context.view.me.clone());
-        }
-        let place = key.fingerprint();
-        let vouched = |pair: &crate::history::Pair| pair.names().any(|vm| vouching.contains(vm));
-        // A VM that was started lately has no past views of its own to go by.
-        let known_new = if informed {
-            self.history.pairs(place).all(|p| vouched(&p))
-        } else {
-            granting.covered
-        };
-        if known_new && has_majority(context) {
-            self.attempt(context, key, out);
-        } else {
-            self.finish(context, key, response(coap::TIMEOUT, None), out);
-        }
-    }
-
-    /// Sends a request to a steward, or refuses it where none is left.
-    fn attempt(&mut self, context: Context<'_>, key: &key::Request, out: &mut Vec<Action>) {
         let now = context.now;
         let Some(record) = self.store.get(key) else {
             return;
@@ -474,172 +344,22 @@
     }
 
     /// Gives an attempt up at its deadline.
-    fn abandon(&mut self, context: Context<'_>, key: &key::Request, out: &mut Vec<Action>) {
-        let Some(record) = self.store.get(key) else {
-            return;
-        };
-        if let Phase::Working(working) = &record.phase {
-            let message = load::Message::Abandon {
-                attempt: working.attempt,
-            };
-            send_load(context, &working.steward.clone(), message, out);
-        }
-        self.finish(context, key, response(coap::TIMEOUT, None), out);
-    }
-
-    /// Sends an answer again to the holders that have not recorded it, or forgets it.
-    fn care_for_answered(
+    pub(super) fn abandon(
         &mut self,
         context: Context<'_>,
         key: &key::Request,
         out: &mut Vec<Action>,
     ) {
-        let now = context.now;
         let Some(record) = self.store.get(key) else {
             return;
         };
-        let Phase::Done(done) = &record.phase else {
-            return;
-        };
-        if now.ms_since(done.at) >= ANSWER_MS {
-            self.store.remove(key);
-            return;
-        }
-        let content = record.content;
-        let response = done.response.clone();
-        for vm in done.unheard.clone() {
-            let message = Message::Recorded {
-                key: key.clone(),
-                content,
-                response: response.clone(),
-            };
-            send(context, &vm, message, out);
-        }
-        let wake = self.store.update(key, |record| {
-            let Phase::Done(done) = &mut record.phase else {
-                return None;
+        if let Phase::Working(working) = &record.phase {
+            let message = load::Message::Abandon {
+                attempt: working.attempt,
             };
-            done.unheard.retain(|vm| context.view.get(vm).is_some());
-            done.resend_at = now.plus_ms(RECORD_RESEND_MS);
-            let expires = done.at.plus_ms(ANSWER_MS);
-            Some(if done.unheard.is_empty() {
-                expires
-            } else {
-                done.resend_at
-            })
-        });
-        if let Some(wake) = wake.flatten() {
-            self.store.wake_at(key, wake);
-        }
-    }
-
-    /// A holder has recorded an answer.
-    pub(super) fn take_recorded_ack(&mut self, key: &key::Request, content: u64, from: &Vm) {
-        self.store.update(key, |record| {
-            if let Phase::Done(done) = &mut record.phase
-                && record.content == content
-            {
-                done.unheard.remove(&from.name);
-            }
-        });
-    }
-
-    /// Gives up a request that this VM has not dispatched, or whose last attempt certainly has
-    /// not run: it is refused as not run where no other VM may run it either.
-    pub(super) fn refuse(
-        &mut self,
-        context: Context<'_>,
-        key: &key::Request,
-        out: &mut Vec<Action>,
-    ) {
-        let Some(record) = self.store.get(key) else {
-            return;
-        };
-        if record.may_have_run {
-            self.finish(context, key, response(coap::TIMEOUT, None), out);
-            return;
-        }
-        let retry_ms = record.retry_after_ms.unwrap_or(DEFAULT_RETRY_MS);
-        let certain = match record.phase {
-            // Before all holders have granted, another VM may have run it, or may run it yet.
-            Phase::Granting(_) => false,
-            _ if !record.idempotent => true,
-            // Of an idempotent request no other VM holds an intent.
-            _ => self.is_only_home(context, key),
-        };
-        let code = if certain {
-            coap::UNAVAILABLE
-        } else {
-            coap::TIMEOUT
-        };
-        self.finish(context, key, response(code, Some(retry_ms)), out);
-    }
-
-    /// Whether no other VM has been the home of a request for the longest deadline, as far as
-    /// this VM can know: a cut-off failure domain has homes of its own.
-    fn is_only_home(&self, context: Context<'_>, key: &key::Request) -> bool {
-        let longest = longest_ms(context.config);
-        let place = key.fingerprint();
-        let me = &context.view.me;
-        let mut domains = context.config.domains.keys();
-        self.history.reached(domains.clone())
-            && domains.all(|domain| context.view.reaches(domain))
-            && self.history.is_informed(context.now, longest)
-            && self
-                .history
-                .pairs(place)
-                .all(|p| p.home.as_ref() == Some(me))
-    }
-
-    /// Records the answer, answers the caller, and tells the holders of the intent.
-    pub(super) fn finish(
-        &mut self,
-        context: Context<'_>,
-        key: &key::Request,
-        response: coap::Response,
-        out: &mut Vec<Action>,
-    ) {
-        let now = context.now;
-        let response = coap::Response {
-            token: key.token.clone(),
-            ..response
-        };
-        self.count(&response, out);
-        let finished = self.store.update(key, |record| {
-            record.request = None;
-            let unheard: BTreeSet<Name> = std::mem::take(&mut record.holders);
-            record.phase = Phase::Done(Done {
-                response: response.clone(),
-                at: now,
-                unheard,
-                resend_at: now,
-            });
-            record.confirmable.then_some(record.message_id)
-        });
-        if let Some(acknowledges) = finished {
-            out.push(Action::Answer {
-                caller: key.caller,
-                response,
-                acknowledges,
-            });
-            self.care_for_answered(context, key, out);
+            send_load(context, &working.steward.clone(), message, out);
         }
-    }
-
-    /// Records the true answer of a request that was given up, for repeats.
-    fn correct(&mut self, context: Context<'_>, key: &key::Request, response: coap::Response) {
-        let holders = holders(context, &self.history, key.fingerprint());
-        let now = context.now;
-        self.store.update(key, |record| {
-            if let Phase::Done(done) = &mut record.phase {
-                done.response = coap::Response {
-                    token: key.token.clone(),
-                    ..response
-                };
-                done.unheard = holders;
-            }
-        });
-        self.store.wake_at(key, now);
+        self.finish(context, key, response(coap::TIMEOUT, None), out);
     }
 
     /// View change: attempts at stewards that were lost are lost, intents at holders that were
@@ -683,22 +403,13 @@
     fn jitter(&mut self) -> u64 {
         self.rng.random_range(0..JITTER_US)
     }
-
-    fn count(&self, response: &coap::Response, out: &mut Vec<Action>) {
-        let counter = match response.code {
-            coap::TIMEOUT => Counter::RequestUnknown,
-            coap::UNAVAILABLE | coap::TOO_MANY => Counter::RequestRefused,
-            _ => Counter::RequestAnswered,
-        };
-        out.push(Action::Count(counter));
-    }
 }
 
 /// When the home gives up by itself.
-fn give_up_at(deadline: Instant) -> Instant {
+pub(super) fn give_up_at(deadline: Instant) -> Instant {
     Instant(deadline.0.saturating_sub(GIVE_UP_MS * 1_000))
 }
 
-fn left_ms(now: Instant, deadline: Instant) -> u32 {
+pub(super) fn left_ms(now: Instant, deadline: Instant) -> u32 {
     u32::try_from(deadline.ms_since(now)).unwrap_or(u32::MAX)
 }
