Have the backup deal with posts while their home is fresh

Cause: in a rolling restart a home that was just started could only answer outcome unknown, unless one VM alone had been home or backup for the longest deadline.

A home that can't vouch for the past yet passes posts to their backup, which deals with them in its place; the present home holds the intent too.

Conclusion: a rolling restart has to wait for Node::is_informed, and the fabric for the join. Handing the records over at a stop would allow more haste and is not done.

--- a/crates/policy/src/request.rs
+++ b/crates/policy/src/request.rs
@@ -63,6 +63,15 @@
 /// Time to come back that is named where nothing better is known, in milliseconds.
 const DEFAULT_RETRY_MS: u32 = 1_000;
 
+/// How a request came here.
+#[derive(Debug, Clone, Copy, Default)]
+struct Hop {
+    /// VMs that have passed it on.
+    hops: u8,
+    /// Whether this VM deals with it in the place of its home.
+    stand_in: bool,
+}
+
 /// An attempt of this VM that may be under way.
 #[derive(Debug, Clone)]
 struct Sent {
@@ -142,7 +151,7 @@
             deadline_ms: Some(named.min(longest)),
             ..request
         };
-        self.route(context, caller, request, 0, out);
+        self.route(context, caller, request, Hop::default(), out);
     }
 
     /// Takes a message of another VM, or of this one.
@@ -160,7 +169,8 @@
                 caller,
                 request,
                 hops,
-            } => self.route(context, caller, request, hops, out),
+                stand_in,
+            } => self.route(context, caller, request, Hop { hops, stand_in }, out),
             Message::Intent(intent) => self.take_intent(context, from, &intent, out),
             Message::Grant {
                 key,
@@ -256,7 +266,7 @@
         context: Context<'_>,
         caller: SocketAddr,
         request: coap::Request,
-        hops: u8,
+        hop: Hop,
         out: &mut Vec<Action>,
     ) {
         let key = key::Request {
@@ -265,17 +275,37 @@
         };
         let repeat = |r: &Record| r.is_repeat(content(&request), body(&request));
         if self.store.get(&key).is_some_and(repeat) {
-            self.repeat(context, &key, request, hops, out);
+            self.repeat(context, &key, request, hop, out);
             return;
         }
-        let home = context.view.home(key.fingerprint());
-        match home {
-            Some(vm) if !context.view.is_me(vm) && hops < MAX_HOPS => {
+        let place = key.fingerprint();
+        let far = hop.hops >= MAX_HOPS;
+        match context.view.home(place) {
+            Some(vm) if !context.view.is_me(vm) && !far && !hop.stand_in => {
                 let to = vm.name.clone();
-                relay(context, &to, caller, request, hops, out);
+                relay(context, &to, caller, request, hop, out);
             }
-            _ => self.begin(context, key, request, out),
+            _ => match self.stand_in(context, place, &request).filter(|_| !far) {
+                Some(to) => {
+                    let hop = Hop {
+                        stand_in: true,
+                        ..hop
+                    };
+                    relay(context, &to, caller, request, hop, out);
+                }
+                None => self.begin(context, key, request, out),
+            },
+        }
+    }
+
+    /// The backup, where it has to deal with a request in the place of its home: this VM was
+    /// started lately, and alone it could only say that the outcome is unknown.
+    fn stand_in(&self, context: Context<'_>, place: u64, request: &coap::Request) -> Option<Name> {
+        if request.method.is_idempotent() || self.is_informed(context.now, context.config) {
+            return None;
         }
+        let backup = context.view.backup(place)?;
+        (!context.view.is_me(backup)).then(|| backup.name.clone())
     }
 
     /// Handles a copy of a request that this VM has a record of.
@@ -284,7 +314,7 @@
         context: Context<'_>,
         key: &key::Request,
         request: coap::Request,
-        hops: u8,
+        hop: Hop,
         out: &mut Vec<Action>,
     ) {
         out.push(Action::Count(Counter::RequestRepeat));
@@ -300,9 +330,9 @@
                 let response = done.response.clone();
                 out.push(answer(key.caller, &request, response));
             }
-            Phase::Held(held) if hops < MAX_HOPS => {
+            Phase::Held(held) if hop.hops < MAX_HOPS => {
                 let owner = held.owner.clone();
-                relay(context, &owner, key.caller, request, hops, out);
+                relay(context, &owner, key.caller, request, hop, out);
             }
             _ => {}
         }
@@ -414,13 +444,14 @@
     to: &Name,
     caller: SocketAddr,
     request: coap::Request,
-    hops: u8,
+    hop: Hop,
     out: &mut Vec<Action>,
 ) {
     let message = Message::Relay {
         caller,
         request,
-        hops: hops + 1,
+        hops: hop.hops + 1,
+        stand_in: hop.stand_in,
     };
     send(context, to, message, out);
 }
@@ -458,12 +489,11 @@
     reached * 2 > domains.len() || (reached * 2 == domains.len() && has_first)
 }
 
-/// The live VMs that were home or backup of a key, or are its backup now, but for this one.
+/// The live VMs that are or were home or backup of a key, but for this one.
 fn holders(context: Context<'_>, history: &History, place: u64) -> BTreeSet<Name> {
     let mut holders = BTreeSet::new();
-    if let Some(backup) = context.view.backup(place) {
-        holders.insert(backup.name.clone());
-    }
+    let now = [context.view.home(place), context.view.backup(place)];
+    holders.extend(now.into_iter().flatten().map(|vm| vm.name.clone()));
     for pair in history.pairs(place) {
         holders.extend(pair.names().cloned());
     }
--- a/crates/policy/src/request/message.rs
+++ b/crates/policy/src/request/message.rs
@@ -19,6 +19,8 @@
         request: coap::Request,
         /// VMs that have passed it on.
         hops: u8,
+        /// Whether the home can't vouch for the past, so that its backup deals with the request.
+        stand_in: bool,
     },
     /// A home is about to run a request that is not idempotent.
     Intent(Intent),
--- a/crates/policy/tests/request_faults.rs
+++ b/crates/policy/tests/request_faults.rs
@@ -227,3 +227,38 @@
         net.agree_after(0, 300);
     }
 }
+
+#[test]
+fn a_rolling_restart_that_waits_until_each_vm_is_informed_cuts_no_request() {
+    let mut net = Net::new(Shape::LYSGARD, 31);
+    net.run_ms(SETTLED_MS);
+    net.arrivals(150.0, 0.7, 52_000);
+    net.run_ms(1_000);
+    net.callers.mark();
+    let names: Vec<Name> = net.vms.keys().cloned().collect();
+    for vm in names {
+        net.leave(&vm);
+        net.run_ms(400);
+        let entry = &net.vms[&vm];
+        assert!(entry.load.is_idle() && entry.requests.is_idle(), "{vm}");
+        net.kill(&vm);
+        net.agree_after(0, 100);
+        net.run_ms(600);
+        net.restart(&vm);
+        net.agree_after(0, 100);
+        net.run_ms(4_500);
+        let entry = &net.vms[&vm];
+        assert!(entry.requests.is_informed(net.now, &entry.config), "{vm}");
+    }
+    net.run_ms(3_000);
+    net.check("rolling restart");
+    let asked = net.callers.asked();
+    let codes = |code| net.callers.first(code);
+    assert_eq!(
+        codes(coap::CHANGED),
+        asked,
+        "refused {}, unknown {}",
+        codes(coap::UNAVAILABLE),
+        codes(coap::TIMEOUT)
+    );
+}
--- a/crates/policy/tests/support/entry.rs
+++ b/crates/policy/tests/support/entry.rs
@@ -22,6 +22,8 @@
     pub(crate) view: View,
     pub(crate) config: Arc<Config>,
     pub(crate) alive: bool,
+    /// Whether it has joined the others, so that the fabric hands requests to it.
+    pub(crate) ready: bool,
     pub(crate) frozen: bool,
     /// What decides in the place of the machines, in a comparison.
     pub(super) baseline: Option<Baseline>,
@@ -40,6 +42,7 @@
             requests: Requests::new(start, seed),
             config: config.clone(),
             alive: true,
+            ready: false,
             frozen: false,
             baseline: None,
             backlog: Vec::new(),
@@ -80,6 +83,7 @@
         } = self;
         if let Item::View { vms, .. } = item {
             view.vms = vms;
+            self.ready = true;
             view.number += 1;
             let context = Context {
                 now,
