Send entry VMs what changed instead of whole configurations

Cause: a whole configuration goes out with each command; its size grows with the services.

Ruled out: commands replayed by entry VMs, which needs the log kept for them.

Metrics get the prefix oriole_, as the entry VM's have.

--- a/crates/control/src/dump.rs
+++ b/crates/control/src/dump.rs
@@ -20,7 +20,7 @@
 pub fn own(state: &State) -> Value {
     let now_ms = state.now_ms();
     let status = state.replica.status();
-    let config = state.delivered.borrow().clone();
+    let config = state.delivered.borrow().newest().clone();
     let soft = state.soft();
     let vms: Vec<_> = soft.vms.all(now_ms).collect();
     let live: Vec<&Name> = soft.vms.live(now_ms).map(|heard| &heard.vm).collect();
--- a/crates/control/src/operator.rs
+++ b/crates/control/src/operator.rs
@@ -46,10 +46,10 @@
 impl Service {
     #[method(Apply)]
     async fn apply(&self, request: schema::ApplyRequest) -> schema::ApplyResponse {
-        metrics::counter!("control_commands_total").increment(1);
+        metrics::counter!("oriole_control_commands_total").increment(1);
         let outcome = self.run(&request).await;
         if !matches!(outcome, Outcome::Accepted(_)) {
-            metrics::counter!("control_commands_not_accepted_total").increment(1);
+            metrics::counter!("oriole_control_commands_not_accepted_total").increment(1);
         }
         schema::ApplyResponse {
             outcome: Some(outcome),
--- a/crates/control/src/process.rs
+++ b/crates/control/src/process.rs
@@ -6,7 +6,7 @@
     http::{self, Question},
     supervisor::{Restart, Supervisor},
 };
-use delivery::{CONTROL_PATH, server};
+use delivery::{CONTROL_PATH, delta::History, server};
 use displaydoc::Display;
 use metrics_exporter_prometheus::PrometheusHandle;
 use settings::control::Settings;
@@ -56,7 +56,7 @@
     // The replica outlives the rest, so that calls under way at a stop still get their answers.
     let replica_token = CancellationToken::new();
     let replica = start_replica(&settings, replica_token.clone()).await?;
-    let (publish, delivered) = watch::channel(state::strip(&replica.latest()));
+    let (publish, delivered) = watch::channel(History::new(state::strip(&replica.latest())));
     let state = State::new(settings.name.clone(), replica.clone(), delivered);
     let root = Supervisor::new("control", token.clone());
 
--- a/crates/control/src/session.rs
+++ b/crates/control/src/session.rs
@@ -1,12 +1,15 @@
 //! The stream of one entry VM.
 
-use std::{sync::Arc, time::Duration};
+use std::time::Duration;
 
-use delivery::{server::Stream, stream};
+use delivery::{
+    delta::{History, Update},
+    server::Stream,
+    stream,
+};
 use displaydoc::Display;
 use model::{
-    config::Config,
-    delivery::{Hello, LEASE_MS, ToControl, ToEntry},
+    delivery::{Hello, LEASE_MS, ToControl},
     name::Name,
 };
 use tokio::{sync::watch, time::timeout};
@@ -76,7 +79,11 @@
         tokio::select! {
             received = timeout(SILENCE, stream.receiver.receive()) => {
                 let message: ToControl = received.map_err(|_| End::Silent)??;
-                take(state, &hello.vm, message)?;
+                if message == ToControl::Whole {
+                    index = 0;
+                } else {
+                    take(state, &hello.vm, message)?;
+                }
                 answer(stream, state, &mut delivered, &mut index).await?;
             }
             changed = delivered.changed() => {
@@ -92,10 +99,10 @@
     let ToControl::Hello(hello) = first.map_err(|_| End::Silent)?? else {
         return Err(End::NoHello);
     };
-    let cluster = state.delivered.borrow().cluster;
+    let cluster = state.delivered.borrow().newest().cluster;
     if hello.cluster != 0 && cluster != 0 && hello.cluster != cluster {
-        metrics::counter!("delivery_wrong_cluster_total").increment(1);
-        stream.sender.send(&ToEntry::TryOther).await?;
+        metrics::counter!("oriole_delivery_wrong_cluster_total").increment(1);
+        stream.sender.send(&Update::TryOther).await?;
         return Err(End::Cluster(hello.cluster));
     }
     let now_ms = state.now_ms();
@@ -111,6 +118,7 @@
         ToControl::Hello(hello) => soft.vms.hello(now_ms, &hello),
         ToControl::Beat(beat) => soft.vms.beat(now_ms, vm, beat),
         ToControl::Announced(announcement) => soft.upstreams.put(now_ms, announcement),
+        ToControl::Whole => {}
         ToControl::Goodbye => {
             soft.vms.goodbye(now_ms, vm);
             return Err(End::Goodbye);
@@ -128,22 +136,32 @@
 async fn answer(
     stream: &mut Stream,
     state: &State,
-    delivered: &mut watch::Receiver<Arc<Config>>,
+    delivered: &mut watch::Receiver<History>,
     index: &mut u64,
 ) -> Result<(), End> {
-    let config = delivered.borrow_and_update().clone();
+    let history = delivered.borrow_and_update().clone();
     if !state.is_in_touch() {
-        stream.sender.send(&ToEntry::TryOther).await?;
+        stream.sender.send(&Update::TryOther).await?;
         return Err(End::OutOfTouch);
     }
-    let message = if config.index > *index {
-        *index = config.index;
-        metrics::counter!("delivery_configs_sent_total").increment(1);
-        ToEntry::Config(config)
-    } else {
-        ToEntry::Current {
-            index: config.index,
-        }
-    };
-    Ok(stream.sender.send(&message).await?)
+    for update in updates(&history, *index) {
+        stream.sender.send(&update).await?;
+    }
+    *index = history.newest().index.max(*index);
+    Ok(())
+}
+
+/// What an entry VM at `index` has to get.
+fn updates(history: &History, index: u64) -> Vec<Update> {
+    let newest = history.newest();
+    if newest.index <= index {
+        let index = newest.index;
+        return vec![Update::Current { index }];
+    }
+    if let Some(deltas) = history.since(index).filter(|_| index > 0) {
+        metrics::counter!("oriole_delivery_deltas_sent_total").increment(deltas.len() as u64);
+        return deltas.iter().cloned().map(Update::Delta).collect();
+    }
+    metrics::counter!("oriole_delivery_configs_sent_total").increment(1);
+    vec![Update::Whole(newest.clone())]
 }
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -5,6 +5,7 @@
     time::Instant,
 };
 
+use delivery::delta::History;
 use model::{config::Config, name::Name};
 use tokio::sync::{Notify, watch};
 
@@ -19,7 +20,7 @@
     /// This control VM's replica.
     pub replica: Handle,
     /// The configuration as entry VMs get it: without the answers, which only control VMs need.
-    pub delivered: watch::Receiver<Arc<Config>>,
+    pub delivered: watch::Receiver<History>,
     /// Told whenever `soft` changes in a way that may make a step due.
     pub changed: Arc<Notify>,
     soft: Arc<Mutex<Soft>>,
@@ -40,7 +41,7 @@
 impl State {
     /// Starts with no soft state.
     #[must_use]
-    pub fn new(name: Name, replica: Handle, delivered: watch::Receiver<Arc<Config>>) -> Self {
+    pub fn new(name: Name, replica: Handle, delivered: watch::Receiver<History>) -> Self {
         Self {
             name,
             replica,
@@ -82,13 +83,17 @@
 }
 
 /// Follows the replica's configuration and publishes it in the form that entry VMs get.
-pub async fn publish(
-    mut applied: watch::Receiver<Arc<Config>>,
-    delivered: watch::Sender<Arc<Config>>,
-) {
+pub async fn publish(mut applied: watch::Receiver<Arc<Config>>, delivered: watch::Sender<History>) {
     loop {
         let config = applied.borrow_and_update().clone();
-        delivered.send_replace(strip(&config));
+        let config = strip(&config);
+        delivered.send_if_modified(|history| {
+            let is_newer = config.index > history.newest().index;
+            if is_newer {
+                history.push(config);
+            }
+            is_newer
+        });
         if applied.changed().await.is_err() {
             return;
         }
--- a/crates/delivery/src/client.rs
+++ b/crates/delivery/src/client.rs
@@ -1,8 +1,12 @@
 //! Keeps an entry VM's stream to some control VM.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use model::delivery::{Hello, ToControl, ToEntry};
+use displaydoc::Display;
+use model::{
+    config::Config,
+    delivery::{Hello, ToControl, ToEntry},
+};
 use rand::{Rng, SeedableRng, seq::SliceRandom};
 use rand_pcg::Pcg64Mcg;
 use tokio::{
@@ -11,7 +15,13 @@
 };
 use tokio_util::sync::CancellationToken;
 
-use crate::{ENTRY_PATH, dial, pending::Pending, stream};
+use crate::{
+    ENTRY_PATH,
+    delta::{Mismatch, Update},
+    dial,
+    pending::Pending,
+    stream,
+};
 
 /// Time without an answer to a message after which another control VM is tried.
 const SILENCE: Duration = Duration::from_millis(1_500);
@@ -56,26 +66,25 @@
 /// `try_send`. A full `incoming` slows the stream down, so read it steadily.
 pub async fn run<H: Fn() -> Hello>(
     settings: Settings<H>,
-    mut outgoing: mpsc::Receiver<ToControl>,
+    outgoing: mpsc::Receiver<ToControl>,
     incoming: mpsc::Sender<ToEntry>,
     token: CancellationToken,
 ) {
     let mut random = Pcg64Mcg::seed_from_u64(settings.seed);
-    let mut controls = settings.controls.clone();
+    let mut controls = settings.controls;
     controls.shuffle(&mut random);
-    let mut pending = Pending::default();
+    let mut link = Link {
+        hello: settings.hello,
+        outgoing,
+        incoming,
+        pending: Pending::default(),
+        base: Base::default(),
+    };
     let mut failures = 0_usize;
     while let Some(control) = controls.get(failures % controls.len().max(1)).copied() {
-        let session = session(
-            control,
-            &settings.hello,
-            &mut outgoing,
-            &incoming,
-            &mut pending,
-        );
         let end = tokio::select! {
             () = token.cancelled() => return,
-            end = session => end,
+            end = link.session(control) => end,
         };
         match end {
             End::Stopped => return,
@@ -88,13 +97,12 @@
             End::Lost { answered: false } => failures += 1,
         }
         let wait = wait(failures, controls.len(), &mut random);
-        tokio::select! {
+        let is_alive = tokio::select! {
             () = token.cancelled() => return,
-            alive = absorb_until(Instant::now() + wait, &mut outgoing, &mut pending) => {
-                if !alive {
-                    return;
-                }
-            }
+            is_alive = link.absorb_until(Instant::now() + wait) => is_alive,
+        };
+        if !is_alive {
+            return;
         }
     }
     log::error!(target: "delivery", "no control VM is set: this VM gets no configuration from any");
@@ -111,59 +119,8 @@
     },
 }
 
-async fn session(
-    control: SocketAddr,
-    hello: &impl Fn() -> Hello,
-    outgoing: &mut mpsc::Receiver<ToControl>,
-    incoming: &mpsc::Sender<ToEntry>,
-    pending: &mut Pending,
-) -> End {
-    let mut stream = match dial_while_absorbing(control, outgoing, pending).await {
-        Some(Ok(stream)) => stream,
-        Some(Err(error)) => {
-            log::debug!(target: "delivery", "no stream: {error}");
-            return End::Lost { answered: false };
-        }
-        None => return End::Stopped,
-    };
-    let mut answered = false;
-    match exchange(
-        &mut stream,
-        hello,
-        outgoing,
-        incoming,
-        pending,
-        &mut answered,
-    )
-    .await
-    {
-        Ok(()) => End::Stopped,
-        Err(error) => {
-            log::info!(target: "delivery", "leaves control VM {control}: {error}");
-            metrics::counter!("delivery_streams_lost_total").increment(1);
-            End::Lost { answered }
-        }
-    }
-}
-
-/// Opens a stream and keeps `outgoing` flowing meanwhile; `None` when it closes.
-async fn dial_while_absorbing(
-    control: SocketAddr,
-    outgoing: &mut mpsc::Receiver<ToControl>,
-    pending: &mut Pending,
-) -> Option<Result<dial::Stream, dial::Error>> {
-    let dial = dial::open(control, ENTRY_PATH);
-    tokio::pin!(dial);
-    loop {
-        tokio::select! {
-            opened = &mut dial => return Some(opened),
-            message = outgoing.recv() => pending.absorb(message?),
-        }
-    }
-}
-
 /// Why a stream is given up.
-#[derive(Debug, displaydoc::Display)]
+#[derive(Debug, Display)]
 enum Loss {
     /// {0}
     Stream(stream::Error),
@@ -179,62 +136,139 @@
     }
 }
 
-/// Exchanges messages until the stream is lost; `Ok` when a channel closes.
-async fn exchange(
-    stream: &mut dial::Stream,
-    hello: &impl Fn() -> Hello,
-    outgoing: &mut mpsc::Receiver<ToControl>,
-    incoming: &mpsc::Sender<ToEntry>,
-    pending: &mut Pending,
-    answered: &mut bool,
-) -> Result<(), Loss> {
-    stream.sender.send(&ToControl::Hello(hello())).await?;
-    while let Some(message) = pending.pop() {
-        stream.sender.send(&message).await?;
+/// The last configuration that came, to which deltas apply.
+#[derive(Debug, Default)]
+struct Base {
+    config: Arc<Config>,
+    /// Whether a whole configuration was asked for and has not come.
+    awaits_whole: bool,
+}
+
+impl Base {
+    /// Turns what stands on the stream into what the daemon gets.
+    fn take_in(&mut self, update: Update) -> Result<ToEntry, Mismatch> {
+        match update {
+            Update::Whole(config) => {
+                self.config = config;
+                self.awaits_whole = false;
+            }
+            Update::Delta(delta) => self.config = Arc::new(delta.apply(&self.config)?),
+            Update::Current { index } => return Ok(ToEntry::Current { index }),
+            Update::TryOther => return Ok(ToEntry::TryOther),
+        }
+        Ok(ToEntry::Config(self.config.clone()))
     }
-    // When an answer is due; none is while nothing was said since the last one.
-    let mut due = Some(Instant::now() + SILENCE);
-    loop {
-        let silent = sleep_until(due.unwrap_or_else(|| Instant::now() + SILENCE));
-        tokio::select! {
-            message = outgoing.recv() => {
-                let Some(message) = message else { return Ok(()) };
-                let last = message == ToControl::Goodbye;
-                stream.sender.send(&message).await?;
-                due = due.or(Some(Instant::now() + SILENCE));
-                if last {
-                    // The connection ends with the process, once the message is out.
-                    due = None;
-                }
+}
+
+/// What outlives a stream.
+struct Link<H> {
+    hello: H,
+    outgoing: mpsc::Receiver<ToControl>,
+    incoming: mpsc::Sender<ToEntry>,
+    pending: Pending,
+    base: Base,
+}
+
+impl<H: Fn() -> Hello> Link<H> {
+    /// Opens a stream to `control` and uses it until it is lost.
+    async fn session(&mut self, control: SocketAddr) -> End {
+        let mut stream = match self.dial(control).await {
+            Some(Ok(stream)) => stream,
+            Some(Err(error)) => {
+                log::debug!(target: "delivery", "no stream: {error}");
+                return End::Lost { answered: false };
+            }
+            None => return End::Stopped,
+        };
+        let mut answered = false;
+        let Err(loss) = self.exchange(&mut stream, &mut answered).await else {
+            return End::Stopped;
+        };
+        log::info!(target: "delivery", "leaves control VM {control}: {loss}");
+        metrics::counter!("oriole_delivery_streams_lost_total").increment(1);
+        End::Lost { answered }
+    }
+
+    /// Opens a stream and keeps `outgoing` flowing meanwhile; `None` when that closes.
+    async fn dial(&mut self, control: SocketAddr) -> Option<Result<dial::Stream, dial::Error>> {
+        let dial = dial::open(control, ENTRY_PATH);
+        tokio::pin!(dial);
+        loop {
+            tokio::select! {
+                opened = &mut dial => return Some(opened),
+                message = self.outgoing.recv() => self.pending.absorb(message?),
             }
-            message = stream.receiver.receive() => {
-                let message: ToEntry = message?;
-                due = None;
-                if message == ToEntry::TryOther {
-                    return Err(Loss::TryOther);
+        }
+    }
+
+    /// Exchanges messages until the stream is lost; `Ok` when a channel closes.
+    async fn exchange(
+        &mut self,
+        stream: &mut dial::Stream,
+        answered: &mut bool,
+    ) -> Result<(), Loss> {
+        stream
+            .sender
+            .send(&ToControl::Hello((self.hello)()))
+            .await?;
+        while let Some(message) = self.pending.pop() {
+            stream.sender.send(&message).await?;
+        }
+        self.base.awaits_whole = false;
+        // When an answer is due; none is while nothing was said since the last one.
+        let mut due = Some(Instant::now() + SILENCE);
+        loop {
+            let silent = sleep_until(due.unwrap_or_else(|| Instant::now() + SILENCE));
+            tokio::select! {
+                message = self.outgoing.recv() => {
+                    let Some(message) = message else { return Ok(()) };
+                    let is_last = message == ToControl::Goodbye;
+                    stream.sender.send(&message).await?;
+                    // Nothing answers a goodbye; the stream ends with the process.
+                    due = due.or(Some(Instant::now() + SILENCE)).filter(|_| !is_last);
                 }
-                *answered = true;
-                if incoming.send(message).await.is_err() {
-                    return Ok(());
+                update = stream.receiver.receive() => {
+                    due = None;
+                    let Some(message) = self.take_in(stream, update?).await? else { continue };
+                    *answered = true;
+                    if self.incoming.send(message).await.is_err() {
+                        return Ok(());
+                    }
                 }
+                () = silent, if due.is_some() => return Err(Loss::Silent),
             }
-            () = silent, if due.is_some() => return Err(Loss::Silent),
         }
     }
-}
 
-/// Keeps `outgoing` flowing until `end`; false when it closes.
-async fn absorb_until(
-    end: Instant,
-    outgoing: &mut mpsc::Receiver<ToControl>,
-    pending: &mut Pending,
-) -> bool {
-    loop {
-        tokio::select! {
-            () = sleep_until(end) => return true,
-            message = outgoing.recv() => {
-                let Some(message) = message else { return false };
-                pending.absorb(message);
+    /// Turns an update into what the daemon gets; `None` where a whole configuration has to come
+    /// first, which is asked for once.
+    async fn take_in(
+        &mut self,
+        stream: &mut dial::Stream,
+        update: Update,
+    ) -> Result<Option<ToEntry>, Loss> {
+        match self.base.take_in(update) {
+            Ok(ToEntry::TryOther) => Err(Loss::TryOther),
+            Ok(message) => Ok(Some(message)),
+            Err(_) if self.base.awaits_whole => Ok(None),
+            Err(mismatch) => {
+                log::info!(target: "delivery", "asks for a whole configuration: {mismatch}");
+                self.base.awaits_whole = true;
+                stream.sender.send(&ToControl::Whole).await?;
+                Ok(None)
+            }
+        }
+    }
+
+    /// Keeps `outgoing` flowing until `end`; false when it closes.
+    async fn absorb_until(&mut self, end: Instant) -> bool {
+        loop {
+            tokio::select! {
+                () = sleep_until(end) => return true,
+                message = self.outgoing.recv() => {
+                    let Some(message) = message else { return false };
+                    self.pending.absorb(message);
+                }
             }
         }
     }
--- a/crates/delivery/src/lib.rs
+++ b/crates/delivery/src/lib.rs
@@ -1,6 +1,7 @@
 //! Streams between entry VMs and control VMs, and between control VMs: one `h2` stream over TCP
 //! for each pair, with messages in both directions.
 //!
+//! A configuration travels as a [`delta::Delta`] where the entry VM has the one before it.
 //! [`stream`] frames typed messages: their length as 4 bytes, big-endian, then the body as
 //! [`wire::frame::encode_body`] writes it. [`server`] accepts streams, [`dial`] opens one, and
 //! [`client`] keeps an entry VM's stream to some control VM.
@@ -25,6 +26,7 @@
 //! ```
 
 pub mod client;
+pub mod delta;
 pub mod dial;
 mod pending;
 pub mod server;
--- a/crates/delivery/src/pending.rs
+++ b/crates/delivery/src/pending.rs
@@ -24,8 +24,8 @@
                 let key = (announcement.service.clone(), announcement.upstream.clone());
                 self.announced.insert(key, announcement);
             }
-            // The stream opens with a greeting of its own, and has ended already.
-            ToControl::Hello(_) | ToControl::Goodbye => {}
+            // These belong to a stream that has ended.
+            ToControl::Hello(_) | ToControl::Whole | ToControl::Goodbye => {}
         }
     }
 
--- a/crates/delivery/src/server.rs
+++ b/crates/delivery/src/server.rs
@@ -68,7 +68,7 @@
             }
         };
         let Ok(permit) = permits.clone().try_acquire_owned() else {
-            metrics::counter!("delivery_connections_refused_total").increment(1);
+            metrics::counter!("oriole_delivery_connections_refused_total").increment(1);
             continue;
         };
         let serve = serve.clone();
@@ -101,7 +101,7 @@
         .max_concurrent_streams(MAX_STREAMS);
     let handshake = timeout(HANDSHAKE_WAIT, builder.handshake::<_, Bytes>(tcp));
     let Ok(Ok(mut streams)) = handshake.await else {
-        metrics::counter!("delivery_handshakes_failed_total").increment(1);
+        metrics::counter!("oriole_delivery_handshakes_failed_total").increment(1);
         log::debug!(target: "delivery", "{peer} speaks no HTTP/2");
         return;
     };
--- a/crates/delivery/src/stream.rs
+++ b/crates/delivery/src/stream.rs
@@ -62,6 +62,7 @@
     /// Fails when the stream has ended, or the peer makes no room in time.
     pub async fn send<T: Serialize>(&mut self, message: &T) -> Result<(), Error> {
         let mut bytes = encode(message)?;
+        metrics::counter!("oriole_delivery_bytes_sent_total").increment(bytes.len() as u64);
         while !bytes.is_empty() {
             let room = self.room(bytes.len()).await?;
             let chunk = bytes.split_to(room.min(bytes.len()));
@@ -122,6 +123,8 @@
             };
             let chunk = chunk?;
             self.stream.flow_control().release_capacity(chunk.len())?;
+            let length = chunk.len() as u64;
+            metrics::counter!("oriole_delivery_bytes_received_total").increment(length);
             self.unread.push(&chunk);
         }
     }
--- a/crates/delivery/tests/failover.rs
+++ b/crates/delivery/tests/failover.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use delivery::{client, server};
+use delivery::{client, delta::Update, server};
 use model::{
     delivery::{Beat, Hello, ToControl, ToEntry},
     name::Name,
@@ -38,8 +38,8 @@
             while let Ok(message) = stream.receiver.receive::<ToControl>().await {
                 drop(heard.send(message));
                 let answer = match behaviour {
-                    Behaviour::Answers(index) => ToEntry::Current { index },
-                    Behaviour::SendsAway => ToEntry::TryOther,
+                    Behaviour::Answers(index) => Update::Current { index },
+                    Behaviour::SendsAway => Update::TryOther,
                     Behaviour::Silent => continue,
                 };
                 drop(stream.sender.send(&answer).await);
--- a/crates/delivery/tests/framing.rs
+++ b/crates/delivery/tests/framing.rs
@@ -2,8 +2,11 @@
 //! are messages or an error.
 
 use bolero::check;
-use delivery::stream::{Unread, encode};
-use model::delivery::{Beat, MAX_MESSAGE, ToControl, ToEntry};
+use delivery::{
+    delta::Update,
+    stream::{Unread, encode},
+};
+use model::delivery::{Beat, MAX_MESSAGE, ToControl};
 use rand::{Rng, RngCore, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
@@ -55,7 +58,7 @@
         }
         let mut unread = Unread::default();
         unread.push(&bytes);
-        while let Ok(Some(_)) = unread.pop::<ToEntry>() {}
+        while let Ok(Some(_)) = unread.pop::<Update>() {}
     });
 }
 
@@ -64,5 +67,5 @@
     let mut unread = Unread::default();
     let length = u32::try_from(MAX_MESSAGE + 1).expect("a length");
     unread.push(&length.to_be_bytes());
-    assert!(unread.pop::<ToEntry>().is_err());
+    assert!(unread.pop::<Update>().is_err());
 }
--- a/crates/model/src/delivery.rs
+++ b/crates/model/src/delivery.rs
@@ -32,6 +32,8 @@
     /// An upstream announced itself here; sent when it is new or changed, and again every
     /// [`crate::announce::LEASE_MS`].
     Announced(Announcement),
+    /// Asks for the whole configuration, since what came can't be applied here.
+    Whole,
     /// The entry VM stops on purpose: its lease ends now.
     Goodbye,
 }
@@ -64,7 +66,7 @@
     pub needed: BTreeMap<Name, u64>,
 }
 
-/// What a control VM says.
+/// What a control VM says, as the entry VM's client hands it on.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ToEntry {
     /// A newer configuration, whole.
