Share what two tests and two commands had twice; show that cut calls harm no other

A gRPC call whose message is cut off makes ntex-grpc 2.3.0 panic inside its own task (server/service.rs reads 5 bytes without looking); the panic ends that connection alone, as the new test shows with 8 lengths. The panic itself is a fault still to be mended.

--- a/crates/cli/src/change.rs
+++ b/crates/cli/src/change.rs
@@ -185,24 +185,34 @@
     }
 }
 
+/// Reads one planned change.
+///
+/// # Errors
+///
+/// Fails when no control VM answers, or when there is no such change.
+pub async fn get(
+    controls: &mut Controls,
+    number: u64,
+    allow_old: bool,
+) -> Result<schema::Change, Failure> {
+    let request = GetChangeRequest { number, allow_old };
+    let response = controls
+        .call(async |client| Ok(Attempt::Final(client.get_change(&request).await?)))
+        .await?;
+    response.change.ok_or_else(|| {
+        let message = format!("change {number} is unknown: see `oriolectl change list`");
+        Failure::new(Code::Refused, message)
+    })
+}
+
 /// Waits until the planned change `number` is in force, or was replaced by a later one.
 ///
 /// # Errors
 ///
 /// Fails when the time is over, naming the VMs that are missing, or when there is no such change.
 pub async fn wait_in_force(controls: &mut Controls, number: u64) -> Result<(), Failure> {
-    let request = GetChangeRequest {
-        number,
-        allow_old: false,
-    };
     loop {
-        let response = controls
-            .call(async |client| Ok(Attempt::Final(client.get_change(&request).await?)))
-            .await?;
-        let Some(change) = response.change else {
-            let message = format!("change {number} is unknown: see `oriolectl change list`");
-            return Err(Failure::new(Code::Refused, message));
-        };
+        let change = get(controls, number, false).await?;
         if change.state == "in-force" || change.state == "superseded" {
             return Ok(());
         }
--- a/crates/cli/src/list.rs
+++ b/crates/cli/src/list.rs
@@ -3,7 +3,7 @@
 use std::cell::Cell;
 
 use clap::ArgMatches;
-use rpc::schema::{DumpRequest, GetChangeRequest, ReadRequest};
+use rpc::schema::{DumpRequest, ReadRequest};
 use serde_json::Value;
 
 use crate::{
@@ -148,17 +148,7 @@
     if verb == "wait" {
         change::wait_in_force(controls, number).await?;
     }
-    let request = GetChangeRequest {
-        number,
-        allow_old: matches.get_flag("allow-old"),
-    };
-    let response = controls
-        .call(async |client| Ok(Attempt::Final(client.get_change(&request).await?)))
-        .await?;
-    let Some(change) = response.change else {
-        let message = format!("change {number} is unknown: see `oriolectl change list`");
-        return Err(Failure::new(Code::Refused, message));
-    };
+    let change = change::get(controls, number, matches.get_flag("allow-old")).await?;
     show::object(output, &json::change(&change));
     Ok(())
 }
--- a/crates/control/tests/common/entry.rs
+++ b/crates/control/tests/common/entry.rs
@@ -17,7 +17,7 @@
 use tokio::sync::mpsc;
 use tokio_util::sync::CancellationToken;
 
-use super::name;
+use super::upstream::name;
 
 /// Time between two beats.
 const BEAT: Duration = Duration::from_millis(200);
--- a/crates/control/tests/common/mod.rs
+++ b/crates/control/tests/common/mod.rs
@@ -8,6 +8,7 @@
 )]
 
 pub mod entry;
+pub mod upstream;
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -26,6 +27,7 @@
 };
 use settings::control::Settings;
 use tempfile::TempDir;
+use upstream::name;
 
 /// Longest wait for anything that must happen in the end.
 pub const PATIENCE: Duration = Duration::from_secs(30);
@@ -184,10 +186,6 @@
     })
 }
 
-pub fn name(text: &str) -> Name {
-    Name::new(text).unwrap()
-}
-
 /// What was accepted; fails the test otherwise.
 pub fn accepted(outcome: Outcome) -> schema::Accepted {
     match outcome {
--- /dev/null
+++ b/crates/control/tests/common/upstream.rs
@@ -0,0 +1,25 @@
+//! An upstream as it announces itself.
+
+use model::{announce::Announcement, name::Name};
+
+/// A name that is known to be good.
+pub(crate) fn name(text: &str) -> Name {
+    Name::new(text).expect("a name")
+}
+
+/// What an upstream of service "booking" announces.
+pub(crate) fn announcement(upstream: &str) -> Announcement {
+    Announcement {
+        service: name("booking"),
+        upstream: name(upstream),
+        domain: name("vejle"),
+        flow_address: "10.1.0.1:1".parse().expect("an address"),
+        request_address: "10.1.0.1:2".parse().expect("an address"),
+        slots: 3,
+        connections: 2_000,
+        incarnation: 1,
+        held_flows: 0,
+        warmth_percent: 100,
+        leaving: false,
+    }
+}
--- a/crates/control/tests/process.rs
+++ b/crates/control/tests/process.rs
@@ -1,34 +1,17 @@
 //! One real control VM: commands, refusals, resends, races, delivery to entry VMs.
 
-#![expect(clippy::unwrap_used, reason = "a test fails by its panic")]
-
 mod common;
 
-use std::process::Command;
+use std::{process::Command, time::Duration};
 
+use common::upstream::{announcement, name};
 use common::{
-    Cluster, accepted, block_on, entry::Entry, eventually, name, put_domain, put_service, refused,
+    Cluster, accepted, block_on, entry::Entry, eventually, put_domain, put_service, refused,
     request,
 };
-use model::{announce::Announcement, config::Stage, delivery::ToControl};
+use model::{config::Stage, delivery::ToControl};
 use rpc::schema::{self, RefusalKind, apply_request};
 
-fn announcement(upstream: &str) -> Announcement {
-    Announcement {
-        service: name("booking"),
-        upstream: name(upstream),
-        domain: name("vejle"),
-        flow_address: "127.0.0.1:9001".parse().unwrap(),
-        request_address: "127.0.0.1:9002".parse().unwrap(),
-        slots: 3,
-        connections: 2_000,
-        incarnation: 1,
-        held_flows: 0,
-        warmth_percent: 100,
-        leaving: false,
-    }
-}
-
 fn admit(upstream: &str) -> apply_request::Command {
     apply_request::Command::Admit(schema::Admit {
         service: "booking".into(),
@@ -170,6 +153,31 @@
     });
 }
 
+#[test]
+fn calls_that_are_cut_short_do_not_harm_others() {
+    block_on(async {
+        let mut cluster = Cluster::start(1);
+        let client = cluster.client(0).await;
+        accepted(cluster.apply(&request("1", put_domain("vejle"))).await);
+        for length in 0..8 {
+            let tcp = tokio::net::TcpStream::connect(cluster.settings[0].rpc_listen);
+            let (mut calls, connection) = h2::client::handshake(tcp.await.unwrap()).await.unwrap();
+            let connection = tokio::spawn(connection);
+            let call = http::Request::post("http://control/oriole.Operator/Apply").body(());
+            let (answer, mut body) = calls.send_request(call.unwrap(), false).unwrap();
+            body.send_data(vec![0xff; length].into(), true).unwrap();
+            drop(tokio::time::timeout(Duration::from_secs(1), answer).await);
+            connection.abort();
+        }
+        // The connection of another caller goes on.
+        client
+            .status(&schema::ReadRequest::default())
+            .await
+            .unwrap();
+        assert!(cluster.stop(0));
+    });
+}
+
 #[test]
 fn check_settings_says_ok_or_one_line() {
     let cluster = Cluster::start(1);
--- a/crates/control/tests/steps.rs
+++ b/crates/control/tests/steps.rs
@@ -1,41 +1,23 @@
 //! The leader's own steps, on fake times and beats.
 
+#[path = "common/upstream.rs"]
+mod upstream;
+
 use control::{
     announced,
     lease::{FORGET_MS, LIVE_MS, Table},
     step::Stepper,
 };
 use model::{
-    announce::Announcement,
     command::{Command, Entry},
     config::{Config, Service},
     delivery::{Beat, Hello},
-    name::Name,
 };
+use upstream::{announcement, name};
 
 /// A moment at which a process has run long enough to know who lives.
 const LATER: u64 = 100_000;
 
-fn name(text: &str) -> Name {
-    Name::new(text).expect("a name")
-}
-
-fn announcement(upstream: &str) -> Announcement {
-    Announcement {
-        service: name("booking"),
-        upstream: name(upstream),
-        domain: name("vejle"),
-        flow_address: "10.1.0.1:1".parse().expect("an address"),
-        request_address: "10.1.0.1:2".parse().expect("an address"),
-        slots: 3,
-        connections: 2_000,
-        incarnation: 1,
-        held_flows: 0,
-        warmth_percent: 100,
-        leaving: false,
-    }
-}
-
 fn hello(vm: &str, incarnation: u64) -> Hello {
     let address = "10.2.0.1:1".parse().expect("an address");
     Hello {
--- a/crates/control/tests/three.rs
+++ b/crates/control/tests/three.rs
@@ -3,7 +3,8 @@
 mod common;
 
 use common::{
-    Cluster, accepted, block_on, entry::Entry, eventually, name, put_domain, put_service, request,
+    Cluster, accepted, block_on, entry::Entry, eventually, put_domain, put_service, request,
+    upstream::name,
 };
 use rpc::schema::{self, ReadRequest, apply_request, apply_response::Outcome};
 
--- a/crates/delivery/examples/config_bytes.rs
+++ b/crates/delivery/examples/config_bytes.rs
@@ -23,6 +23,19 @@
     Ok(())
 }
 
+/// Activates the newest generation of `service`.
+fn activate(config: &mut Config, service: Name) -> Result<(), Box<dyn Error>> {
+    let newest = config.services[&service].generations.last();
+    let generation = newest.map_or(0, |generation| generation.number);
+    apply(
+        config,
+        Command::Activate {
+            service,
+            generation,
+        },
+    )
+}
+
 fn name(text: &str, number: u32) -> Result<Name, Box<dyn Error>> {
     Ok(Name::new(format!("{text}-{number}"))?)
 }
@@ -57,17 +70,7 @@
             };
             apply(&mut config, admit)?;
         }
-        let generation = config.services[&service]
-            .generations
-            .last()
-            .map_or(0, |g| g.number);
-        apply(
-            &mut config,
-            Command::Activate {
-                service,
-                generation,
-            },
-        )?;
+        activate(&mut config, service)?;
     }
     config.changes.clear();
     Ok(config)
@@ -85,17 +88,7 @@
         };
         apply(&mut drained, drain)?;
         let mut active = drained.clone();
-        let generation = active.services[&service]
-            .generations
-            .last()
-            .map_or(0, |g| g.number);
-        apply(
-            &mut active,
-            Command::Activate {
-                service,
-                generation,
-            },
-        )?;
+        activate(&mut active, service)?;
         let whole = encode(&Update::Whole(before.clone().into()))?.len();
         let delta = |old, new| encode(&Update::Delta(Delta::between(old, new).into()));
         println!(
