Refuse gRPC calls that are cut off or too long, without a panic

Cause: ntex-grpc 2.3.0's server reads 5 bytes before each message without looking (panic in its task for lengths 0 to 4) and collects messages of any length.

The test that only asked for survival is replaced by one that asks for the status.

Ruled out: catching the panic, which bounds nothing.

--- a/crates/control/tests/process.rs
+++ b/crates/control/tests/process.rs
@@ -1,8 +1,10 @@
 //! One real control VM: commands, refusals, resends, races, delivery to entry VMs.
 
+#![expect(clippy::unwrap_used, reason = "a test fails by its panic")]
+
 mod common;
 
-use std::{process::Command, time::Duration};
+use std::process::Command;
 
 use common::upstream::{announcement, name};
 use common::{
@@ -153,22 +155,42 @@
     });
 }
 
+/// Calls `path` with `body` and returns the gRPC status.
+async fn raw_call(cluster: &Cluster, path: &str, body: Vec<u8>) -> Option<String> {
+    let tcp = tokio::net::TcpStream::connect(cluster.settings[0].rpc_listen);
+    let (mut calls, connection) = h2::client::handshake(tcp.await.unwrap()).await.unwrap();
+    let connection = tokio::spawn(connection);
+    let call = http::Request::post(format!("http://control{path}")).body(());
+    let (answer, mut sender) = calls.send_request(call.unwrap(), false).unwrap();
+    sender.send_data(body.into(), true).unwrap();
+    let mut body = answer.await.ok()?.into_body();
+    while let Some(chunk) = body.data().await {
+        let length = chunk.ok()?.len();
+        body.flow_control().release_capacity(length).ok()?;
+    }
+    let trailers = body.trailers().await.ok()??;
+    connection.abort();
+    Some(trailers.get("grpc-status")?.to_str().ok()?.to_owned())
+}
+
 #[test]
-fn calls_that_are_cut_short_do_not_harm_others() {
+fn calls_that_are_cut_off_too_long_or_unknown_are_refused_and_harm_no_other() {
     block_on(async {
         let mut cluster = Cluster::start(1);
         let client = cluster.client(0).await;
-        accepted(cluster.apply(&request("1", put_domain("vejle"))).await);
+        let apply = "/oriole.Operator/Apply";
+        let refused = Some("3".to_owned());
         for length in 0..8 {
-            let tcp = tokio::net::TcpStream::connect(cluster.settings[0].rpc_listen);
-            let (mut calls, connection) = h2::client::handshake(tcp.await.unwrap()).await.unwrap();
-            let connection = tokio::spawn(connection);
-            let call = http::Request::post("http://control/oriole.Operator/Apply").body(());
-            let (answer, mut body) = calls.send_request(call.unwrap(), false).unwrap();
-            body.send_data(vec![0xff; length].into(), true).unwrap();
-            drop(tokio::time::timeout(Duration::from_secs(1), answer).await);
-            connection.abort();
+            let status = raw_call(&cluster, apply, vec![0xff; length]).await;
+            assert_eq!(status, refused, "at length {length}");
         }
+        let long = raw_call(&cluster, apply, vec![0; 2 << 20]).await;
+        assert_eq!(long, Some("8".to_owned()));
+        let empty = vec![0; 5];
+        let unknown = raw_call(&cluster, "/oriole.Operator/Unknown", empty.clone()).await;
+        assert_eq!(unknown, refused);
+        assert_eq!(raw_call(&cluster, "/nothing", empty.clone()).await, None);
+        assert_eq!(raw_call(&cluster, apply, empty).await, Some("0".to_owned()));
         // The connection of another caller goes on.
         client
             .status(&schema::ReadRequest::default())
--- a/crates/rpc/src/server.rs
+++ b/crates/rpc/src/server.rs
@@ -1,20 +1,26 @@
 //! Runs a gRPC server at one address.
 
-use std::{io, net::SocketAddr};
+use std::{io, net::SocketAddr, rc::Rc};
 
 use ntex::{
     SharedCfg,
+    io::Io,
     server::{Server, ServerBuilder},
-    service::ServiceFactory,
+    service::{Service, ServiceCtx, ServiceFactory, fn_factory_with_config},
     time::Seconds,
 };
-use ntex_grpc::server::{GrpcServer, ServerError, ServerRequest, ServerResponse};
+use ntex_grpc::server::{ServerError, ServerRequest, ServerResponse};
+use ntex_h2::{Control, ControlAck, StreamError};
+
+mod call;
+
+use call::Calls;
 
 /// Time that calls get to finish when the server stops.
 const SHUTDOWN: Seconds = Seconds(2);
 
-/// Starts a server at `listen`; `make` is called on the server's own thread for each service.
-/// Stop it with [`Server::stop`].
+/// Starts a server at `listen`; `make` is called on the server's own thread. Stop it with
+/// [`Server::stop`].
 ///
 /// # Errors
 ///
@@ -24,12 +30,58 @@
     F: Fn() -> T + Send + Clone + 'static,
     T: ServiceFactory<ServerRequest, SharedCfg, Response = ServerResponse, Error = ServerError>
         + 'static,
-    T::Service: Clone,
+    T::Service: 'static,
 {
     let server = ServerBuilder::new()
         .workers(1)
         .disable_signals()
         .shutdown_timeout(SHUTDOWN)
-        .bind(name, listen, async move |_| GrpcServer::new(make()))?;
+        .bind(name, listen, async move |_| {
+            let factory = Rc::new(make());
+            fn_factory_with_config(async move |config: SharedCfg| {
+                let factory = factory.clone();
+                Ok::<_, ()>(Connections { factory, config })
+            })
+        })?;
     Ok(server.run())
 }
+
+/// Serves connections.
+struct Connections<T> {
+    factory: Rc<T>,
+    config: SharedCfg,
+}
+
+impl<T> Service<Io> for Connections<T>
+where
+    T: ServiceFactory<ServerRequest, SharedCfg, Response = ServerResponse, Error = ServerError>
+        + 'static,
+{
+    type Response = ();
+    type Error = T::InitError;
+
+    async fn call(&self, io: Io, _: ServiceCtx<'_, Self>) -> Result<(), T::InitError> {
+        let service = self.factory.create(self.config.clone()).await?;
+        let served = ntex_h2::server::handle_one(io.into(), Calls::new(service), Acknowledge);
+        if let Err(error) = served.await {
+            log::debug!(target: "rpc", "a connection ended: {error}");
+        }
+        Ok(())
+    }
+}
+
+/// Lets the transport go on as it does by default.
+struct Acknowledge;
+
+impl Service<Control<StreamError>> for Acknowledge {
+    type Response = ControlAck;
+    type Error = ();
+
+    async fn call(
+        &self,
+        message: Control<StreamError>,
+        _: ServiceCtx<'_, Self>,
+    ) -> Result<ControlAck, ()> {
+        Ok(message.ack())
+    }
+}
