--- a/crates/entry/src/engine.rs
+++ b/crates/entry/src/engine.rs
@@ -175,6 +175,11 @@
         if inner.node.config().index == 0 {
             return Err("no configuration yet: is a control VM reachable?".to_owned());
         }
+        // Operators wait for this before they stop the next VM: two VMs that both can't vouch for
+        // the past leave requests with an unknown outcome.
+        if !inner.node.is_informed(inner.now()) {
+            return Err("started lately: requests from before may be under way".to_owned());
+        }
         Ok(())
     }
 
--- a/crates/standin/src/experiment/properties.rs
+++ b/crates/standin/src/experiment/properties.rs
@@ -100,7 +100,9 @@
     broken
 }
 
-fn of_change(change: &Change) -> Option<String> {
+/// Whether a change failed, or was in force too late.
+#[must_use]
+pub fn of_change(change: &Change) -> Option<String> {
     let kind = &change.kind;
     if let Some(error) = &change.error {
         return Some(format!("{kind} failed: {error}"));
