--- a/crates/standin/src/bin/oriole-load.rs
+++ b/crates/standin/src/bin/oriole-load.rs
@@ -52,6 +52,13 @@
                         .value_parser(value_parser!(u64).range(0..=u64::from(u32::MAX)))
                         .help("Run with this seed, whatever the file says"),
                 )
+                .arg(
+                    Arg::new("programs")
+                        .long("programs")
+                        .value_name("FOLDER")
+                        .value_parser(value_parser!(PathBuf))
+                        .help("Start the programs in FOLDER [default: build them]"),
+                )
                 .after_help("Exit code: 1 when a property was broken or the run failed."),
         )
         .subcommand(
@@ -83,7 +90,10 @@
     if let Some(seed) = matches.get_one::<u64>("seed") {
         experiment.seed = *seed;
     }
-    let programs = build::programs().map_err(|e| e.to_string())?;
+    let programs = match matches.get_one::<PathBuf>("programs") {
+        Some(folder) => folder.clone(),
+        None => build::programs().map_err(|e| e.to_string())?,
+    };
     let folder = tempfile::tempdir().map_err(|e| e.to_string())?;
     let place = Place {
         programs,
--- a/crates/standin/src/caller.rs
+++ b/crates/standin/src/caller.rs
@@ -112,6 +112,13 @@
         /// Whether it is cut off from now on.
         on: bool,
     },
+    /// The fabric hands nothing to an entry VM from now on, or hands to it again.
+    Mark {
+        /// The entry VM.
+        entry: Name,
+        /// Whether it gets nothing.
+        down: bool,
+    },
     /// Ends the traffic: nothing new starts, feeds close.
     Stop,
     /// Asks for the counts.
@@ -168,6 +175,7 @@
         Command::DomainOut { domain } => context.tally.domain_out(domain),
         Command::Gone { upstream } => context.tally.upstream_gone(upstream),
         Command::Cut { domain, on } => context.fabric.cut(domain, on),
+        Command::Mark { entry, down } => context.fabric.mark(entry, down),
         Command::Stop => context.stop.cancel(),
         Command::Report => {}
     }
--- a/crates/standin/src/caller/flow.rs
+++ b/crates/standin/src/caller/flow.rs
@@ -10,7 +10,10 @@
 use wire::gue::{self, Segment};
 
 use super::{Context, Traffic};
-use crate::message::{self, Call, Content, Reply};
+use crate::{
+    fabric::Parcel,
+    message::{self, Call, Content, Reply},
+};
 
 /// Largest datagram, in bytes.
 const MAX_DATAGRAM: usize = 65_536;
@@ -221,7 +224,12 @@
     }
 
     async fn send(&self, segment: Segment, call: &Call) {
-        let Some(entry) = self.context.fabric.pick(None) else {
+        let parcel = Parcel {
+            service: &self.traffic.service,
+            key: self.id,
+            not: None,
+        };
+        let Some(entry) = self.context.fabric.pick(parcel) else {
             return;
         };
         let service = self.traffic.address;
--- a/crates/standin/src/caller/request.rs
+++ b/crates/standin/src/caller/request.rs
@@ -13,7 +13,10 @@
 use wire::coap::{self, Method, Received, Request, Response};
 
 use super::{Context, Error, Traffic, tally::Outcome};
-use crate::message::{self, Done, Work};
+use crate::{
+    fabric::Parcel,
+    message::{self, Done, Work},
+};
 
 /// Largest datagram, in bytes.
 const MAX_DATAGRAM: usize = 65_536;
@@ -105,7 +108,7 @@
         let (sender, mut answers) = mpsc::unbounded_channel();
         let request = planner.request(&work, traffic);
         let sent = Sent {
-            work,
+            work: work.clone(),
             answers: Some(sender),
             outcome: None,
         };
@@ -114,7 +117,9 @@
             .borrow_mut()
             .insert(request.token.clone(), sent);
         context.tally.sent();
-        let response = planner.exchange(context, &request, &mut answers, due).await;
+        let response = planner
+            .exchange(context, &work, &request, &mut answers, due)
+            .await;
         let (outcome, max_age_s) = response.as_ref().map_or((Outcome::Silence, None), judge);
         planner.close(&request.token);
         context.tally.ended(id, due, outcome);
@@ -161,6 +166,7 @@
     async fn exchange(
         &self,
         context: &Context,
+        work: &Work,
         request: &Request,
         answers: &mut mpsc::UnboundedReceiver<Response>,
         due: Instant,
@@ -174,9 +180,12 @@
             if through.is_some() {
                 context.tally.requests(|r| r.repeats += 1);
             }
-            through = self
-                .send(context, request, deadline, through.as_ref())
-                .await;
+            let parcel = Parcel {
+                service: &work.service,
+                key: work.id,
+                not: through.as_ref(),
+            };
+            through = self.send(context, parcel, request, deadline).await;
             let jitter = 1.0 + 0.5 * context.fabric.jitter();
             let until = (Instant::now() + wait.mul_f64(jitter)).min(last);
             wait *= 2;
@@ -187,15 +196,15 @@
         None
     }
 
-    /// Sends a request through another entry VM than `not`, and says through which.
+    /// Sends a request through another entry VM than before, and says through which.
     async fn send(
         &self,
         context: &Context,
+        parcel: Parcel<'_>,
         request: &Request,
         deadline: Instant,
-        not: Option<&Name>,
     ) -> Option<Name> {
-        let entry = context.fabric.pick(not)?;
+        let entry = context.fabric.pick(parcel)?;
         let left = deadline.saturating_duration_since(Instant::now());
         let request = Request {
             deadline_ms: u32::try_from(left.as_millis()).ok().map(|ms| ms.max(1)),
--- a/crates/standin/src/experiment.rs
+++ b/crates/standin/src/experiment.rs
@@ -36,6 +36,8 @@
     pub seed: u64,
     /// Load, in percent of the firm's.
     pub load_percent: u32,
+    /// What stands between fabric and upstreams.
+    pub balancer: Balancer,
     /// Faults and planned changes, by time.
     pub steps: Vec<Step>,
 }
@@ -48,11 +50,24 @@
             seconds: 20,
             seed: 1,
             load_percent: 100,
+            balancer: Balancer::default(),
             steps: Vec::new(),
         }
     }
 }
 
+/// What stands between fabric and upstreams.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Balancer {
+    /// The system.
+    #[default]
+    Oriole,
+    /// Nothing, as a baseline: the fabric hands each flow and request to the upstream at the
+    /// position that its hash modulo the number of upstreams names. No request is refused.
+    HashModulo,
+}
+
 /// Shape of the system and of its traffic.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
--- a/crates/standin/src/experiment/cluster.rs
+++ b/crates/standin/src/experiment/cluster.rs
@@ -155,6 +155,64 @@
         Ok(cluster)
     }
 
+    /// Starts only the upstreams, and lets the fabric hand packets and requests straight to them.
+    ///
+    /// # Errors
+    ///
+    /// Says which process failed.
+    pub fn start_without_system(plan: Plan, seed: u64, place: Place) -> Result<Self, Error> {
+        let ports = &mut Ports::default();
+        let channel = |ports: &mut Ports| free(ports, ip(4, 0, 0));
+        let (upstream_channel, caller_channel) = (channel(ports)?, channel(ports)?);
+        let no_entries = BTreeMap::new();
+        let mut cluster = Self {
+            ctl: Ctl::new(place.programs.join("oriolectl"), Vec::new()),
+            entries: Vec::new(),
+            controls: Vec::new(),
+            upstreams: None,
+            callers: None,
+            caller_settings: caller_settings(&plan, &no_entries, caller_channel, seed),
+            entry_settings: no_entries,
+            upstream_channel,
+            caller_channel,
+            plan,
+            place,
+        };
+        cluster.start_upstreams(seed)?;
+        cluster.caller_settings.entries = cluster.straight_entries()?;
+        Ok(cluster)
+    }
+
+    /// The upstreams as the fabric sees them without the system.
+    fn straight_entries(&self) -> Result<Vec<fabric::Entry>, Error> {
+        let start = Instant::now();
+        let addresses = loop {
+            match self.upstream(&upstream::Command::Addresses) {
+                Ok(upstream::Answer::Addresses(addresses)) => break addresses,
+                Ok(_) => return Err(Error::Answer("upstreams")),
+                Err(error) if start.elapsed() > START_LIMIT => return Err(error),
+                Err(_) => sleep(POLL),
+            }
+        };
+        let mut entries = Vec::new();
+        for service in &self.plan.services {
+            for vm in service.upstreams.iter().chain([&service.spare]) {
+                let Some((flows, requests)) = addresses.get(&vm.name) else {
+                    continue;
+                };
+                entries.push(fabric::Entry {
+                    name: vm.name.clone(),
+                    domain: vm.domain.clone(),
+                    fabric_address: *flows,
+                    request_address: *requests,
+                    http_address: None,
+                    service: Some(service.name.clone()),
+                });
+            }
+        }
+        Ok(entries)
+    }
+
     fn start_controls(&mut self, all: &BTreeMap<Name, control::Settings>) -> Result<(), Error> {
         for (name, settings) in all {
             let process = self.spawn(name.as_str(), "oriole-control", &[], settings)?;
@@ -496,6 +554,7 @@
                 fabric_address: e.fabric_listen,
                 request_address: e.request_listen,
                 http_address: Some(e.http_listen),
+                service: None,
             })
             .collect(),
         services: plan.services.iter().map(|s| s.traffic.clone()).collect(),
--- a/crates/standin/src/fabric.rs
+++ b/crates/standin/src/fabric.rs
@@ -5,7 +5,7 @@
 
 use std::{cell::RefCell, collections::BTreeSet, net::SocketAddr, rc::Rc, time::Duration};
 
-use model::name::Name;
+use model::{key, name::Name};
 use rand::{Rng, seq::IteratorRandom};
 use rand_pcg::Pcg64Mcg;
 use serde::{Deserialize, Serialize};
@@ -42,6 +42,21 @@
     /// Its HTTP address, for health probes; without one it counts as healthy.
     #[serde(default)]
     pub http_address: Option<SocketAddr>,
+    /// Set where this is an upstream of that service and not an entry VM, as in the baseline
+    /// without the system: packets of a flow then go to one of them by a hash of the flow.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub service: Option<Name>,
+}
+
+/// What is to be sent.
+#[derive(Debug, Clone, Copy)]
+pub struct Parcel<'a> {
+    /// Service that it is for.
+    pub service: &'a Name,
+    /// Number of its flow or request.
+    pub key: u64,
+    /// Entry VM through which it went before.
+    pub not: Option<&'a Name>,
 }
 
 /// The fabric of one caller process.
@@ -59,15 +74,21 @@
 }
 
 impl State {
-    fn pick(&mut self, not: Option<&Name>) -> Option<Entry> {
+    fn pick(&mut self, parcel: Parcel<'_>) -> Option<Entry> {
         let (down, cut) = (&self.down, &self.cut);
-        let usable = |e: &&Entry| !down.contains(&e.name) && !cut.contains(&e.domain);
-        let others = self.entries.iter().filter(usable);
-        let other = others
-            .filter(|e| Some(&e.name) != not)
-            .choose(&mut self.random);
-        let any = || self.entries.iter().find(usable);
-        other.or_else(any).cloned()
+        let is_usable = |e: &&Entry| {
+            let serves = e.service.as_ref().is_none_or(|s| s == parcel.service);
+            serves && !down.contains(&e.name) && !cut.contains(&e.domain)
+        };
+        let usable: Vec<&Entry> = self.entries.iter().filter(is_usable).collect();
+        if usable.first()?.service.is_some() {
+            let len = u64::try_from(usable.len()).unwrap_or(u64::MAX);
+            let index = key::hash(0, &parcel.key.to_le_bytes()) % len;
+            return usable.get(usize::try_from(index).ok()?).copied().cloned();
+        }
+        let others = usable.iter().filter(|e| Some(&e.name) != parcel.not);
+        let other = others.choose(&mut self.random);
+        other.or(usable.first()).copied().cloned()
     }
 }
 
@@ -83,10 +104,10 @@
         })))
     }
 
-    /// Draws an entry VM, another one than `not` where there is one.
+    /// Draws an entry VM, another one than before where there is one.
     #[must_use]
-    pub fn pick(&self, not: Option<&Name>) -> Option<Entry> {
-        self.0.borrow_mut().pick(not)
+    pub fn pick(&self, parcel: Parcel<'_>) -> Option<Entry> {
+        self.0.borrow_mut().pick(parcel)
     }
 
     /// A number drawn evenly below 1, for the jitter of repeats.
--- a/crates/standin/src/upstream.rs
+++ b/crates/standin/src/upstream.rs
@@ -108,6 +108,8 @@
         /// The upstream.
         upstream: Name,
     },
+    /// Asks for the addresses.
+    Addresses,
     /// Asks for the counts.
     Stats,
     /// Asks for the log of runs.
@@ -122,6 +124,8 @@
     Done,
     /// No such upstream here.
     Unknown,
+    /// Addresses for flows and for requests, by upstream.
+    Addresses(BTreeMap<Name, (SocketAddr, SocketAddr)>),
     /// Counts by upstream.
     Stats(BTreeMap<Name, Stats>),
     /// The log of runs over all upstreams of the process.
@@ -225,6 +229,13 @@
             on: frozen,
         } => on(&upstream, &|s| s.freeze(frozen)),
         Command::Leave { upstream } => on(&upstream, &|s| s.health(|h| h.leaving = true)),
+        Command::Addresses => {
+            let address = |(name, server): (&Name, &Server)| {
+                let flows = server.flow_address().ok()?;
+                Some((name.clone(), (flows, server.request_address().ok()?)))
+            };
+            Answer::Addresses(servers.iter().filter_map(address).collect())
+        }
         Command::Stats => {
             let stats = servers.iter().map(|(n, s)| (n.clone(), s.stats()));
             Answer::Stats(stats.collect())
--- a/crates/standin/tests/emulators/common.rs
+++ b/crates/standin/tests/emulators/common.rs
@@ -70,6 +70,7 @@
         fabric_address,
         request_address,
         http_address: None,
+        service: None,
     }
 }
 
--- /dev/null
+++ b/crates/standin/tests/emulators/fabric.rs
@@ -0,0 +1,74 @@
+//! The fabric draws among the entry VMs that it believes in.
+
+use std::collections::BTreeSet;
+
+use model::name::Name;
+use standin::fabric::{Entry, Fabric, Parcel};
+
+use crate::common::{entry, name};
+
+fn entries(count: u16) -> Vec<Entry> {
+    let address = |port| format!("127.0.0.1:{port}").parse().unwrap();
+    (1..=count)
+        .map(|n| entry(address(n), address(n + 100)))
+        .collect()
+}
+
+fn parcel(service: &Name, key: u64) -> Parcel<'_> {
+    Parcel {
+        service,
+        key,
+        not: None,
+    }
+}
+
+fn drawn(fabric: &Fabric, draws: u64) -> BTreeSet<Name> {
+    let service = name("booking");
+    let picks = (0..draws).filter_map(|key| fabric.pick(parcel(&service, key)));
+    picks.map(|entry| entry.name).collect()
+}
+
+#[test]
+fn each_entry_vm_is_drawn_and_a_repeat_goes_through_another() {
+    let fabric = Fabric::new(entries(3), 1);
+    assert_eq!(drawn(&fabric, 200).len(), 3);
+    let before = name("entry-2");
+    let service = name("booking");
+    for key in 0..200 {
+        let repeat = Parcel {
+            not: Some(&before),
+            ..parcel(&service, key)
+        };
+        assert_ne!(fabric.pick(repeat).unwrap().name, before);
+    }
+}
+
+#[test]
+fn dead_vms_and_cut_domains_get_nothing() {
+    let mut all = entries(3);
+    all[2].domain = name("vejle");
+    let fabric = Fabric::new(all, 1);
+    fabric.mark(name("entry-1"), true);
+    fabric.cut(name("vejle"), true);
+    assert_eq!(drawn(&fabric, 200), BTreeSet::from([name("entry-2")]));
+    fabric.cut(name("vejle"), false);
+    fabric.mark(name("entry-1"), false);
+    assert_eq!(drawn(&fabric, 200).len(), 3);
+}
+
+#[test]
+fn without_the_system_a_flow_goes_to_one_upstream_of_its_service() {
+    let mut all = entries(4);
+    for (upstream, service) in all
+        .iter_mut()
+        .zip(["booking", "plan-intake"].iter().cycle())
+    {
+        upstream.service = Some(name(service));
+    }
+    let fabric = Fabric::new(all, 1);
+    let names = BTreeSet::from([name("entry-1"), name("entry-3")]);
+    assert_eq!(drawn(&fabric, 200), names);
+    let service = name("booking");
+    let pick = || fabric.pick(parcel(&service, 7)).unwrap().name;
+    assert_eq!(pick(), pick());
+}
--- a/crates/standin/tests/emulators/main.rs
+++ b/crates/standin/tests/emulators/main.rs
@@ -4,4 +4,5 @@
 
 mod caller;
 mod common;
+mod fabric;
 mod upstream;
