--- a/crates/standin/src/caller/flow.rs
+++ b/crates/standin/src/caller/flow.rs
@@ -47,6 +47,8 @@
     me: SocketAddr,
     id: u64,
     sequence: u32,
+    /// When its first packet was due.
+    started: Instant,
     /// Upstream, its failure domain and when it answered first; none until the flow is open.
     opened: Option<(Name, Name, Instant)>,
 }
@@ -84,6 +86,7 @@
             socket,
             id: context.tally.next_id(),
             sequence: 1,
+            started: Instant::now(),
             opened: None,
         };
         let call = Call::Open {
@@ -266,7 +269,7 @@
     /// Notes the upstream that answers, which must stay the same.
     fn note_upstream(&mut self, upstream: Name, domain: Name) {
         if self.opened.is_none() {
-            self.context.tally.flow_opened();
+            self.context.tally.flow_opened(self.started.elapsed());
             self.opened = Some((upstream, domain, Instant::now()));
         }
     }
--- a/crates/standin/src/caller/tally.rs
+++ b/crates/standin/src/caller/tally.rs
@@ -110,6 +110,9 @@
     pub latency_ms: Latency,
     /// From a poll of a feed to its answer, corrected for polls that a stall kept from being sent.
     pub feed_latency_ms: Latency,
+    /// From the first opening packet of a flow to its answer.
+    #[serde(default)]
+    pub open_latency_ms: Latency,
     /// Requests that were refused as not run.
     pub refused: Vec<u64>,
     /// Requests whose outcome is unknown to their callers, or that got no answer.
@@ -144,6 +147,7 @@
     report: Report,
     latency: Histogram<u64>,
     feed_latency: Histogram<u64>,
+    open_latency: Histogram<u64>,
     domains_out: BTreeMap<Name, Instant>,
     upstreams_gone: BTreeMap<Name, Instant>,
 }
@@ -156,6 +160,7 @@
             report: Report::default(),
             latency: histogram(),
             feed_latency: histogram(),
+            open_latency: histogram(),
             domains_out: BTreeMap::new(),
             upstreams_gone: BTreeMap::new(),
         })))
@@ -223,9 +228,10 @@
         }
     }
 
-    /// A flow was opened.
-    pub fn flow_opened(&self) {
+    /// A flow was opened, `latency` after its first opening packet.
+    pub fn flow_opened(&self, latency: Duration) {
         let mut state = self.0.borrow_mut();
+        record(&mut state.open_latency, latency);
         state.report.flows.opened += 1;
         state.report.flows.open += 1;
         state.second().opened += 1;
@@ -288,6 +294,7 @@
         Report {
             latency_ms: quantiles(&state.latency),
             feed_latency_ms: quantiles(&state.feed_latency),
+            open_latency_ms: quantiles(&state.open_latency),
             ..state.report.clone()
         }
     }
--- a/crates/standin/src/experiment/compare.rs
+++ b/crates/standin/src/experiment/compare.rs
@@ -87,6 +87,7 @@
     let latencies = [
         ("latency_ms", report.latency_ms),
         ("feed_latency_ms", report.feed_latency_ms),
+        ("open_latency_ms", report.open_latency_ms),
     ];
     for (name, latency) in latencies {
         all.insert(format!("{name}.p50"), latency.p50);
--- a/crates/standin/src/experiment/report.rs
+++ b/crates/standin/src/experiment/report.rs
@@ -33,6 +33,9 @@
     pub latency_ms: Latency,
     /// From the moment at which a poll of a feed was due to its answer.
     pub feed_latency_ms: Latency,
+    /// From the first opening packet of a flow to its answer.
+    #[serde(default)]
+    pub open_latency_ms: Latency,
     /// Planned changes and faults.
     pub changes: Vec<Change>,
     /// What control costs.
@@ -257,6 +260,7 @@
         let rows = [
             ("requests", self.latency_ms),
             ("feeds", self.feed_latency_ms),
+            ("opening a flow", self.open_latency_ms),
         ];
         for (name, l) in rows {
             writeln!(
--- a/crates/standin/src/experiment/run.rs
+++ b/crates/standin/src/experiment/run.rs
@@ -385,6 +385,7 @@
             imbalance_requests: imbalance(&upstreams, counts, |s| s.requests_run),
             latency_ms: callers.latency_ms,
             feed_latency_ms: callers.feed_latency_ms,
+            open_latency_ms: callers.open_latency_ms,
             changes: self.changes,
             control,
             seconds: callers.seconds,
--- a/crates/standin/src/upstream/server.rs
+++ b/crates/standin/src/upstream/server.rs
@@ -34,7 +34,7 @@
 /// Time between two looks whether a frozen upstream goes on.
 const FREEZE_CHECK: Duration = Duration::from_millis(10);
 
-/// Share of its time that a request may take when it says so late, in standard draws.
+/// Longest time that is drawn for a request, in means.
 const LONGEST_DRAW: f64 = 5.0;
 
 /// One running upstream.
