--- a/crates/control/tests/process.rs
+++ b/crates/control/tests/process.rs
@@ -6,29 +6,14 @@
 
 use std::process::Command;
 
+use common::upstream::{announcement, name};
 use common::{
-    Cluster, accepted, block_on, entry::Entry, eventually, name, put_domain, put_service, refused,
+    Cluster, accepted, block_on, entry::Entry, eventually, put_domain, put_service, refused,
     request,
 };
-use model::{announce::Announcement, config::Stage, delivery::ToControl};
+use model::{config::Stage, delivery::ToControl};
 use rpc::schema::{self, RefusalKind, apply_request};
 
-fn announcement(upstream: &str) -> Announcement {
-    Announcement {
-        service: name("booking"),
-        upstream: name(upstream),
-        domain: name("vejle"),
-        flow_address: "127.0.0.1:9001".parse().unwrap(),
-        request_address: "127.0.0.1:9002".parse().unwrap(),
-        slots: 3,
-        connections: 2_000,
-        incarnation: 1,
-        held_flows: 0,
-        warmth_percent: 100,
-        leaving: false,
-    }
-}
-
 fn admit(upstream: &str) -> apply_request::Command {
     apply_request::Command::Admit(schema::Admit {
         service: "booking".into(),
@@ -170,6 +155,51 @@
     });
 }
 
+/// Calls `path` with `body` and returns the gRPC status.
+async fn raw_call(cluster: &Cluster, path: &str, body: Vec<u8>) -> Option<String> {
+    let tcp = tokio::net::TcpStream::connect(cluster.settings[0].rpc_listen);
+    let (mut calls, connection) = h2::client::handshake(tcp.await.unwrap()).await.unwrap();
+    let connection = tokio::spawn(connection);
+    let call = http::Request::post(format!("http://control{path}")).body(());
+    let (answer, mut sender) = calls.send_request(call.unwrap(), false).unwrap();
+    sender.send_data(body.into(), true).unwrap();
+    let mut body = answer.await.ok()?.into_body();
+    while let Some(chunk) = body.data().await {
+        let length = chunk.ok()?.len();
+        body.flow_control().release_capacity(length).ok()?;
+    }
+    let trailers = body.trailers().await.ok()??;
+    connection.abort();
+    Some(trailers.get("grpc-status")?.to_str().ok()?.to_owned())
+}
+
+#[test]
+fn calls_that_are_cut_off_too_long_or_unknown_are_refused_and_harm_no_other() {
+    block_on(async {
+        let mut cluster = Cluster::start(1);
+        let client = cluster.client(0).await;
+        let apply = "/oriole.Operator/Apply";
+        let refused = Some("3".to_owned());
+        for length in 0..8 {
+            let status = raw_call(&cluster, apply, vec![0xff; length]).await;
+            assert_eq!(status, refused, "at length {length}");
+        }
+        let long = raw_call(&cluster, apply, vec![0; 2 << 20]).await;
+        assert_eq!(long, Some("8".to_owned()));
+        let empty = vec![0; 5];
+        let unknown = raw_call(&cluster, "/oriole.Operator/Unknown", empty.clone()).await;
+        assert_eq!(unknown, refused);
+        assert_eq!(raw_call(&cluster, "/nothing", empty.clone()).await, None);
+        assert_eq!(raw_call(&cluster, apply, empty).await, Some("0".to_owned()));
+        // The connection of another caller goes on.
+        client
+            .status(&schema::ReadRequest::default())
+            .await
+            .unwrap();
+        assert!(cluster.stop(0));
+    });
+}
+
 #[test]
 fn check_settings_says_ok_or_one_line() {
     let cluster = Cluster::start(1);
--- a/crates/model/src/config/apply.rs
+++ b/crates/model/src/config/apply.rs
@@ -55,7 +55,7 @@
     },
     /// upstream {0} is the last one of its service that takes new work: admit another first
     LastUpstream(Name),
-    /// service {0} retains its limit of table generations: wait until old flows end
+    /// service {0} still has open flows of as many earlier changes as it may retain: wait until the oldest of these flows end, then ask again with a new request id
     TooManyGenerations(Name),
     /// the step is out of date: nothing to do
     Stale,
@@ -77,15 +77,13 @@
         if let Some(first) = self.answers.get(&key) {
             return first.outcome.clone();
         }
-        let outcome = self.check_version(entry).and_then(|()| {
-            // A refused command must leave no trace, so it is tried on a copy.
-            let mut next = self.clone();
-            next.change(entry)?;
-            next.version = index;
-            *self = next;
-            Ok(())
-        });
-        self.remember(key, index, &outcome);
+        let outcome = self.check_version(entry).and_then(|()| self.change(entry));
+        if outcome.is_ok() {
+            self.version = index;
+        }
+        if !entry.command.is_step() {
+            self.remember(key, index, &outcome);
+        }
         outcome
     }
 
@@ -117,6 +115,8 @@
         }
     }
 
+    /// Makes the change. A refusal leaves everything as it was; each command sees to that itself,
+    /// since a copy of the whole configuration takes milliseconds at full size.
     fn change(&mut self, entry: &Entry) -> Outcome {
         match &entry.command {
             Command::Found { cluster } => self.found(*cluster),
@@ -198,10 +198,15 @@
             state: UpstreamState::Admitted,
             ..announced.clone()
         };
-        self.service_mut(service)?
-            .upstreams
-            .insert(upstream.clone(), admitted);
-        let awaits = self.regenerate([service.clone()])?;
+        let upstreams = &mut self.service_mut(service)?.upstreams;
+        let before = upstreams.insert(upstream.clone(), admitted);
+        let awaits = match self.regenerate(vec![service.clone()]) {
+            Ok(awaits) => awaits,
+            Err(refusal) => {
+                self.restore(service, upstream, before);
+                return Err(refusal);
+            }
+        };
         let kind = ChangeKind::Admit(service.clone(), upstream.clone());
         self.record(entry, kind, awaits);
         Ok(())
@@ -212,11 +217,22 @@
         let Some(leaving) = state.upstreams.get_mut(upstream) else {
             return Err(Refusal::UnknownUpstream(upstream.clone()));
         };
+        let before = leaving.clone();
         leaving.state = UpstreamState::Draining;
-        let awaits = self.regenerate([service.clone()])?;
-        if self.weights(service).is_empty() {
-            return Err(Refusal::LastUpstream(upstream.clone()));
-        }
+        // In a domain that is out it took no new work anyway.
+        let is_last = self.weights(service).is_empty() && self.takes_work(service);
+        let outcome = match is_last {
+            true => Err(Refusal::LastUpstream(upstream.clone())),
+            false => self.regenerate(vec![service.clone()]),
+        };
+        let awaits = match outcome {
+            Ok(awaits) => awaits,
+            Err(refusal) => {
+                self.restore(service, upstream, Some(before));
+                return Err(refusal);
+            }
+        };
+        self.service_mut(service)?.forget_drained();
         let kind = ChangeKind::Drain(service.clone(), upstream.clone());
         self.record(entry, kind, awaits);
         Ok(())
@@ -226,14 +242,23 @@
         let Some(domain) = self.domains.get_mut(name) else {
             return Err(Refusal::UnknownDomain(name.clone()));
         };
-        *domain = Domain { state };
+        let before = std::mem::replace(domain, Domain { state });
         let affected: Vec<Name> = self
             .services
             .iter()
             .filter(|(_, s)| s.upstreams.values().any(|u| u.domain == *name))
             .map(|(service, _)| service.clone())
             .collect();
-        let awaits = self.regenerate(affected)?;
+        let awaits = match state {
+            DomainState::Out => self.prepare(affected),
+            DomainState::In => match self.regenerate(affected) {
+                Ok(awaits) => awaits,
+                Err(refusal) => {
+                    self.domains.insert(name.clone(), before);
+                    return Err(refusal);
+                }
+            },
+        };
         let kind = match state {
             DomainState::Out => ChangeKind::DomainOut(name.clone()),
             DomainState::In => ChangeKind::DomainIn(name.clone()),
@@ -265,35 +290,54 @@
             return Err(Refusal::Stale);
         }
         state.generations.retain(|g| g.number >= keep);
-        let needed: Vec<Name> = state
-            .generations
-            .iter()
-            .flat_map(|g| g.weights.keys().cloned())
-            .collect();
-        // A drained upstream whose last flow has ended needs no entry any longer.
-        state
-            .upstreams
-            .retain(|name, u| u.state == UpstreamState::Admitted || needed.contains(name));
+        state.forget_drained();
         Ok(())
     }
 
+    /// Puts an upstream back as it was before a refused command.
+    fn restore(&mut self, service: &Name, upstream: &Name, before: Option<Upstream>) {
+        let Some(service) = self.services.get_mut(service) else {
+            return;
+        };
+        match before {
+            Some(before) => service.upstreams.insert(upstream.clone(), before),
+            None => service.upstreams.remove(upstream),
+        };
+    }
+
+    /// Prepares a new generation for each service whose weights changed, and says which; refuses
+    /// that, and changes nothing, where a service would have too many.
+    fn regenerate(&mut self, services: Vec<Name>) -> Result<BTreeMap<Name, u64>, Refusal> {
+        let is_full = |name: &&Name| {
+            let service = self.services.get(*name);
+            service.is_some_and(|s| s.is_full() && !s.is_active(&self.weights(name)))
+        };
+        match services.iter().find(is_full) {
+            Some(name) => Err(Refusal::TooManyGenerations(name.clone())),
+            None => Ok(self.prepare(services)),
+        }
+    }
+
     /// Prepares a new generation for each service whose weights changed, and says which.
-    fn regenerate(
-        &mut self,
-        services: impl IntoIterator<Item = Name>,
-    ) -> Result<BTreeMap<Name, u64>, Refusal> {
+    fn prepare(&mut self, services: impl IntoIterator<Item = Name>) -> BTreeMap<Name, u64> {
         let mut awaits = BTreeMap::new();
         for name in services {
             let weights = self.weights(&name);
-            let service = self.service_mut(&name)?;
+            let Some(service) = self.services.get_mut(&name) else {
+                continue;
+            };
             if let Some(number) = service.prepare(weights) {
-                awaits.insert(name.clone(), number);
-            }
-            if service.generations.len() > MAX_GENERATIONS {
-                return Err(Refusal::TooManyGenerations(name));
+                awaits.insert(name, number);
             }
         }
-        Ok(awaits)
+        awaits
+    }
+
+    /// Whether any upstream of `service` takes new work by its newest generation.
+    fn takes_work(&self, service: &Name) -> bool {
+        let service = self.services.get(service);
+        let newest = service.and_then(|s| s.generations.last());
+        newest.is_some_and(|g| !g.weights.is_empty())
     }
 
     /// Weights of the upstreams of `service` that take new work.
@@ -315,10 +359,12 @@
     }
 
     fn record(&mut self, entry: &Entry, kind: ChangeKind, awaits: BTreeMap<Name, u64>) {
+        let is_empty = |service: &&Name| self.weights(service).is_empty();
         let change = Change {
             kind,
             state: ChangeState::Accepted,
             operator: entry.operator.clone(),
+            leaves_empty: awaits.keys().filter(is_empty).cloned().collect(),
             awaits,
             done_index: None,
         };
@@ -326,16 +372,24 @@
         self.finish_changes();
     }
 
-    /// Marks the changes in force whose generations are all active.
+    /// Marks the changes that were undone, and those in force: their generations are active, or
+    /// later ones that replaced them.
     fn finish_changes(&mut self) {
         let index = self.index;
-        let services = &self.services;
-        let reached = |(service, number): (&Name, &u64)| {
-            services.get(service).is_none_or(|s| s.is_active(*number))
-        };
-        for change in self.changes.values_mut() {
-            if change.state == ChangeState::Accepted && change.awaits.iter().all(reached) {
-                change.state = ChangeState::InForce;
+        let mut finished = Vec::new();
+        for (number, change) in &self.changes {
+            if change.state != ChangeState::Accepted {
+                continue;
+            }
+            if !self.holds(&change.kind) {
+                finished.push((*number, ChangeState::Superseded));
+            } else if change.awaits.keys().all(|s| self.is_settled(s)) {
+                finished.push((*number, ChangeState::InForce));
+            }
+        }
+        for (number, state) in finished {
+            if let Some(change) = self.changes.get_mut(&number) {
+                change.state = state;
                 change.done_index = Some(index);
             }
         }
@@ -351,6 +405,34 @@
     }
 }
 
+impl Config {
+    /// Whether what a change asked for is still so.
+    fn holds(&self, kind: &ChangeKind) -> bool {
+        let upstream = |service: &Name, upstream: &Name| {
+            let service = self.services.get(service);
+            service
+                .and_then(|s| s.upstreams.get(upstream))
+                .map(|u| u.state)
+        };
+        let domain = |name: &Name| self.domains.get(name).map(|d| d.state);
+        match kind {
+            ChangeKind::Service(_) => true,
+            ChangeKind::Admit(s, u) => upstream(s, u) == Some(UpstreamState::Admitted),
+            ChangeKind::Drain(s, u) => upstream(s, u) != Some(UpstreamState::Admitted),
+            ChangeKind::DomainOut(name) => domain(name) == Some(DomainState::Out),
+            ChangeKind::DomainIn(name) => domain(name) == Some(DomainState::In),
+        }
+    }
+
+    /// Whether the newest generation of `service` is active. It always is the one that the
+    /// present configuration asks for.
+    fn is_settled(&self, service: &Name) -> bool {
+        let service = self.services.get(service);
+        let newest = service.and_then(|s| s.generations.last());
+        newest.is_none_or(|g| g.stage == Stage::Active)
+    }
+}
+
 impl Service {
     /// Adds a prepared generation unless the last one already has these weights.
     ///
@@ -362,28 +444,39 @@
                 .filter(|g| g.stage == Stage::Prepared)
                 .map(|g| g.number);
         }
-        let number = last.map_or(1, |g| g.number + 1);
         self.generations.retain(|g| g.stage == Stage::Active);
-        let same = self
-            .generations
-            .last()
-            .is_some_and(|g| g.weights == weights);
-        if same {
+        if self.is_active(&weights) {
             return None;
         }
+        self.last_generation += 1;
         self.generations.push(Generation {
-            number,
+            number: self.last_generation,
             weights,
             stage: Stage::Prepared,
         });
-        Some(number)
+        Some(self.last_generation)
     }
 
-    /// Whether `number`, or a later generation, is active.
-    fn is_active(&self, number: u64) -> bool {
-        self.generations
-            .iter()
-            .any(|g| g.number >= number && g.stage == Stage::Active)
+    /// Whether it retains as many active generations as it may.
+    fn is_full(&self) -> bool {
+        let active = self.generations.iter().filter(|g| g.stage == Stage::Active);
+        active.count() >= MAX_GENERATIONS
+    }
+
+    /// Whether the newest active generation has these weights.
+    fn is_active(&self, weights: &BTreeMap<Name, u32>) -> bool {
+        let mut newest_first = self.generations.iter().rev();
+        let newest = newest_first.find(|g| g.stage == Stage::Active);
+        newest.is_some_and(|g| g.weights == *weights)
+    }
+
+    /// Forgets drained upstreams that no retained generation names: their last flow has ended, or
+    /// they never had one.
+    fn forget_drained(&mut self) {
+        let generations = &self.generations;
+        let is_needed = |name: &Name| generations.iter().any(|g| g.weights.contains_key(name));
+        self.upstreams
+            .retain(|name, u| u.state == UpstreamState::Admitted || is_needed(name));
     }
 }
 
--- a/crates/policy/src/node.rs
+++ b/crates/policy/src/node.rs
@@ -262,7 +262,6 @@
         }
     }
 
-    /// A control VM, or a peer that answered a probe of this VM, has no newer configuration.
     /// Notes that the configuration was confirmed, maybe by a message that had waited in a buffer
     /// since before this process stood still.
     fn confirm_buffered(&mut self, now: Instant) {
--- a/crates/policy/src/request/message.rs
+++ b/crates/policy/src/request/message.rs
@@ -19,6 +19,8 @@
         request: coap::Request,
         /// VMs that have passed it on.
         hops: u8,
+        /// Whether the home can't vouch for the past, so that its backup deals with the request.
+        stand_in: bool,
     },
     /// A home is about to run a request that is not idempotent.
     Intent(Intent),
@@ -124,6 +126,9 @@
     pub upstream: Option<Name>,
     /// What came of it.
     pub outcome: work::Outcome,
+    /// Whether the steward tells it again until it is acknowledged. What was refused when it came
+    /// is told once, since the home asks again where that is lost.
+    pub acknowledge: bool,
     /// How busy the steward's upstreams are.
     pub hint: work::Hint,
 }
--- a/crates/policy/tests/support/callers.rs
+++ b/crates/policy/tests/support/callers.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
+use model::key;
 use policy::time::Instant;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -18,6 +19,8 @@
     pub(crate) deadline: Instant,
     /// Answers in the order in which they came.
     pub(crate) answers: Vec<coap::Response>,
+    /// When each answer came.
+    pub(crate) times: Vec<Instant>,
     /// When the first answer came.
     pub(crate) answered: Option<Instant>,
     caller: SocketAddr,
@@ -34,6 +37,8 @@
     pub(crate) until: Instant,
     /// Whether callers send copies of what is not answered.
     pub(crate) repeats: bool,
+    /// The first request that counts in the numbers.
+    mark: u64,
     by_caller: BTreeMap<SocketAddr, u64>,
     rng: Pcg64Mcg,
 }
@@ -47,6 +52,7 @@
             deadline_ms: 1_000,
             until: Instant::ZERO,
             repeats: true,
+            mark: 0,
             by_caller: BTreeMap::new(),
             rng: Pcg64Mcg::seed_from_u64(seed ^ 0xCA11),
         }
@@ -88,6 +94,7 @@
             sent: now,
             deadline: now.plus_ms(u64::from(deadline_ms)),
             answers: Vec::new(),
+            times: Vec::new(),
             answered: None,
             caller,
             request,
@@ -122,20 +129,53 @@
             "token of another request"
         );
         request.answers.push(response);
+        request.times.push(now);
         request.answered.get_or_insert(now);
     }
 
+    /// One more copy of a request.
+    pub(crate) fn copy(&self, id: u64) -> (SocketAddr, coap::Request) {
+        let request = &self.requests[&id];
+        (request.caller, request.request.clone())
+    }
+
+    /// Has the next answers bear another token than the request's own.
+    pub(crate) fn expect_token(&mut self, id: u64, token: Vec<u8>) {
+        self.requests.get_mut(&id).unwrap().request.token = token;
+    }
+
+    /// The key of a request.
+    pub(crate) fn key(&self, id: u64) -> key::Request {
+        let request = &self.requests[&id];
+        key::Request {
+            caller: request.caller,
+            token: request.request.token.clone(),
+        }
+    }
+
+    /// Leaves the requests so far out of the numbers.
+    pub(crate) fn mark(&mut self) {
+        self.mark = self.requests.len() as u64 + 1;
+    }
+
+    /// The requests since the mark.
+    pub(crate) fn marked(&self) -> impl Iterator<Item = &Request> {
+        self.requests.range(self.mark..).map(|(_, request)| request)
+    }
+
+    /// How many requests there were since the mark.
+    pub(crate) fn asked(&self) -> usize {
+        self.marked().count()
+    }
+
     /// How many requests got this code as their first answer.
     pub(crate) fn first(&self, code: u8) -> usize {
-        let first = self.requests.values().filter_map(|r| r.answers.first());
+        let first = self.marked().filter_map(|r| r.answers.first());
         first.filter(|r| r.code == code).count()
     }
 
     /// How many requests got no answer.
     pub(crate) fn unanswered(&self) -> usize {
-        self.requests
-            .values()
-            .filter(|r| r.answers.is_empty())
-            .count()
+        self.marked().filter(|r| r.answers.is_empty()).count()
     }
 }
--- a/crates/policy/tests/support/upstream.rs
+++ b/crates/policy/tests/support/upstream.rs
@@ -1,6 +1,6 @@
 //! An upstream: slots, cold start, shedding, and a log of what it ran.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
 use model::{announce::Announcement, name::Name};
@@ -46,6 +46,10 @@
     pub(crate) domain: Name,
     pub(crate) request_address: SocketAddr,
     pub(crate) slots: u16,
+    /// Slots that it says it has.
+    pub(crate) claims_slots: u16,
+    /// Requests that have arrived.
+    pub(crate) got: u32,
     pub(crate) service_us: u64,
     pub(crate) incarnation: u64,
     /// Requests that it bears at a time now.
@@ -53,12 +57,14 @@
     pub(crate) excess: Excess,
     pub(crate) announces: bool,
     pub(crate) leaving: bool,
+    /// Whether it stops work at the deadline or when it is cancelled.
+    pub(crate) minds_deadlines: bool,
     /// Whether it answers at all.
     pub(crate) mute: bool,
     /// What it says of its warmth, in percent.
     pub(crate) says_warmth: u8,
-    /// Ids of the requests that it has started, in order.
-    pub(crate) ran: Vec<u64>,
+    /// The requests that it has started, and when, in order.
+    pub(crate) ran: Vec<(u64, Instant)>,
     /// Requests that arrived while all slots were busy.
     pub(crate) over_slots: u32,
     /// Requests that arrived while it bore no more, though slots were free.
@@ -68,6 +74,7 @@
     /// Requests that it answered.
     pub(crate) done: u32,
     running: BTreeMap<Vec<u8>, Running>,
+    seen: BTreeSet<(Name, u16)>,
     collapsed_until: Instant,
     warm_up: u32,
     rng: Pcg64Mcg,
@@ -80,12 +87,15 @@
             domain: domain.clone(),
             request_address: format!("10.1.0.{}:5683", n + 1).parse().unwrap(),
             slots: shape.slots,
+            claims_slots: shape.slots,
+            got: 0,
             service_us: shape.service_us,
             incarnation: 1,
             bears: shape.slots,
             excess: Excess::Shed,
             announces: true,
             leaving: false,
+            minds_deadlines: true,
             mute: false,
             says_warmth: 100,
             ran: Vec::new(),
@@ -94,6 +104,7 @@
             busy_us: 0,
             done: 0,
             running: BTreeMap::new(),
+            seen: BTreeSet::new(),
             collapsed_until: Instant::ZERO,
             warm_up: 0,
             rng: Pcg64Mcg::seed_from_u64(seed ^ (n as u64) << 32),
@@ -106,6 +117,14 @@
         self.warm_up = 0;
     }
 
+    /// Starts anew: what was running is lost, and it is cold.
+    pub(crate) fn restart(&mut self) {
+        self.incarnation += 1;
+        self.running.clear();
+        self.seen.clear();
+        self.chill();
+    }
+
     pub(crate) fn announcement(&self, service: &Name) -> Announcement {
         let mut flow_address = self.request_address;
         flow_address.set_port(6080);
@@ -115,7 +134,7 @@
             domain: self.domain.clone(),
             flow_address,
             request_address: self.request_address,
-            slots: self.slots,
+            slots: self.claims_slots,
             connections: 2_000,
             incarnation: self.incarnation,
             held_flows: 0,
@@ -125,12 +144,14 @@
     }
 
     pub(crate) fn arrive(&mut self, now: Instant, from: &Name, request: coap::Request) -> Arrival {
+        self.got += 1;
         // Work stops at the deadline that came with it.
         self.running.retain(|_, r| r.until > now);
         if self.mute || now < self.collapsed_until {
             return Arrival::Silent;
         }
-        if self.running.contains_key(&request.token) {
+        // A message id that it has seen is a copy that the network made (RFC 7252, section 4.5).
+        if !self.seen.insert((from.clone(), request.message_id)) {
             return Arrival::Silent;
         }
         let busy = self.running.len();
@@ -153,8 +174,9 @@
         }
         let payload: [u8; 8] = (*request.payload.0).try_into().unwrap();
         let id = u64::from_be_bytes(payload);
-        self.ran.push(id);
-        let left_ms = u64::from(request.deadline_ms.unwrap_or(60_000));
+        self.ran.push((id, now));
+        let named = request.deadline_ms.filter(|_| self.minds_deadlines);
+        let left_ms = u64::from(named.unwrap_or(60_000));
         let running = Running {
             from: from.clone(),
             message_id: request.message_id,
@@ -189,6 +211,8 @@
     }
 
     pub(crate) fn cancel(&mut self, message_id: u16) {
-        self.running.retain(|_, r| r.message_id != message_id);
+        if self.minds_deadlines {
+            self.running.retain(|_, r| r.message_id != message_id);
+        }
     }
 }
--- a/crates/standin/src/experiment/report.rs
+++ b/crates/standin/src/experiment/report.rs
@@ -12,6 +12,9 @@
     upstream::Stats,
 };
 
+/// Purposes of messages between entry VMs that grow with the traffic: not control.
+const DATA_PURPOSES: [&str; 2] = ["packets", "requests"];
+
 /// Result of an experiment.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct Report {
@@ -30,6 +33,9 @@
     pub latency_ms: Latency,
     /// From the moment at which a poll of a feed was due to its answer.
     pub feed_latency_ms: Latency,
+    /// From the first opening packet of a flow to its answer.
+    #[serde(default)]
+    pub open_latency_ms: Latency,
     /// Planned changes and faults.
     pub changes: Vec<Change>,
     /// What control costs.
@@ -59,6 +65,8 @@
     pub outcome_unknown: u64,
     /// Without any answer.
     pub no_answer: u64,
+    /// Of those with an unknown outcome or without an answer: run at an upstream.
+    pub unknown_run: u64,
     /// Answered with another code.
     pub failed: u64,
     /// Non-idempotent ones that ran more than once.
@@ -112,9 +120,26 @@
 /// What control costs.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct Control {
-    /// Mean over entry VMs of the bytes a second that they sent each other and to control VMs for
-    /// control, by their own metrics; none where they give none.
+    /// Mean over entry VMs of the bytes a second that they sent each other for control, by their
+    /// own metrics: all but the packets of flows and the messages of single requests. None where
+    /// no VM gave a figure.
     pub bytes_per_second_per_vm: Option<f64>,
+    /// The same by what the bytes are spent on, packets and requests included.
+    pub by_purpose: BTreeMap<String, f64>,
+}
+
+impl Control {
+    /// Makes the means out of the sums by purpose.
+    #[must_use]
+    pub fn new(by_purpose: BTreeMap<String, f64>) -> Self {
+        let is_control = |purpose: &str| !DATA_PURPOSES.contains(&purpose);
+        let control = by_purpose.iter().filter(|(p, _)| is_control(p));
+        let sum = control.map(|(_, bytes)| *bytes).sum();
+        Self {
+            bytes_per_second_per_vm: (!by_purpose.is_empty()).then_some(sum),
+            by_purpose,
+        }
+    }
 }
 
 impl Report {
@@ -141,6 +166,7 @@
             refused_but_run: count(refused.filter(|id| runs.runs(**id) > 0)),
             outcome_unknown: seen.outcome_unknown,
             no_answer: seen.no_answer,
+            unknown_run: count(callers.unknown.iter().filter(|id| runs.runs(**id) > 0)),
             failed: seen.failed,
             run_twice: u64::try_from(runs.run_twice()).unwrap_or(u64::MAX),
             wrong_answer: seen.wrong_answer,
@@ -181,7 +207,7 @@
         let value = u32::try_from(value(stats)).unwrap_or(u32::MAX);
         let all = values.entry(stats.service.clone()).or_default();
         all.push(f64::from(value));
-        log::debug!("report: {name} has {value}.");
+        log::debug!(target: "report", "{name} has {value}.");
     }
     let over_mean = |all: &Vec<f64>| {
         let sum: f64 = all.iter().sum();
@@ -215,8 +241,9 @@
         )?;
         writeln!(
             f,
-            "           run twice {} refused but run {} wrong answer {} wrong service {}",
-            r.run_twice, r.refused_but_run, r.wrong_answer, r.wrong_service
+            "           run twice {} refused but run {} unknown and run {} wrong answer {} wrong \
+             service {}",
+            r.run_twice, r.refused_but_run, r.unknown_run, r.wrong_answer, r.wrong_service
         )?;
         writeln!(
             f,
@@ -233,6 +260,7 @@
         let rows = [
             ("requests", self.latency_ms),
             ("feeds", self.feed_latency_ms),
+            ("opening a flow", self.open_latency_ms),
         ];
         for (name, l) in rows {
             writeln!(
@@ -248,6 +276,9 @@
             Some(bytes) => writeln!(f, "control    {bytes:.0} bytes/s a VM")?,
             None => writeln!(f, "control    not measured")?,
         }
+        for (purpose, bytes) in &self.control.by_purpose {
+            writeln!(f, "           {purpose}: {bytes:.0} bytes/s a VM")?;
+        }
         for (process, exit) in self.exits.iter().filter(|(_, exit)| *exit != "Graceful") {
             writeln!(f, "exit       {process}: {exit}")?;
         }
