Don't take supposed views for lost ones; keep what VMs say of moves

Cause: the fault matrix showed flows that stalled to the end after one VM had died or frozen (12 cells of kill, freeze and second loss). A view that a joining VM only supposes, with a single VM in it, counted as a home lost without a backup; and 'moved' was forgotten where it came before this VM had seen the loss. Copies at 400 B/s, confirmations every 250 ms.

--- a/crates/policy/src/flow.rs
+++ b/crates/policy/src/flow.rs
@@ -190,7 +190,7 @@
                 fingerprints,
             } => self.on_copy(turn, from, batch, (&service, &upstream), &fingerprints),
             Message::CopyHeld { batch } => self.handover.on_held(&from.name, batch),
-            Message::Moved(lost) => self.handover.on_moved(&from.name, &lost),
+            Message::Moved(lost) => self.handover.on_moved(context.now, &from.name, &lost),
             Message::Mark(mark) => self.on_mark(turn, from, mark),
             Message::MarkDone(mark) => self.on_mark_done(turn, from, &mark),
             Message::Pins { version, pins } => self.on_pins(turn, from, version, &pins),
--- a/crates/policy/src/flow/handover.rs
+++ b/crates/policy/src/flow/handover.rs
@@ -25,7 +25,7 @@
 const MAX_PAST: usize = 8;
 
 /// Budget for copies, in bytes a second.
-const COPY_BYTES_PER_S: u64 = 600;
+const COPY_BYTES_PER_S: u64 = 400;
 
 /// Budget for copies while this VM stops, in bytes a second.
 const STOP_BYTES_PER_S: u64 = 16_000;
@@ -45,6 +45,9 @@
 /// Longest time between a crash and the moment at which others see it, in milliseconds.
 const DETECTION_MS: u64 = 10_000;
 
+/// Longest time between the moments at which two VMs see the same loss, in milliseconds.
+const UNEVEN_MS: u64 = 5_000;
+
 /// How often a VM says that it has copied what the loss of another made necessary.
 const MOVED_REPEATS: u8 = 3;
 
@@ -75,6 +78,9 @@
     /// VMs whose loss is to be answered with [`Message::Moved`] once the queues are empty: how
     /// often yet, and when last.
     losses: BTreeMap<Name, (u8, Instant)>,
+    /// Pairs of a lost VM and one that said that it has copied what the loss made necessary, and
+    /// when it said so.
+    moved: BTreeMap<(Name, Name), Instant>,
 }
 
 /// An earlier view.
@@ -87,8 +93,6 @@
     ended: Instant,
     /// Its VMs that have gone without notice since, and when that was seen.
     lost: BTreeMap<Name, Instant>,
-    /// Pairs of a lost VM and one that said that it has copied what the loss made necessary.
-    moved: BTreeSet<(Name, Name)>,
 }
 
 #[derive(Debug)]
@@ -149,7 +153,6 @@
             view,
             ended: now,
             lost: BTreeMap::new(),
-            moved: BTreeSet::new(),
         });
         if self.past.len() > MAX_PAST {
             self.past.remove(0);
@@ -175,7 +178,9 @@
 
     /// Whether both VMs that held the record of a flow have crashed before either was replaced.
     pub(super) fn may_be_lost(&self, fingerprint: u64) -> bool {
-        self.past.iter().any(|past| past.has_lost(fingerprint))
+        self.past
+            .iter()
+            .any(|past| past.has_lost(fingerprint, &self.moved))
     }
 
     /// Notes which VMs have crashed since each earlier view.
@@ -210,10 +215,8 @@
     }
 
     /// Notes that a VM has copied what the loss of another made necessary.
-    pub(super) fn on_moved(&mut self, from: &Name, lost: &Name) {
-        for past in &mut self.past {
-            past.moved.insert((lost.clone(), from.clone()));
-        }
+    pub(super) fn on_moved(&mut self, now: Instant, from: &Name, lost: &Name) {
+        self.moved.insert((lost.clone(), from.clone()), now);
     }
 
     /// Notes that a VM is back that remembers everything since a moment: it was cut off rather than
@@ -310,21 +313,28 @@
         holder.map(|vm| vm.name.clone()).into_iter().collect()
     }
 
-    fn has_lost(&self, fingerprint: u64) -> bool {
-        if self.lost.is_empty() {
+    fn has_lost(&self, fingerprint: u64, moved: &BTreeMap<(Name, Name), Instant>) -> bool {
+        // A view that is only supposed may never have been anybody's.
+        if self.is_guess || self.lost.is_empty() {
             return false;
         }
         let Some(home) = self.view.home(fingerprint) else {
             return false;
         };
-        let is_lost = |vm: &Vm| self.lost.contains_key(&vm.name);
+        let Some(lost_at) = self.lost.get(&home.name) else {
+            return false;
+        };
         let Some(backup) = self.view.backup(fingerprint) else {
-            return is_lost(home);
+            return true;
+        };
+        let Some(backup_lost_at) = self.lost.get(&backup.name) else {
+            return false;
+        };
+        let is_moved = |lost: &Vm, at: &Instant, by: &Vm| {
+            let said = moved.get(&(lost.name.clone(), by.name.clone()));
+            said.is_some_and(|said| said.plus_ms(UNEVEN_MS) >= *at)
         };
-        let is_moved =
-            |lost: &Vm, by: &Vm| self.moved.contains(&(lost.name.clone(), by.name.clone()));
-        let is_saved = is_moved(home, backup) || is_moved(backup, home);
-        is_lost(home) && is_lost(backup) && !is_saved
+        !is_moved(home, lost_at, backup) && !is_moved(backup, backup_lost_at, home)
     }
 }
 
--- a/crates/policy/src/flow/packet.rs
+++ b/crates/policy/src/flow/packet.rs
@@ -16,7 +16,7 @@
 };
 
 /// Time over which confirmations are gathered, in milliseconds.
-const CONFIRM_MS: u64 = 100;
+const CONFIRM_MS: u64 = 250;
 
 /// Most VMs that pass a packet on to the home that their view names.
 const MAX_HOPS: u8 = 2;
