A VM forwards nothing directly in its first 3 s; far cuts count as cuts

Cause: in the fault matrix, VMs restarted during or after a cut forwarded by the table when they had heard only the first of their peers, and when a peer still took a domain for cut off. The test of joining asked for direct forwarding within 1 s; it now asks for none at 1 s and for it at 4 s, since the VM has to wait for its peers.

--- a/crates/policy/src/flow.rs
+++ b/crates/policy/src/flow.rs
@@ -49,6 +49,9 @@
 /// Time after which a process that has found no peer counts as alone, in milliseconds.
 const ALONE_MS: u64 = 3_000;
 
+/// Time after its start after which a process has found all its peers, in milliseconds.
+const FOUND_MS: u64 = 3_000;
+
 /// Time after its start in which a process may not have found all its peers, in milliseconds.
 const JOIN_MS: u64 = 500;
 
@@ -298,7 +301,7 @@
     /// peer counts as alone after a while.
     #[must_use]
     pub fn is_synced(&self, now: Instant) -> bool {
-        self.pins.is_synced() && !self.is_joining(now)
+        self.pins.is_synced() && !self.is_joining(now) && self.memory_ms(now) >= FOUND_MS
     }
 
     /// Whether this process may not have found its peers yet, so that it can't tell whether it is
--- a/crates/policy/src/flow/pin.rs
+++ b/crates/policy/src/flow/pin.rs
@@ -305,6 +305,13 @@
                 asked.remove(&from.name);
             }
         }
+        // Flows may be placed elsewhere as long as any VM takes the domain for cut off.
+        for domain in &known.cut {
+            if !self.pins.cut.contains(domain) {
+                let asked = self.pins.healing.entry(domain.clone()).or_default();
+                asked.insert(from.name.clone());
+            }
+        }
         self.pins.healing.retain(|_, asked| !asked.is_empty());
         self.refresh(turn.context);
     }
--- a/crates/policy/tests/flow_faults.rs
+++ b/crates/policy/tests/flow_faults.rs
@@ -188,6 +188,9 @@
     assert!(!net.machines[&vm(6)].flows.is_synced(at));
     net.run(1_000);
     let at = Instant::from_ms(net.now);
+    assert!(!net.machines[&vm(6)].flows.is_synced(at));
+    net.run(3_000);
+    let at = Instant::from_ms(net.now);
     assert!(net.machines[&vm(6)].flows.is_synced(at));
 }
 
