--- a/crates/policy/src/flow.rs
+++ b/crates/policy/src/flow.rs
@@ -261,7 +261,7 @@
     /// Whether nothing is left to hand over.
     #[must_use]
     pub fn is_handed_over(&self) -> bool {
-        self.handover.is_empty()
+        self.handover.is_done()
     }
 
     /// For each service, the oldest generation that a flow known here still needs.
--- a/crates/policy/src/flow/handover.rs
+++ b/crates/policy/src/flow/handover.rs
@@ -54,6 +54,9 @@
 /// Time between two of these messages, in milliseconds.
 const MOVED_MS: u64 = 500;
 
+/// Time between two messages of a stopping VM that it has handed everything over, in milliseconds.
+const HANDED_OVER_MS: u64 = 50;
+
 /// What a VM has to copy, and what it remembers of earlier views.
 #[derive(Debug, Default)]
 pub(super) struct Handover {
@@ -75,6 +78,10 @@
     credited: Instant,
     /// Whether this VM stops.
     is_hurried: bool,
+    /// How often this VM, as it stops, has said that it has handed everything over, and when last.
+    said_handed_over: (u8, Instant),
+    /// VMs that said so, and when.
+    handed_over: BTreeMap<Name, Instant>,
     /// VMs whose loss is to be answered with [`Message::Moved`] once the queues are empty: how
     /// often yet, and when last.
     losses: BTreeMap<Name, (u8, Instant)>,
@@ -125,6 +132,11 @@
         self.queues.is_empty() && self.sent.is_empty()
     }
 
+    /// Whether this VM may exit: all is copied, and the others were told.
+    pub(super) fn is_done(&self) -> bool {
+        self.is_empty() && (!self.is_hurried || self.said_handed_over.0 >= MOVED_REPEATS)
+    }
+
     /// Spends more on copies from now on.
     pub(super) fn hurry(&mut self) {
         self.is_hurried = true;
@@ -185,16 +197,28 @@
 
     /// Notes which VMs have crashed since each earlier view.
     fn note_losses(&mut self, now: Instant, old: &View, new: &View) {
-        let is_crash = |vm: &&Vm| new.get(&vm.name).is_none() && !vm.leaving;
-        for vm in old.vms.values().filter(is_crash) {
+        // A VM that is back has records again.
+        self.handed_over
+            .retain(|name, _| new.get(name).is_none() || old.get(name).is_some());
+        let has_handed_over = |vm: &Vm| {
+            let said = self.handed_over.get(&vm.name);
+            said.is_some_and(|said| now.ms_since(*said) < HORIZON_MS)
+        };
+        let is_crash = |vm: &&Vm| new.get(&vm.name).is_none() && !has_handed_over(vm);
+        let crashed: Vec<Name> = old
+            .vms
+            .values()
+            .filter(is_crash)
+            .map(|vm| vm.name.clone())
+            .collect();
+        for vm in crashed {
             self.last_loss = Some(now);
             for past in &mut self.past {
-                if past.view.get(&vm.name).is_some() {
-                    past.lost.insert(vm.name.clone(), now);
+                if past.view.get(&vm).is_some() {
+                    past.lost.insert(vm.clone(), now);
                 }
             }
-            self.losses
-                .insert(vm.name.clone(), (MOVED_REPEATS, Instant::ZERO));
+            self.losses.insert(vm, (MOVED_REPEATS, Instant::ZERO));
         }
     }
 
@@ -215,7 +239,13 @@
     }
 
     /// Notes that a VM has copied what the loss of another made necessary.
+    ///
+    /// A VM that names itself has handed everything over and is about to exit.
     pub(super) fn on_moved(&mut self, now: Instant, from: &Name, lost: &Name) {
+        if from == lost {
+            self.handed_over.insert(from.clone(), now);
+            return;
+        }
         self.moved.insert((lost.clone(), from.clone()), now);
     }
 
@@ -475,6 +505,7 @@
             return;
         }
         let now = turn.now();
+        self.say_handed_over(turn);
         for (lost, (repeats, sent)) in &mut self.handover.losses {
             if now.ms_since(*sent) < MOVED_MS {
                 continue;
@@ -488,6 +519,20 @@
         self.handover.losses.retain(|_, (repeats, _)| *repeats > 0);
     }
 
+    /// Says, as this VM stops, that it has handed everything over.
+    fn say_handed_over(&mut self, turn: &mut Turn<'_, '_>) {
+        let now = turn.now();
+        let (repeats, sent) = self.handover.said_handed_over;
+        let is_due = repeats == 0 || now.ms_since(sent) >= HANDED_OVER_MS;
+        if !self.handover.is_hurried || repeats >= MOVED_REPEATS || !is_due {
+            return;
+        }
+        self.handover.said_handed_over = (repeats + 1, now);
+        for vm in turn.context.view.others() {
+            turn.send(vm, Message::Moved(turn.context.view.me.clone()));
+        }
+    }
+
     /// Takes records that another VM hands over.
     pub(super) fn on_copy(
         &mut self,
--- a/crates/policy/src/flow/message.rs
+++ b/crates/policy/src/flow/message.rs
@@ -76,7 +76,8 @@
         /// Number of the batch.
         batch: u32,
     },
-    /// The sender has copied all records that the crash of this VM made necessary to copy.
+    /// The sender has copied all records that the crash of this VM made necessary to copy; where it
+    /// names itself, it has handed everything over and stops.
     Moved(Name),
     /// A step of a mark, repeated until each live VM answered.
     Mark(Mark),
