--- a/crates/policy/src/flow.rs
+++ b/crates/policy/src/flow.rs
@@ -49,6 +49,9 @@
 /// Time after which a process that has found no peer counts as alone, in milliseconds.
 const ALONE_MS: u64 = 3_000;
 
+/// Time after its start in which a process may not have found all its peers, in milliseconds.
+const JOIN_MS: u64 = 500;
+
 /// Which way of keeping flows together is used; all but the default serve comparison.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Mode {
@@ -77,7 +80,6 @@
     confirming: BTreeMap<Name, Vec<u32>>,
     /// Flows whose records the backup has yet to confirm, by the low half of the fingerprint.
     unconfirmed: BTreeMap<u32, u64>,
-    misses: miss::Misses,
     handover: handover::Handover,
     marks: mark::Marks,
     pins: pin::Pins,
@@ -175,10 +177,12 @@
             Message::Held(halves) => self.on_held(turn, from, &halves),
             Message::Steward { upstream, bytes } => self.on_steward(turn, &upstream, bytes),
             Message::Refused { upstream, bytes } => self.on_refused(turn, &upstream, bytes),
-            Message::Ask { fingerprint } => self.on_ask(turn, from, fingerprint),
-            Message::Answer { fingerprint, found } => {
-                self.on_answer(turn, from, fingerprint, found);
-            }
+            Message::Trace { trace, bytes } => self.on_trace(turn, from, trace, bytes),
+            Message::Traced {
+                trace,
+                found,
+                bytes,
+            } => self.on_traced(turn, trace, found, bytes),
             Message::Copy {
                 batch,
                 service,
@@ -191,7 +195,7 @@
             Message::MarkDone(mark) => self.on_mark_done(turn, from, &mark),
             Message::Pins { version, pins } => self.on_pins(turn, from, version, &pins),
             Message::PinsHeld { version } => self.pins.on_held(&from.name, version),
-            Message::Want => self.on_want(turn, from),
+            Message::Want { memory_ms } => self.on_want(turn, from, memory_ms),
             Message::Known(known) => self.on_known(turn, from, &known),
             Message::Counts { service, flows } => {
                 for (upstream, count) in flows {
@@ -235,7 +239,6 @@
         let turn = &mut Turn { context, load, out };
         self.check_clock(turn);
         self.confirm(turn);
-        self.repeat_asks(turn);
         self.repeat_copies(turn);
         self.repeat_marks(turn);
         self.repeat_pins(turn);
@@ -260,9 +263,17 @@
 
     /// For each service, the oldest generation that a flow known here still needs.
     #[must_use]
-    pub fn needed(&self, _context: Context<'_>) -> BTreeMap<Name, u64> {
-        let listed = self.services.iter().filter(|s| s.is_listed);
-        listed.map(|s| (s.name.clone(), s.keep)).collect()
+    pub fn needed(&self, context: Context<'_>) -> BTreeMap<Name, u64> {
+        let positions = 0..u16::try_from(self.services.len()).unwrap_or(u16::MAX);
+        let listed = positions.filter_map(|p| Some((p, self.service(p)?)));
+        listed
+            .filter(|(_, service)| service.is_listed)
+            .map(|(position, service)| {
+                let all = self.may_miss_flows(context.now, position);
+                let oldest = if all { service.oldest() } else { service.keep };
+                (service.name.clone(), oldest)
+            })
+            .collect()
     }
 
     /// Number of records held here.
@@ -287,8 +298,14 @@
     /// peer counts as alone after a while.
     #[must_use]
     pub fn is_synced(&self, now: Instant) -> bool {
-        let is_alone = self.memory_ms(now) >= ALONE_MS;
-        self.pins.is_synced() && (self.handover.has_view() || is_alone)
+        self.pins.is_synced() && !self.is_joining(now)
+    }
+
+    /// Whether this process may not have found its peers yet, so that it can't tell whether it is
+    /// the home of a flow.
+    fn is_joining(&self, now: Instant) -> bool {
+        let memory_ms = self.memory_ms(now);
+        memory_ms < JOIN_MS || (memory_ms < ALONE_MS && !self.handover.has_view())
     }
 
     /// Share of the buckets of a service that later packets pass without the home.
@@ -382,7 +399,6 @@
         if stood_still {
             self.records.clear();
             self.admitted.clear();
-            self.misses.clear();
             self.remembers_since = Some(now);
             self.rejoin(turn.context);
         }
--- a/crates/policy/src/flow/pin.rs
+++ b/crates/policy/src/flow/pin.rs
@@ -31,12 +31,38 @@
 /// Time after which a peer is asked again for its pins and marks, in milliseconds.
 const WANT_MS: u64 = 200;
 
+/// Time after a VM was seen to join within which it may have started, in milliseconds.
+const RESTART_MS: u64 = 1_000;
+
+/// Shortest time between two versions of pins, in milliseconds.
+const GROW_MS: u64 = 3_000;
+
 /// Shortest time between two versions of pins that only lose buckets, in milliseconds.
 const SHRINK_MS: u64 = 10_000;
 
 /// Time for which the pins of a VM that has left are kept, in milliseconds.
 const DEPARTED_MS: u64 = 120_000;
 
+/// Whether new pins may wait for a while.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Urgency {
+    /// They are sent at most every [`GROW_MS`].
+    Paced,
+    /// They are needed at once.
+    Now,
+}
+
+/// What came of new pins.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Update {
+    /// The last version covers them.
+    Same,
+    /// There is a new version.
+    New,
+    /// They wait for a later version.
+    Late,
+}
+
 /// Bits by position of the service.
 type Bits = BTreeMap<u16, Vec<u8>>;
 
@@ -61,6 +87,8 @@
     departed: BTreeMap<Name, Instant>,
     /// The other VMs of the last view.
     others: BTreeSet<Name>,
+    /// Since when each of them is in the view, or is known to have started anew.
+    since: BTreeMap<Name, Instant>,
     /// VMs that have not said yet what bars direct forwarding.
     unsynced: BTreeSet<Name>,
     /// When they were last asked.
@@ -122,10 +150,10 @@
         }
     }
 
-    /// Takes this VM's pins as they are now; returns whether there is a new version.
-    fn update(&mut self, now: Instant, pins: Bits) -> bool {
+    /// Takes this VM's pins as they are now.
+    fn update(&mut self, now: Instant, pins: Bits, urgency: Urgency) -> Update {
         if pins == self.mine {
-            return false;
+            return Update::Same;
         }
         let grows = pins.iter().any(|(service, bits)| {
             let old = self
@@ -135,8 +163,12 @@
                 .unwrap_or_default();
             has_more(bits, old)
         });
-        if !grows && now.ms_since(self.changed) < SHRINK_MS {
-            return false;
+        let age_ms = now.ms_since(self.changed);
+        if !grows && age_ms < SHRINK_MS {
+            return Update::Same;
+        }
+        if grows && urgency == Urgency::Paced && self.version > 0 && age_ms < GROW_MS {
+            return Update::Late;
         }
         self.mine = pins;
         self.version += 1;
@@ -144,7 +176,7 @@
         self.sent = Instant::ZERO;
         self.waiting = self.others.clone();
         self.settle();
-        true
+        Update::New
     }
 
     /// Asks every peer anew.
@@ -178,6 +210,10 @@
             pins.departed.insert(left.clone(), context.now);
         }
         pins.departed.retain(|name, _| !others.contains(name));
+        pins.since.retain(|name, _| others.contains(name));
+        for name in &joined {
+            pins.since.insert(name.clone(), context.now);
+        }
         pins.unsynced.retain(|name| others.contains(name));
         pins.waiting.retain(|name| others.contains(name));
         pins.unsynced.extend(joined.iter().cloned());
@@ -212,6 +248,7 @@
 
     /// Asks the peers that have not said what bars direct forwarding.
     fn want(&mut self, context: Context<'_>, out: &mut Vec<Action>) {
+        let memory_ms = self.memory_ms(context.now);
         let pins = &mut self.pins;
         let is_due = pins.wanted == Instant::ZERO || context.now.ms_since(pins.wanted) >= WANT_MS;
         if !is_due {
@@ -225,17 +262,27 @@
         pins.wanted = context.now;
         for name in asked {
             if let Some(vm) = context.view.get(&name) {
-                super::send(out, vm, Message::Want);
+                super::send(out, vm, Message::Want { memory_ms });
             }
         }
     }
 
     /// Says what bars direct forwarding.
-    pub(super) fn on_want(&mut self, turn: &mut Turn<'_, '_>, from: &Vm) {
+    ///
+    /// A VM that remembers less than the time for which it has been in the view has started anew:
+    /// what it held as home or backup is copied to it again.
+    pub(super) fn on_want(&mut self, turn: &mut Turn<'_, '_>, from: &Vm, memory_ms: u64) {
         if !turn.context.fresh {
             return;
         }
-        self.pin(turn.context);
+        let now = turn.now();
+        let known = self.pins.since.get(&from.name);
+        let known_ms = known.map_or(0, |since| now.ms_since(*since));
+        if known_ms > memory_ms + RESTART_MS && self.handover.drop_restarted(&from.name, now) {
+            self.pins.since.insert(from.name.clone(), now);
+            self.move_records(turn.context, turn.context.view.clone());
+        }
+        self.pin(turn.context, Urgency::Now);
         let cut = self.unreachable(turn.context).into_iter().collect();
         let known = Known {
             marks: self.known_marks(),
@@ -293,8 +340,8 @@
         .collect()
     }
 
-    /// Works out this VM's pins; returns their version.
-    pub(super) fn pin(&mut self, context: Context<'_>) -> u64 {
+    /// Works out this VM's pins; returns the version that covers them, where there is one yet.
+    pub(super) fn pin(&mut self, context: Context<'_>, urgency: Urgency) -> Option<u64> {
         let mut pins = Bits::new();
         for (fingerprint, record) in &self.records {
             if !record.is_positive {
@@ -318,10 +365,12 @@
                 set(pins.entry(record.service).or_default(), number);
             }
         }
-        if self.pins.update(context.now, pins) {
-            self.refresh(context);
+        match self.pins.update(context.now, pins, urgency) {
+            Update::Same => {}
+            Update::New => self.refresh(context),
+            Update::Late => return None,
         }
-        self.pins.version
+        Some(self.pins.version)
     }
 
     /// Whether every VM sends later packets of a bucket through homes for other reasons than pins.
--- a/crates/standin/src/caller/tally.rs
+++ b/crates/standin/src/caller/tally.rs
@@ -110,8 +110,13 @@
     pub latency_ms: Latency,
     /// From a poll of a feed to its answer, corrected for polls that a stall kept from being sent.
     pub feed_latency_ms: Latency,
+    /// From the first opening packet of a flow to its answer.
+    #[serde(default)]
+    pub open_latency_ms: Latency,
     /// Requests that were refused as not run.
     pub refused: Vec<u64>,
+    /// Requests whose outcome is unknown to their callers, or that got no answer.
+    pub unknown: Vec<u64>,
     /// Counts by second since the start.
     pub seconds: BTreeMap<u64, Second>,
 }
@@ -142,6 +147,7 @@
     report: Report,
     latency: Histogram<u64>,
     feed_latency: Histogram<u64>,
+    open_latency: Histogram<u64>,
     domains_out: BTreeMap<Name, Instant>,
     upstreams_gone: BTreeMap<Name, Instant>,
 }
@@ -154,6 +160,7 @@
             report: Report::default(),
             latency: histogram(),
             feed_latency: histogram(),
+            open_latency: histogram(),
             domains_out: BTreeMap::new(),
             upstreams_gone: BTreeMap::new(),
         })))
@@ -214,14 +221,17 @@
             Outcome::Silence => counts.no_answer += 1,
             Outcome::Failed => counts.failed += 1,
         }
-        if outcome == Outcome::Refused {
-            state.report.refused.push(id);
+        match outcome {
+            Outcome::Refused => state.report.refused.push(id),
+            Outcome::Unknown | Outcome::Silence => state.report.unknown.push(id),
+            Outcome::Answered | Outcome::Failed => {}
         }
     }
 
-    /// A flow was opened.
-    pub fn flow_opened(&self) {
+    /// A flow was opened, `latency` after its first opening packet.
+    pub fn flow_opened(&self, latency: Duration) {
         let mut state = self.0.borrow_mut();
+        record(&mut state.open_latency, latency);
         state.report.flows.opened += 1;
         state.report.flows.open += 1;
         state.second().opened += 1;
@@ -284,6 +294,7 @@
         Report {
             latency_ms: quantiles(&state.latency),
             feed_latency_ms: quantiles(&state.feed_latency),
+            open_latency_ms: quantiles(&state.open_latency),
             ..state.report.clone()
         }
     }
--- a/crates/standin/src/experiment/run.rs
+++ b/crates/standin/src/experiment/run.rs
@@ -12,7 +12,7 @@
 use settings::entry;
 
 use super::{
-    Action, Experiment,
+    Action, Balancer, Experiment,
     cluster::{Cluster, Error, Place},
     http,
     plan::Plan,
@@ -69,8 +69,14 @@
 ) -> Result<Report, Error> {
     progress("starts the system");
     let plan = Plan::new(experiment.firm, experiment.load_percent);
-    let mut cluster = Cluster::start(plan, experiment.seed, place)?;
+    let mut cluster = match experiment.balancer {
+        Balancer::Oriole => Cluster::start(plan, experiment.seed, place)?,
+        Balancer::HashModulo => Cluster::start_without_system(plan, experiment.seed, place)?,
+    };
     cluster.start_callers()?;
+    if experiment.balancer == Balancer::HashModulo {
+        mark_spares(&cluster)?;
+    }
     let mut conductor = Conductor {
         started: Instant::now(),
         sent_bytes: sent_bytes(&cluster),
@@ -95,6 +101,15 @@
     conductor.finish(experiment, samples, progress)
 }
 
+/// Keeps the fabric from the upstreams that are not admitted at the start.
+fn mark_spares(cluster: &Cluster) -> Result<(), Error> {
+    for service in &cluster.plan.services {
+        let entry = service.spare.name.clone();
+        cluster.caller(&Command::Mark { entry, down: true })?;
+    }
+    Ok(())
+}
+
 /// Samples once a second until `end`.
 fn sample(
     started: Instant,
@@ -136,7 +151,8 @@
 struct Conductor {
     cluster: Cluster,
     started: Instant,
-    /// Bytes that entry VMs had sent to others at the start, by purpose.
+    /// Bytes that entry VMs had sent to others when the traffic started, by purpose; less what
+    /// they sent after that and before a restart, since they count from 0 then.
     sent_bytes: BTreeMap<Name, BTreeMap<String, f64>>,
     changes: Vec<Change>,
     /// How processes ended that were stopped and started again.
@@ -158,7 +174,11 @@
                 at_ms: millis(self.started.elapsed()),
                 ..Change::default()
             };
-            if let Err(error) = self.act(&step.action, &mut change) {
+            let outcome = match experiment.balancer {
+                Balancer::Oriole => self.act(&step.action, &mut change),
+                Balancer::HashModulo => self.act_without_system(&step.action),
+            };
+            if let Err(error) = outcome {
                 change.error = Some(error.to_string());
             }
             if change.accepted_ms == 0 {
@@ -200,6 +220,7 @@
             Action::DomainIn(domain) => self.planned(&["domain", "in", domain.as_str()], change),
             Action::RollingRestart => self.restart_all(),
             Action::KillEntry => {
+                self.keep_sent_bytes(0);
                 self.cluster.entries[0].kill();
                 thread::sleep(KILL_PAUSE);
                 self.cluster.start_entry(0)
@@ -217,6 +238,39 @@
         }
     }
 
+    /// Carries out at the fabric what the system would do; what concerns the system does nothing.
+    fn act_without_system(&mut self, action: &Action) -> Result<(), Error> {
+        let first = &self.cluster.plan.services[0];
+        match action {
+            Action::Admit => self.mark(first.spare.name.clone(), false),
+            Action::Drain => {
+                let leaving = first.upstreams[0].name.clone();
+                self.uncounted.insert(leaving.clone());
+                self.mark(leaving, true)
+            }
+            Action::DomainOut(domain) => {
+                self.uncount_domain(domain);
+                let domain = domain.clone();
+                self.cluster.caller(&Command::DomainOut {
+                    domain: domain.clone(),
+                })?;
+                self.cut(&domain, true)
+            }
+            Action::DomainIn(domain) | Action::Join(domain) => self.cut(domain, false),
+            Action::Cut(domain) => self.cut(domain, true),
+            Action::RollingRestart
+            | Action::KillEntry
+            | Action::KillControl
+            | Action::FreezeEntry => Ok(()),
+            _ => self.misbehave(action),
+        }
+    }
+
+    fn mark(&self, entry: Name, down: bool) -> Result<(), Error> {
+        self.cluster.caller(&Command::Mark { entry, down })?;
+        Ok(())
+    }
+
     /// Runs a command of an operator, and waits until it is in force.
     fn planned(&mut self, arguments: &[&str], change: &mut Change) -> Result<(), Error> {
         let start = Instant::now();
@@ -232,6 +286,7 @@
     fn restart_all(&mut self) -> Result<(), Error> {
         for index in 0..self.cluster.entries.len() {
             let name = self.cluster.entries[index].name().to_owned();
+            self.keep_sent_bytes(index);
             let exit = self.cluster.restart_entry(index)?;
             self.early_exits.insert(format!("{name} (restart)"), exit);
             thread::sleep(RESTART_PAUSE);
@@ -239,6 +294,19 @@
         Ok(())
     }
 
+    /// Keeps what an entry VM has sent, before it starts anew.
+    fn keep_sent_bytes(&mut self, index: usize) {
+        let name = &self.cluster.plan.entries[index].name;
+        let Some(settings) = self.cluster.entry_settings.get(name) else {
+            return;
+        };
+        let sent = http::metric(settings.http_listen, SENT_BYTES, "purpose");
+        let base = self.sent_bytes.entry(name.clone()).or_default();
+        for (purpose, bytes) in sent {
+            *base.entry(purpose).or_default() -= bytes;
+        }
+    }
+
     fn cut(&self, domain: &Name, on: bool) -> Result<(), Error> {
         let domain = domain.clone();
         self.cluster.caller(&Command::Cut { domain, on })?;
@@ -317,6 +385,7 @@
             imbalance_requests: imbalance(&upstreams, counts, |s| s.requests_run),
             latency_ms: callers.latency_ms,
             feed_latency_ms: callers.feed_latency_ms,
+            open_latency_ms: callers.open_latency_ms,
             changes: self.changes,
             control,
             seconds: callers.seconds,
@@ -352,8 +421,7 @@
         for (vm, sent) in &now {
             let before = self.sent_bytes.get(vm);
             for (purpose, bytes) in sent {
-                // A VM that was restarted counts from 0 again; its bytes before are lost here.
-                let before = before.and_then(|b| b.get(purpose)).filter(|b| *b <= bytes);
+                let before = before.and_then(|b| b.get(purpose));
                 let since = bytes - before.copied().unwrap_or_default();
                 *by_purpose.entry(purpose.clone()).or_default() += since / seconds / f64::from(vms);
             }
