--- a/crates/standin/src/caller/request.rs
+++ b/crates/standin/src/caller/request.rs
@@ -117,12 +117,20 @@
             .borrow_mut()
             .insert(request.token.clone(), sent);
         context.tally.sent();
+        let mut through = Vec::new();
         let response = planner
-            .exchange(context, &work, &request, &mut answers, due)
+            .exchange(context, &work, &request, &mut answers, due, &mut through)
             .await;
         let (outcome, max_age_s) = response.as_ref().map_or((Outcome::Silence, None), judge);
         planner.close(&request.token);
         context.tally.ended(id, due, outcome);
+        if outcome != Outcome::Answered {
+            let (method, ms) = (request.method, due.elapsed().as_millis());
+            log::info!(
+                target: "caller",
+                "request {id} ({method:?}) ended as {outcome:?} after {ms} ms, through {through:?}."
+            );
+        }
         max_age_s
     }
 
@@ -162,7 +170,8 @@
         }
     }
 
-    /// Sends a request until its answer is there or its deadline has passed.
+    /// Sends a request until its answer is there or its deadline has passed; `through` gets the
+    /// entry VMs by which it went.
     async fn exchange(
         &self,
         context: &Context,
@@ -170,25 +179,28 @@
         request: &Request,
         answers: &mut mpsc::UnboundedReceiver<Response>,
         due: Instant,
+        through: &mut Vec<Name>,
     ) -> Option<Response> {
         let span = Duration::from_millis(u64::from(request.deadline_ms.unwrap_or_default()));
         let deadline = due + span;
         let last = deadline + GRACE;
         let mut wait = FIRST_REPEAT;
-        let mut through: Option<Name> = None;
-        while Instant::now() < last {
-            if through.is_some() {
+        while Instant::now() < deadline {
+            if !through.is_empty() {
                 context.tally.requests(|r| r.repeats += 1);
             }
             let parcel = Parcel {
                 service: &work.service,
                 key: work.id,
-                not: through.as_ref(),
+                not: through.last(),
             };
-            through = self.send(context, parcel, request, deadline).await;
+            let entry = self.send(context, parcel, request, deadline).await;
+            through.extend(entry);
             let jitter = 1.0 + 0.5 * context.fabric.jitter();
-            let until = (Instant::now() + wait.mul_f64(jitter)).min(last);
+            let repeat = Instant::now() + wait.mul_f64(jitter);
             wait *= 2;
+            // Nobody repeats what can't be answered in time.
+            let until = if repeat < deadline { repeat } else { last };
             if let Ok(Some(response)) = timeout_at(until, answers.recv()).await {
                 return Some(response);
             }
