--- a/crates/policy/benches/load.rs
+++ b/crates/policy/benches/load.rs
@@ -73,6 +73,8 @@
 ];
 
 fn main() {
+    // First, while the process has no freed memory to use again.
+    let per_record = memory_per_record();
     let shapes = [
         (
             "Lysgard: 14 upstreams of 3 slots in 4 domains",
@@ -107,6 +109,13 @@
         }
         println!();
     }
+    for (method, post_share) in [("GET", 0.0), ("POST", 1.0)] {
+        println!(
+            "{:.0} bytes between entry VMs for a {method} of 8 bytes, the caller's copy included",
+            bytes_per_request(post_share)
+        );
+    }
+    println!("{per_record:.0} bytes of memory for an answered POST, at its home");
     println!("over: requests at an upstream whose slots were all busy; overC: at a cold one that");
     println!("bore no more. goodput: answered within the deadline, as a part of what all warm");
     println!("upstreams could do. imbal: max/mean of busy slots over all upstreams; imbalW: over");
@@ -183,6 +192,49 @@
     );
 }
 
+/// Bytes that entry VMs send each other for one request, by the difference to a net at rest.
+fn bytes_per_request(post_share: f64) -> f64 {
+    let run = |per_second: f64| {
+        let mut net = Net::new(Shape::LYSGARD, SEED);
+        net.run_ms(SETTLE_MS);
+        net.bytes = Some(0);
+        net.arrivals(per_second, post_share, MEASURE_MS);
+        net.run_ms(MEASURE_MS + 1_000);
+        (net.bytes.unwrap_or_default(), net.callers.requests.len())
+    };
+    let (rest_bytes, rest) = run(1.0);
+    let (bytes, asked) = run(500.0);
+    (bytes - rest_bytes) as f64 / (asked - rest) as f64
+}
+
+/// Resident memory that one record of an answered request takes, on a VM alone.
+fn memory_per_record() -> f64 {
+    let shape = Shape {
+        domains: 1,
+        vms: 1,
+        ..Shape::LYSGARD
+    };
+    let mut net = Net::new(shape, SEED);
+    net.run_ms(SETTLE_MS);
+    let before = resident();
+    for _ in 0..10 {
+        net.arrivals(1_000.0, 1.0, 2_000);
+        net.run_ms(2_500);
+        // What the callers and the upstreams of the bench keep doesn't count.
+        net.callers.forget();
+        net.upstreams.iter_mut().for_each(|u| u.forget());
+    }
+    let records: usize = net.vms.values().map(|e| e.requests.size().0).sum();
+    (resident() - before) as f64 / records as f64
+}
+
+/// Resident memory of this process, in bytes.
+fn resident() -> u64 {
+    let statm = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages = statm.split(' ').nth(1).and_then(|n| n.parse::<u64>().ok());
+    pages.unwrap_or_default() * 4_096
+}
+
 fn sum(
     net: &Net,
     before: &[(u64, u32, u32)],
--- a/crates/policy/tests/support/callers.rs
+++ b/crates/policy/tests/support/callers.rs
@@ -39,6 +39,7 @@
     pub(crate) repeats: bool,
     /// The first request that counts in the numbers.
     mark: u64,
+    forgotten: u64,
     by_caller: BTreeMap<SocketAddr, u64>,
     rng: Pcg64Mcg,
 }
@@ -53,6 +54,7 @@
             until: Instant::ZERO,
             repeats: true,
             mark: 0,
+            forgotten: 0,
             by_caller: BTreeMap::new(),
             rng: Pcg64Mcg::seed_from_u64(seed ^ 0xCA11),
         }
@@ -75,7 +77,7 @@
     }
 
     pub(crate) fn start(&mut self, now: Instant, method: coap::Method, deadline_ms: u32) -> u64 {
-        let id = self.requests.len() as u64 + 1;
+        let id = self.forgotten + self.requests.len() as u64 + 1;
         let [.., a, b, c] = id.to_be_bytes();
         let caller = SocketAddr::from(([10, a | 64, b, c], 40_000));
         let request = coap::Request {
@@ -111,7 +113,7 @@
         now: Instant,
         id: u64,
     ) -> Option<(SocketAddr, coap::Request, u64)> {
-        let request = self.requests.get_mut(&id).unwrap();
+        let request = self.requests.get_mut(&id)?;
         let over = request.answered.is_some() || now >= request.deadline;
         if over || (request.copies > 0 && !self.repeats) {
             return None;
@@ -153,6 +155,13 @@
         }
     }
 
+    /// Forgets the requests so far, which must all be over.
+    pub(crate) fn forget(&mut self) {
+        self.forgotten += self.requests.len() as u64;
+        self.requests.clear();
+        self.by_caller.clear();
+    }
+
     /// Leaves the requests so far out of the numbers.
     pub(crate) fn mark(&mut self) {
         self.mark = self.requests.len() as u64 + 1;
--- a/crates/policy/tests/support/entry.rs
+++ b/crates/policy/tests/support/entry.rs
@@ -51,6 +51,7 @@
     }
 
     pub(super) fn handle(&mut self, now: Instant, item: Item, out: &mut Vec<Action>) {
+        self.ready |= matches!(item, Item::View { .. });
         if let Some(baseline) = &mut self.baseline {
             baseline.handle(item, out);
             return;
@@ -83,7 +84,6 @@
         } = self;
         if let Item::View { vms, .. } = item {
             view.vms = vms;
-            self.ready = true;
             view.number += 1;
             let context = Context {
                 now,
--- a/crates/policy/tests/support/mod.rs
+++ b/crates/policy/tests/support/mod.rs
@@ -123,6 +123,8 @@
     pub(crate) counts: BTreeMap<Counter, u64>,
     pub(crate) cut: BTreeSet<(Name, Name)>,
     pub(crate) config: Arc<Config>,
+    /// Bytes that VMs sent to each other, where they are to be counted.
+    pub(crate) bytes: Option<u64>,
     queue: BTreeMap<(Instant, u64), Item>,
     sequence: u64,
     by_address: BTreeMap<SocketAddr, Name>,
@@ -156,6 +158,7 @@
             counts: BTreeMap::new(),
             cut: BTreeSet::new(),
             config,
+            bytes: None,
             queue: BTreeMap::new(),
             sequence: 0,
             by_address: BTreeMap::new(),
@@ -380,6 +383,9 @@
                 if self.cut.contains(&(from.clone(), to.clone())) {
                     return;
                 }
+                if let Some(bytes) = &mut self.bytes {
+                    *bytes += wire::frame::encode(0, &message).unwrap().len() as u64;
+                }
                 let from = self.vms[from].vm.address;
                 self.send(Item::Message { to, from, message });
             }
--- a/crates/policy/tests/support/upstream.rs
+++ b/crates/policy/tests/support/upstream.rs
@@ -117,6 +117,12 @@
         self.warm_up = 0;
     }
 
+    /// Forgets what it has run.
+    pub(crate) fn forget(&mut self) {
+        self.ran = Vec::new();
+        self.seen = BTreeSet::new();
+    }
+
     /// Starts anew: what was running is lost, and it is cold.
     pub(crate) fn restart(&mut self) {
         self.incarnation += 1;
