Make request records smaller, and bound them within 64 MB

Cause: 65,536 records of 1,808 bytes and 32 MB of bodies are over the 128 MB that a VM may spend.

The request is boxed and the timer is kept in the record. The bounds are now 32,768 records, 16 MB of bodies, and 16,384 attempts at a steward.

--- a/crates/policy/src/load.rs
+++ b/crates/policy/src/load.rs
@@ -45,7 +45,7 @@
 use work::{Ledger, Underway, Work};
 
 /// Attempts that one VM keeps as steward at most; those beyond get no answer from it.
-pub const MAX_JOBS: usize = 65_536;
+pub const MAX_JOBS: usize = 16_384;
 
 /// Attempts that were refused when they came, of which one VM keeps the number at most; those
 /// beyond get no answer from it.
--- a/crates/policy/src/request.rs
+++ b/crates/policy/src/request.rs
@@ -513,11 +513,12 @@
         deadline,
         phase,
         holders: BTreeSet::new(),
-        request: Some(request.clone()),
+        request: Some(Box::new(request.clone())),
         tried: BTreeSet::new(),
         attempts: 0,
         may_have_run: false,
         retry_after_ms: None,
+        wake: None,
     }
 }
 
--- a/crates/policy/src/request/holder.rs
+++ b/crates/policy/src/request/holder.rs
@@ -102,6 +102,7 @@
             attempts: 0,
             may_have_run: false,
             retry_after_ms: None,
+            wake: None,
         };
         self.store.insert(intent.key.clone(), record);
         self.keep(context, &intent.key);
--- a/crates/policy/src/request/home.rs
+++ b/crates/policy/src/request/home.rs
@@ -159,7 +159,7 @@
                 content: record.content,
                 service: record.service.clone(),
                 left_ms: left_ms(now, record.deadline),
-                request,
+                request: *request,
             };
             let wake = working.resend_at.min(give_up_at(record.deadline));
             Some((working.steward.clone(), work, wake))
--- a/crates/policy/src/request/record.rs
+++ b/crates/policy/src/request/record.rs
@@ -8,10 +8,10 @@
 use crate::time::Instant;
 
 /// Records that one VM keeps at most.
-pub const MAX_RECORDS: usize = 65_536;
+pub const MAX_RECORDS: usize = 32_768;
 
 /// Bodies of requests and answers that one VM keeps at most, in bytes.
-pub const MAX_BYTES: usize = 32 << 20;
+pub const MAX_BYTES: usize = 16 << 20;
 
 /// Records out of [`MAX_RECORDS`] that are kept for intents of other homes and for refusals.
 const RESERVE: usize = MAX_RECORDS / 8;
@@ -42,7 +42,7 @@
     /// VMs that hold the intent.
     pub(crate) holders: BTreeSet<Name>,
     /// The request, until it is answered. Invariant: present where this VM is to dispatch it.
-    pub(crate) request: Option<coap::Request>,
+    pub(crate) request: Option<Box<coap::Request>>,
     /// Failure domains whose stewards have refused it.
     pub(crate) tried: BTreeSet<Name>,
     /// Attempts that were made.
@@ -51,6 +51,8 @@
     pub(crate) may_have_run: bool,
     /// Shortest time to come back that any steward has named, in milliseconds.
     pub(crate) retry_after_ms: Option<u32>,
+    /// When it next needs care. Invariant: set by the [`Store`] alone, as its timers have it.
+    pub(crate) wake: Option<Instant>,
 }
 
 /// How far a request is.
@@ -175,7 +177,6 @@
 #[derive(Debug, Default)]
 pub(crate) struct Store {
     records: BTreeMap<key::Request, Record>,
-    wakes: BTreeMap<key::Request, Instant>,
     timers: BTreeSet<(Instant, key::Request)>,
     /// Answered records, oldest answer first.
     answered: BTreeSet<(Instant, key::Request)>,
@@ -226,7 +227,7 @@
         self.bytes -= record.bytes();
         self.open -= usize::from(record.is_open());
         self.move_answered(key, answered_at(&record), None);
-        if let Some(wake) = self.wakes.remove(key) {
+        if let Some(wake) = record.wake {
             self.timers.remove(&(wake, key.clone()));
         }
     }
@@ -258,7 +259,10 @@
 
     /// Sets the moment at which a record next needs care.
     pub(crate) fn wake_at(&mut self, key: &key::Request, at: Instant) {
-        if let Some(old) = self.wakes.insert(key.clone(), at) {
+        let Some(record) = self.records.get_mut(key) else {
+            return;
+        };
+        if let Some(old) = record.wake.replace(at) {
             self.timers.remove(&(old, key.clone()));
         }
         self.timers.insert((at, key.clone()));
@@ -270,7 +274,9 @@
             return None;
         }
         let (_, key) = self.timers.pop_first()?;
-        self.wakes.remove(&key);
+        if let Some(record) = self.records.get_mut(&key) {
+            record.wake = None;
+        }
         Some(key)
     }
 
