--- a/crates/standin/src/caller/flow.rs
+++ b/crates/standin/src/caller/flow.rs
@@ -10,7 +10,10 @@
 use wire::gue::{self, Segment};
 
 use super::{Context, Traffic};
-use crate::message::{self, Call, Content, Reply};
+use crate::{
+    fabric::Parcel,
+    message::{self, Call, Content, Reply},
+};
 
 /// Largest datagram, in bytes.
 const MAX_DATAGRAM: usize = 65_536;
@@ -44,6 +47,8 @@
     me: SocketAddr,
     id: u64,
     sequence: u32,
+    /// When its first packet was due.
+    started: Instant,
     /// Upstream, its failure domain and when it answered first; none until the flow is open.
     opened: Option<(Name, Name, Instant)>,
 }
@@ -81,6 +86,7 @@
             socket,
             id: context.tally.next_id(),
             sequence: 1,
+            started: Instant::now(),
             opened: None,
         };
         let call = Call::Open {
@@ -221,7 +227,12 @@
     }
 
     async fn send(&self, segment: Segment, call: &Call) {
-        let Some(entry) = self.context.fabric.pick(None) else {
+        let parcel = Parcel {
+            service: &self.traffic.service,
+            key: self.id,
+            not: None,
+        };
+        let Some(entry) = self.context.fabric.pick(parcel) else {
             return;
         };
         let service = self.traffic.address;
@@ -258,7 +269,7 @@
     /// Notes the upstream that answers, which must stay the same.
     fn note_upstream(&mut self, upstream: Name, domain: Name) {
         if self.opened.is_none() {
-            self.context.tally.flow_opened();
+            self.context.tally.flow_opened(self.started.elapsed());
             self.opened = Some((upstream, domain, Instant::now()));
         }
     }
--- a/crates/standin/src/caller/request.rs
+++ b/crates/standin/src/caller/request.rs
@@ -13,7 +13,10 @@
 use wire::coap::{self, Method, Received, Request, Response};
 
 use super::{Context, Error, Traffic, tally::Outcome};
-use crate::message::{self, Done, Work};
+use crate::{
+    fabric::Parcel,
+    message::{self, Done, Work},
+};
 
 /// Largest datagram, in bytes.
 const MAX_DATAGRAM: usize = 65_536;
@@ -105,7 +108,7 @@
         let (sender, mut answers) = mpsc::unbounded_channel();
         let request = planner.request(&work, traffic);
         let sent = Sent {
-            work,
+            work: work.clone(),
             answers: Some(sender),
             outcome: None,
         };
@@ -114,10 +117,20 @@
             .borrow_mut()
             .insert(request.token.clone(), sent);
         context.tally.sent();
-        let response = planner.exchange(context, &request, &mut answers, due).await;
+        let mut through = Vec::new();
+        let response = planner
+            .exchange(context, &work, &request, &mut answers, due, &mut through)
+            .await;
         let (outcome, max_age_s) = response.as_ref().map_or((Outcome::Silence, None), judge);
         planner.close(&request.token);
         context.tally.ended(id, due, outcome);
+        if outcome != Outcome::Answered {
+            let (method, ms) = (request.method, due.elapsed().as_millis());
+            log::info!(
+                target: "caller",
+                "request {id} ({method:?}) ended as {outcome:?} after {ms} ms, through {through:?}."
+            );
+        }
         max_age_s
     }
 
@@ -157,29 +170,37 @@
         }
     }
 
-    /// Sends a request until its answer is there or its deadline has passed.
+    /// Sends a request until its answer is there or its deadline has passed; `through` gets the
+    /// entry VMs by which it went.
     async fn exchange(
         &self,
         context: &Context,
+        work: &Work,
         request: &Request,
         answers: &mut mpsc::UnboundedReceiver<Response>,
         due: Instant,
+        through: &mut Vec<Name>,
     ) -> Option<Response> {
         let span = Duration::from_millis(u64::from(request.deadline_ms.unwrap_or_default()));
         let deadline = due + span;
         let last = deadline + GRACE;
         let mut wait = FIRST_REPEAT;
-        let mut through: Option<Name> = None;
-        while Instant::now() < last {
-            if through.is_some() {
+        while Instant::now() < deadline {
+            if !through.is_empty() {
                 context.tally.requests(|r| r.repeats += 1);
             }
-            through = self
-                .send(context, request, deadline, through.as_ref())
-                .await;
+            let parcel = Parcel {
+                service: &work.service,
+                key: work.id,
+                not: through.last(),
+            };
+            let entry = self.send(context, parcel, request, deadline).await;
+            through.extend(entry);
             let jitter = 1.0 + 0.5 * context.fabric.jitter();
-            let until = (Instant::now() + wait.mul_f64(jitter)).min(last);
+            let repeat = Instant::now() + wait.mul_f64(jitter);
             wait *= 2;
+            // Nobody repeats what can't be answered in time.
+            let until = if repeat < deadline { repeat } else { last };
             if let Ok(Some(response)) = timeout_at(until, answers.recv()).await {
                 return Some(response);
             }
@@ -187,15 +208,15 @@
         None
     }
 
-    /// Sends a request through another entry VM than `not`, and says through which.
+    /// Sends a request through another entry VM than before, and says through which.
     async fn send(
         &self,
         context: &Context,
+        parcel: Parcel<'_>,
         request: &Request,
         deadline: Instant,
-        not: Option<&Name>,
     ) -> Option<Name> {
-        let entry = context.fabric.pick(not)?;
+        let entry = context.fabric.pick(parcel)?;
         let left = deadline.saturating_duration_since(Instant::now());
         let request = Request {
             deadline_ms: u32::try_from(left.as_millis()).ok().map(|ms| ms.max(1)),
