--- a/crates/control/tests/three.rs
+++ b/crates/control/tests/three.rs
@@ -150,6 +150,36 @@
     });
 }
 
+#[test]
+fn a_planned_stop_of_the_leader_cuts_no_call() {
+    block_on(async {
+        let mut cluster = Cluster::start(3);
+        accepted(cluster.apply(&request("0", put_domain("vejle"))).await);
+        let leader = leader(&cluster, 0).await;
+        let client = cluster.client(leader).await;
+        let (sent, mut answers) = tokio::sync::mpsc::unbounded_channel();
+        for number in 0..20 {
+            let (client, sent) = (client.clone(), sent.clone());
+            ntex::rt::spawn(async move {
+                let domain = format!("domain-{number}");
+                let answer = client.apply(&request(&domain, put_domain(&domain))).await;
+                drop(sent.send(answer.map_err(|error| error.to_string())));
+            });
+        }
+        drop(sent);
+        // The calls are under way once the first one is answered.
+        let first = answers.recv().await.unwrap();
+        accepted(first.unwrap().outcome.unwrap());
+        cluster.signal(leader, "TERM");
+        while let Some(answer) = answers.recv().await {
+            accepted(answer.unwrap().outcome.unwrap());
+        }
+        assert!(cluster.stop(leader));
+        let next = (leader + 1) % 3;
+        assert_eq!(domains(&cluster, next).await, 21);
+    });
+}
+
 #[test]
 fn each_control_vm_knows_the_entry_vms_of_the_others() {
     block_on(async {
