Show how upstreams are used in the dump of an entry VM

The steward's view of its upstreams (limit, busy slots, flows, usual time), the number and bytes of request records, and whether the VM vouches for the past.

--- a/crates/policy/src/load.rs
+++ b/crates/policy/src/load.rs
@@ -42,7 +42,7 @@
 use job::{Jobs, Refused};
 use role::Role;
 use takeover::Handing;
-use work::{Ledger, Underway, Work};
+use work::{Ledger, Underway, Usage, Work};
 
 /// Attempts that one VM keeps as steward at most; those beyond get no answer from it.
 pub const MAX_JOBS: usize = 16_384;
@@ -292,6 +292,21 @@
         }
     }
 
+    /// How the upstreams that this VM is the steward of are used, by service and name.
+    #[must_use]
+    pub fn usage(&self, now: Instant) -> BTreeMap<Name, BTreeMap<Name, Usage>> {
+        let of_role = |role: &Role| {
+            let upstreams = role.upstreams.iter();
+            upstreams
+                .map(|(name, u)| (name.clone(), u.usage(now)))
+                .collect()
+        };
+        let roles = self.roles.iter();
+        roles
+            .map(|(service, role)| (service.clone(), of_role(role)))
+            .collect()
+    }
+
     /// Whether no request is under way at an upstream.
     #[must_use]
     pub fn is_idle(&self) -> bool {
--- a/crates/policy/src/load/upstream.rs
+++ b/crates/policy/src/load/upstream.rs
@@ -8,7 +8,11 @@
     name::Name,
 };
 
-use super::{flows::FlowCount, ramp::Ramp, work::Standing};
+use super::{
+    flows::FlowCount,
+    ramp::Ramp,
+    work::{Standing, Usage},
+};
 use crate::time::Instant;
 
 /// An upstream of which this VM is the steward.
@@ -119,6 +123,18 @@
         id
     }
 
+    /// How it is used.
+    pub(crate) fn usage(&self, now: Instant) -> Usage {
+        Usage {
+            live: self.is_live(now),
+            takes_work: self.takes_work(now),
+            limit: self.limit(now),
+            busy: u32::try_from(self.in_use(now, 0)).unwrap_or(u32::MAX),
+            flows: self.flows.held(),
+            service_us: self.ramp.service_us(),
+        }
+    }
+
     /// What another steward needs to know of it.
     pub(crate) fn standing(&self, name: &Name) -> Standing {
         Standing {
--- a/crates/policy/src/load/work.rs
+++ b/crates/policy/src/load/work.rs
@@ -91,3 +91,20 @@
     /// New flows that it bears in one window.
     pub flow_pace: u32,
 }
+
+/// How an upstream is used, as its steward sees it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Usage {
+    /// Whether it announced itself lately.
+    pub live: bool,
+    /// Whether it gets new work.
+    pub takes_work: bool,
+    /// Requests that it bears at a time now; 0 while it is paused.
+    pub limit: u16,
+    /// Slots that are busy, or may be.
+    pub busy: u32,
+    /// Flows that it holds.
+    pub flows: u32,
+    /// Usual time of a request, in microseconds; 0 where none was seen.
+    pub service_us: u64,
+}
--- a/crates/policy/src/node.rs
+++ b/crates/policy/src/node.rs
@@ -19,7 +19,7 @@
 use crate::{
     flow::Flows,
     io::{Action, Context, Counter, Event, Message},
-    load::Load,
+    load::{Load, work::Usage},
     membership::{self, Membership},
     request::Requests,
     time::Instant,
@@ -91,6 +91,14 @@
     pub confirmed_ms_ago: u64,
     /// For each service, the oldest generation that a flow known here still needs.
     pub needed: BTreeMap<Name, u64>,
+    /// How the upstreams that this VM is the steward of are used, by service and name.
+    pub upstreams: BTreeMap<Name, BTreeMap<Name, Usage>>,
+    /// Records of requests.
+    pub request_records: usize,
+    /// Bytes of bodies in records of requests.
+    pub request_bytes: usize,
+    /// Whether this VM vouches that a request which it does not know was not run.
+    pub informed: bool,
 }
 
 /// Time between two requests for a peer's configuration, in milliseconds.
@@ -151,6 +159,7 @@
     /// The state of this VM, for the dump.
     #[must_use]
     pub fn dump(&self, now: Instant) -> Dump {
+        let (request_records, request_bytes) = self.requests.size();
         Dump {
             view: self.view.clone(),
             config: Config {
@@ -159,6 +168,10 @@
             },
             confirmed_ms_ago: now.ms_since(self.confirmed),
             needed: self.needed(now),
+            upstreams: self.load.usage(now),
+            request_records,
+            request_bytes,
+            informed: self.is_informed(now),
         }
     }
 
