Let oriolectl end quietly when its reader has gone

Cause: `oriolectl completions bash | head -3` panicked on the broken pipe, as println does. All output goes through one function that takes a gone reader for the end.

--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -5,7 +5,10 @@
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 use clap_complete::Shell;
 
-use crate::exit::{Code, Failure};
+use crate::{
+    exit::{Code, Failure},
+    show,
+};
 
 /// Environment variable with addresses of control VMs, separated by commas.
 pub const CONTROL_VARIABLE: &str = "ORIOLECTL_CONTROL";
@@ -287,6 +290,8 @@
 /// Prints completions for a shell.
 pub fn completions(matches: &ArgMatches) {
     if let Some(shell) = matches.get_one::<Shell>("shell") {
-        clap_complete::generate(*shell, &mut command(), "oriolectl", &mut std::io::stdout());
+        let mut script = Vec::new();
+        clap_complete::generate(*shell, &mut command(), "oriolectl", &mut script);
+        show::print(script);
     }
 }
--- a/crates/cli/src/change.rs
+++ b/crates/cli/src/change.rs
@@ -14,7 +14,7 @@
     args::{self, text},
     call::{Attempt, Controls},
     exit::{Code, Failure},
-    json, show,
+    render, show,
 };
 
 /// Time between two looks at a planned change.
@@ -166,7 +166,7 @@
         let printed = json!({
             "outcome": "refused",
             "request_id": request.request_id.as_str(),
-            "kind": json::refusal_kind(&refused.kind),
+            "kind": render::refusal_kind(&refused.kind),
             "field": refused.field.as_str(),
             "reason": refused.reason.as_str(),
             "index": refused.index,
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -17,8 +17,8 @@
 pub mod call;
 pub mod change;
 pub mod exit;
-mod json;
 mod list;
+mod render;
 pub mod report;
 pub mod show;
 
--- a/crates/cli/src/list.rs
+++ b/crates/cli/src/list.rs
@@ -4,14 +4,14 @@
 
 use clap::ArgMatches;
 use rpc::schema::{DumpRequest, ReadRequest};
-use serde_json::Value;
+use serde_json::{Value, json};
 
 use crate::{
     args::{self, Output, text},
     call::{Attempt, Controls},
     change,
     exit::{Code, Failure},
-    json, show,
+    render, show,
 };
 
 const ENTRY_VMS: &[&str] = &["name", "domain", "live", "index", "age_ms"];
@@ -66,13 +66,13 @@
             let list = controls
                 .call(async |client| Ok(Attempt::Final(client.list_upstreams(&read).await?)))
                 .await?;
-            show_list(&json::upstreams(&list), "upstreams", UPSTREAMS, output);
+            show_list(&render::upstreams(&list), "upstreams", UPSTREAMS, output);
         }
         Some(("change", "list", _)) => {
             let list = controls
                 .call(async |client| Ok(Attempt::Final(client.list_changes(&read).await?)))
                 .await?;
-            show_list(&json::changes(&list), "changes", CHANGES, output);
+            show_list(&render::changes(&list), "changes", CHANGES, output);
         }
         Some(("change", verb, matches)) => one_change(controls, matches, verb, output).await?,
         Some(("dump", _, matches)) => dump(controls, text(matches, "vm")).await?,
@@ -85,41 +85,45 @@
     let status = controls
         .call(async |client| Ok(Attempt::Final(client.status(read).await?)))
         .await?;
-    Ok(json::status(&status))
+    Ok(render::status(&status))
 }
 
 fn show_status(status: &Value, output: Output) {
     if output == Output::Json {
-        println!("{status:#}");
+        show::json(status);
         return;
     }
     warn_if_old(status);
-    for key in ["cluster", "leader", "term"] {
-        println!("{key:8} {}", status[key].to_string().trim_matches('"'));
-    }
-    println!("{:8} {}", "version", status["freshness"]["version"]);
-    println!("{:8} {}", "voters", show::cell(&status["voters"]));
+    let summary = json!({
+        "cluster": status["cluster"],
+        "leader": status["leader"],
+        "term": status["term"],
+        "version": status["freshness"]["version"],
+        "voters": status["voters"],
+    });
+    let mut text = show::lines(&summary);
     for (title, key, columns) in [
         ("Entry VMs", "entry_vms", ENTRY_VMS),
         ("Failure domains", "domains", DOMAINS),
         ("Services", "services", SERVICES),
     ] {
-        print!("\n{title}\n{}", show::table(&status[key], columns));
+        text += &format!("\n{title}\n{}", show::table(&status[key], columns));
     }
+    show::print(text);
 }
 
 fn show_list(value: &Value, key: &str, columns: &[&str], output: Output) {
     match output {
         Output::Json => {
-            let list = serde_json::json!({
+            let list = json!({
                 "freshness": value["freshness"],
                 key: value[key],
             });
-            println!("{list:#}");
+            show::json(&list);
         }
         Output::Table => {
             warn_if_old(value);
-            print!("{}", show::table(&value[key], columns));
+            show::print(show::table(&value[key], columns));
         }
     }
 }
@@ -149,7 +153,7 @@
         change::wait_in_force(controls, number).await?;
     }
     let change = change::get(controls, number, matches.get_flag("allow-old")).await?;
-    show::object(output, &json::change(&change));
+    show::object(output, &render::change(&change));
     Ok(())
 }
 
@@ -174,6 +178,6 @@
         .await?;
     let text = answer.map_err(|reason| Failure::new(Code::Refused, reason))?;
     let value: Value = serde_json::from_str(&text).unwrap_or(Value::String(text.to_string()));
-    println!("{value:#}");
+    show::json(&value);
     Ok(())
 }
--- a/crates/cli/src/report.rs
+++ b/crates/cli/src/report.rs
@@ -14,6 +14,7 @@
 use crate::{
     args::Output,
     exit::{Code, Failure},
+    show,
 };
 
 mod plot;
@@ -240,8 +241,8 @@
     let path = matches.get_one::<PathBuf>("result").cloned();
     let run = Run::load(&path.unwrap_or_default())?;
     match output {
-        Output::Json => println!("{:#}", run.to_json()),
-        Output::Table => print!("{run}"),
+        Output::Json => show::json(&run.to_json()),
+        Output::Table => show::print(run.to_string()),
     }
     if let Some(svg) = matches.get_one::<PathBuf>("svg") {
         plot::draw(&run, svg).map_err(|reason| {
--- a/crates/cli/src/show.rs
+++ b/crates/cli/src/show.rs
@@ -1,5 +1,7 @@
 //! Prints JSON values, as they are or as tables.
 
+use std::io::{self, Write};
+
 use serde_json::Value;
 
 use crate::args::Output;
@@ -7,11 +9,28 @@
 /// Space between two columns, in characters.
 const GAP: usize = 2;
 
+/// Prints `text` to standard output.
+///
+/// A reader that has gone, such as `head`, wants no more: that is no error.
+pub fn print(text: impl AsRef<[u8]>) {
+    let mut output = io::stdout().lock();
+    drop(
+        output
+            .write_all(text.as_ref())
+            .and_then(|()| output.flush()),
+    );
+}
+
+/// Prints a value as JSON.
+pub fn json(value: &Value) {
+    print(format!("{value:#}\n"));
+}
+
 /// Prints one object: as JSON, or one line for each key.
 pub fn object(output: Output, value: &Value) {
     match output {
-        Output::Json => println!("{value:#}"),
-        Output::Table => print!("{}", lines(value)),
+        Output::Json => json(value),
+        Output::Table => print(lines(value)),
     }
 }
 
@@ -52,8 +71,7 @@
 }
 
 /// A value in one cell.
-#[must_use]
-pub fn cell(value: &Value) -> String {
+fn cell(value: &Value) -> String {
     match value {
         Value::Null => "-".to_owned(),
         Value::Bool(true) => "yes".to_owned(),
