--- a/crates/standin/tests/examples.rs
+++ b/crates/standin/tests/examples.rs
@@ -5,10 +5,11 @@
 use std::{
     fs,
     path::{Path, PathBuf},
+    process::Command,
 };
 
 use settings::{Load, control, entry};
-use standin::experiment::{Action, Experiment, Firm, plan::Plan};
+use standin::experiment::{Action, Experiment, Firm, build, plan::Plan};
 
 const FIRMS: [(&str, Firm); 2] = [("lysgard", Firm::Lysgard), ("blue-mahoe", Firm::BlueMahoe)];
 
@@ -59,6 +60,27 @@
     }
 }
 
+#[test]
+fn the_daemons_accept_the_files_under_check_settings() {
+    let data = tempfile::tempdir().unwrap();
+    let programs = build::programs().unwrap_or_else(|e| panic!("{e}"));
+    for (name, _) in FIRMS {
+        for (kind, program) in [("entry", "oriole-entry"), ("control", "oriole-control")] {
+            for file in files(name, kind) {
+                let output = Command::new(programs.join(program))
+                    .current_dir(data.path())
+                    .arg("--check-settings")
+                    .arg("--settings")
+                    .arg(file.canonicalize().unwrap())
+                    .output()
+                    .unwrap();
+                let text = String::from_utf8_lossy(&output.stderr);
+                assert!(output.status.success(), "{}: {text}", file.display());
+            }
+        }
+    }
+}
+
 #[test]
 fn experiments_can_be_read_and_name_what_the_firm_has() {
     for (name, firm) in FIRMS {
