--- a/crates/policy/tests/flow_faults.rs
+++ b/crates/policy/tests/flow_faults.rs
@@ -219,6 +219,18 @@
     }
 }
 
+#[test]
+fn a_backup_that_restarts_unseen_gets_its_records_again_before_the_home_dies() {
+    for seed in 56..59 {
+        let mut net = net_in_change(seed);
+        let (home, backup) = (net.home(450), net.backup(450));
+        net.restart(&backup);
+        net.run(6_000);
+        net.kill(&home);
+        continue_for(&mut net, 3);
+    }
+}
+
 #[test]
 fn a_frozen_vm_that_wakes_forwards_nothing_by_old_knowledge() {
     for seed in 38..41 {
