Tell everyone when a process ends, so that nobody waits for its answers

Cause looked for: requests sent 1 to 2 s after a graceful stop were refused only near their deadline, since a stopped VM stays in the views until probes have missed it (1.8 s) and homes wait for its grant. Now the process says State::Dead as its last word. Test: a_vm_that_ends_leaves_every_view_at_once.

--- a/crates/entry/src/engine.rs
+++ b/crates/entry/src/engine.rs
@@ -166,6 +166,11 @@
         inner.handle(Event::Stop);
     }
 
+    /// Tells the others that this process ends.
+    pub fn end(&self) {
+        self.handle(Event::End);
+    }
+
     /// Whether a graceful stop is complete: everything is handed over and answered, and the
     /// fabric has handed over nothing for `quiet_ms`.
     #[must_use]
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -252,6 +252,7 @@
     if tokio::time::timeout(MAX_STOP, finished).await.is_err() {
         warn!(target: "entry", "work is left after {MAX_STOP:?}: stops all the same");
     }
+    engine.end();
     drop(to_control.try_send(ToControl::Goodbye));
     // Lets the stream's task send the message before it is cancelled.
     tokio::time::sleep(Duration::from_millis(TICK_MS)).await;
--- a/crates/policy/src/io.rs
+++ b/crates/policy/src/io.rs
@@ -44,6 +44,8 @@
     },
     /// The process was asked to stop.
     Stop,
+    /// The process ends now; nothing may follow.
+    End,
 }
 
 /// Longest time between two [`Event::Tick`]s, in milliseconds.
--- a/crates/policy/src/membership.rs
+++ b/crates/policy/src/membership.rs
@@ -204,6 +204,13 @@
         }
     }
 
+    /// Tells everyone that this VM's process ends now, so that nobody waits for its answers until
+    /// probes have missed it.
+    pub fn end(&mut self, out: &mut Vec<Action>) {
+        self.me.state = State::Dead;
+        self.tell_everyone(out);
+    }
+
     /// Takes a message.
     pub fn on_message(
         &mut self,
--- a/crates/policy/src/node.rs
+++ b/crates/policy/src/node.rs
@@ -236,6 +236,7 @@
                 self.load.on_reply(context, upstream, response, out);
             }
             Event::Message { from, message } => self.on_message(now, from, message, out),
+            Event::End => self.membership.end(out),
             Event::Stop => {
                 self.stopping = true;
                 self.membership.leave(&mut self.view, out);
--- a/crates/policy/tests/matrix/world.rs
+++ b/crates/policy/tests/matrix/world.rs
@@ -556,6 +556,7 @@
         self.arrive(&vm, Event::Tick);
         let state = &self.vms[&vm];
         if state.stopping && state.node.is_finished() {
+            self.arrive(&vm, Event::End);
             self.vms.remove(&vm);
             self.push(300, Due::Restart(vm));
             return;
--- a/crates/policy/tests/membership.rs
+++ b/crates/policy/tests/membership.rs
@@ -135,3 +135,17 @@
         }
     }
 }
+
+#[test]
+fn a_vm_that_ends_leaves_every_view_at_once() {
+    let mut network = Network::new(6, 11);
+    network.run(3_000);
+    let mut out = Vec::new();
+    let peer = network.peers.get_mut(&address(5)).unwrap();
+    peer.membership.leave(&mut peer.view, &mut out);
+    peer.membership.end(&mut out);
+    peer.up = false;
+    network.send(address(5), out);
+    network.run(100);
+    network.assert_all_see(&[0, 1, 2, 3, 4]);
+}
