Don't take a VM that stopped on purpose for a lost one; count control honestly

Cause looked for: requests that wait for a second or two in a rolling restart. A new steward took a VM that had announced its stop for a lost one whenever an earlier view showed it without the announcement, and could wait 4.2 s. The new test of two planned stops passed before as well, since the former steward's ledger covers that case: so this is a fault found by reading, not the cause.

--- a/crates/policy/src/history.rs
+++ b/crates/policy/src/history.rs
@@ -115,11 +115,19 @@
         let Some(current) = &self.current else {
             return false;
         };
-        self.past.iter().any(|(_, view)| {
-            view.vms
-                .values()
-                .any(|vm| !vm.leaving && current.get(&vm.name).is_none())
-        })
+        let mut gone = self
+            .past
+            .iter()
+            .flat_map(|(_, view)| view.vms.keys())
+            .filter(|name| current.get(name).is_none());
+        gone.any(|name| !self.left(name))
+    }
+
+    /// Whether a VM that is no longer live had announced that it stops when it was last seen. It
+    /// finished its requests before its end, whatever earlier views say of it.
+    pub(crate) fn left(&self, name: &Name) -> bool {
+        let last = self.past.iter().rev().find_map(|(_, view)| view.get(name));
+        last.is_some_and(|vm| vm.leaving)
     }
 }
 
--- a/crates/policy/src/io.rs
+++ b/crates/policy/src/io.rs
@@ -128,8 +128,8 @@
 }
 
 impl Message {
-    /// What its bytes are spent on, as metrics name it. Packets of flows that are passed on whole
-    /// are kept apart from the records of flows, since only the latter are control.
+    /// What its bytes are spent on, as metrics name it. `packets` and `requests` are what is passed
+    /// on for callers, once to where it is decided and once back; all else is control.
     #[must_use]
     pub fn purpose(&self) -> &'static str {
         match self {
@@ -141,8 +141,12 @@
                 | flow::Message::Refused { .. },
             ) => "packets",
             Self::Flow(_) => "flow-records",
+            Self::Load(load::Message::Work(_))
+            | Self::Request(request::Message::Relay { .. } | request::Message::Outcome(_)) => {
+                "requests"
+            }
             Self::Load(_) => "load",
-            Self::Request(_) => "requests",
+            Self::Request(_) => "request-records",
             Self::Announce(_) => "announcements",
             Self::WantConfig | Self::Config(_) => "configuration",
         }
--- a/crates/policy/src/load/takeover.rs
+++ b/crates/policy/src/load/takeover.rs
@@ -98,11 +98,16 @@
         role.configure(now, settings, domain, domain_in);
         // A VM that was lost meanwhile can't say what it has under way.
         if let Some(settling) = &mut role.settling {
-            let before = settling.unheard.len();
-            settling.unheard.retain(|vm| context.view.get(vm).is_some());
-            if settling.unheard.len() < before {
+            let is_lost = |vm: &Name| context.view.get(vm).is_none();
+            let history = &self.history;
+            if settling
+                .unheard
+                .iter()
+                .any(|vm| is_lost(vm) && !history.left(vm))
+            {
                 settling.blind_until = settling.blind_until.max(now.plus_ms(longest));
             }
+            settling.unheard.retain(|vm| !is_lost(vm));
         }
         for (attempt, job) in self.jobs.iter() {
             let Some(dispatched) = job.dispatched.as_ref().filter(|d| d.holds_slot) else {
--- a/crates/policy/tests/load_stewards.rs
+++ b/crates/policy/tests/load_stewards.rs
@@ -137,6 +137,30 @@
     assert_eq!(net.callers.first(coap::CHANGED), net.callers.asked());
 }
 
+#[test]
+fn a_steward_that_takes_over_after_another_vm_has_stopped_on_purpose_dispatches_at_once() {
+    let mut net = under_load(6, 0.7, 6_000);
+    let gone = steward(&net, &domain(1));
+    net.leave(&gone);
+    net.run_ms(1_000);
+    net.kill(&gone);
+    net.agree();
+    net.run_ms(500);
+    let leaving = steward(&net, &domain(0));
+    net.leave(&leaving);
+    net.run_ms(200);
+    let done = |net: &Net| net.upstreams[0].done;
+    let before = done(&net);
+    net.run_ms(500);
+    assert!(
+        done(&net) > before,
+        "the new steward waits for a VM that had finished"
+    );
+    net.run_ms(5_000);
+    net.check("two planned stops");
+    assert_eq!(net.callers.first(coap::CHANGED), net.callers.asked());
+}
+
 #[test]
 fn a_steward_that_was_frozen_does_not_go_by_what_it_knew() {
     for seed in 10..14 {
