Forget what a steward said once it is no longer live; refuse reused request ids

Cause of posts that ended as unknown within 2 ms, 1 to 4 s after a restart: a home names the steward's start that it heard of last. After a planned stop and restart that was the former start, and the new process can't tell whether it ran that work, so it answers stale.

A request id that was used for another command got the first command's answer, though the second one was not run. It is refused now: a_request_id_that_was_used_for_another_command_is_refused_and_not_answered_as_run.

--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -229,6 +229,10 @@
         let outcome = log.apply(index, entry);
         self.config.send_replace(Arc::new(log.clone()));
         self.status.send_modify(|s| s.committed = index);
-        Applied { index, outcome }
+        Applied {
+            index,
+            outcome,
+            subject: entry.command.subject(),
+        }
     }
 }
--- a/crates/control/src/replica/machine.rs
+++ b/crates/control/src/replica/machine.rs
@@ -312,10 +312,11 @@
             })?;
         let config = Arc::make_mut(&mut self.config);
         let outcome = config.apply(index, &command);
-        let applied = match config.answer(&command.operator, &command.request) {
-            Some(first) => first.clone(),
-            None => Applied { index, outcome },
-        };
+        let applied = config.answer_to(&command).unwrap_or(Applied {
+            index,
+            outcome,
+            subject: command.command.subject(),
+        });
         self.requests.settle(&command, &applied, &mut self.output);
         Ok(())
     }
--- a/crates/control/src/replica/machine/request.rs
+++ b/crates/control/src/replica/machine/request.rs
@@ -87,7 +87,9 @@
         let key = (command.operator.clone(), command.request.clone());
         self.appended.remove(&key);
         let is_same = |c: &Command| {
-            c.entry.operator == command.operator && c.entry.request == command.request
+            c.entry.operator == command.operator
+                && c.entry.request == command.request
+                && c.entry.command.subject() == command.command.subject()
         };
         let settled = self.commands.extract_if(.., |_, c| is_same(c));
         for (token, _) in settled {
@@ -98,10 +100,7 @@
 
     /// Answers those whose commands a snapshot includes.
     pub(super) fn settle_from(&mut self, config: &Config, output: &mut Output) {
-        let first = |c: &Command| {
-            let answer = config.answer(&c.entry.operator, &c.entry.request);
-            answer.cloned()
-        };
+        let first = |c: &Command| config.answer_to(&c.entry);
         let known = self.commands.extract_if(.., |_, c| first(c).is_some());
         for (token, command) in known {
             let answer = first(&command).ok_or(Error::OutcomeUnknown);
@@ -113,8 +112,8 @@
 impl<D: Disk> Machine<D> {
     /// Asks for a command to be committed; the answer comes under `token`.
     pub fn propose(&mut self, token: u64, entry: command::Entry) {
-        if let Some(first) = self.config.answer(&entry.operator, &entry.request) {
-            let answer = Answer::Proposed(token, Ok(first.clone()));
+        if let Some(first) = self.config.answer_to(&entry) {
+            let answer = Answer::Proposed(token, Ok(first));
             self.output.answers.push(answer);
             return;
         }
--- a/crates/model/src/command.rs
+++ b/crates/model/src/command.rs
@@ -4,9 +4,13 @@
 
 use crate::{
     config::{Service, Upstream},
+    key::hash,
     name::Name,
 };
 
+/// Seed of the digest of what a command asks.
+const SUBJECT_SEED: u64 = 0x7375_626a_6563_7400;
+
 /// Name under which the system itself asks for its own steps.
 pub const SYSTEM: &str = "control";
 
@@ -109,6 +113,19 @@
 }
 
 impl Command {
+    /// Digest of what is asked, which is the same for a resend. What an upstream announced is no
+    /// part of it: that may have changed since the first request.
+    #[must_use]
+    pub fn subject(&self) -> u64 {
+        let text = match self {
+            Self::Admit {
+                service, upstream, ..
+            } => format!("Admit {service} {upstream}"),
+            other => format!("{other:?}"),
+        };
+        hash(SUBJECT_SEED, text.as_bytes())
+    }
+
     /// Whether it is a step of the system itself, for which no first answer is kept.
     #[must_use]
     pub fn is_step(&self) -> bool {
--- a/crates/model/src/config/apply.rs
+++ b/crates/model/src/config/apply.rs
@@ -21,6 +21,8 @@
     pub index: u64,
     /// What came of it.
     pub outcome: Outcome,
+    /// [`Command::subject`] of the command.
+    pub subject: u64,
 }
 
 /// What came of a command.
@@ -57,6 +59,8 @@
     LastUpstream(Name),
     /// service {0} still has open flows of as many earlier changes as it may retain: wait until the oldest of these flows end, then ask again with a new request id
     TooManyGenerations(Name),
+    /// request id {0} was used for another command, so this one was not run: ask again with a new request id
+    RequestReused(String),
     /// the step is out of date: nothing to do
     Stale,
 }
@@ -66,7 +70,8 @@
 impl Config {
     /// Applies the command at `index` of the replicated log.
     ///
-    /// A resend gets the first answer and changes nothing.
+    /// A resend gets the first answer and changes nothing; another command under a request id that
+    /// was used is refused.
     ///
     /// # Errors
     ///
@@ -74,19 +79,37 @@
     pub fn apply(&mut self, index: u64, entry: &Entry) -> Outcome {
         self.index = index;
         let key = (entry.operator.clone(), entry.request.clone());
-        if let Some(first) = self.answers.get(&key) {
-            return first.outcome.clone();
+        if let Some(first) = self.answer_to(entry) {
+            return first.outcome;
         }
         let outcome = self.check_version(entry).and_then(|()| self.change(entry));
         if outcome.is_ok() {
             self.version = index;
         }
         if !entry.command.is_step() {
-            self.remember(key, index, &outcome);
+            let subject = entry.command.subject();
+            let outcome = outcome.clone();
+            let applied = Applied {
+                index,
+                outcome,
+                subject,
+            };
+            self.remember(key, applied);
         }
         outcome
     }
 
+    /// The answer to a command that was applied before, or whose request id was used for another.
+    #[must_use]
+    pub fn answer_to(&self, entry: &Entry) -> Option<Applied> {
+        let first = self.answer(&entry.operator, &entry.request)?;
+        let mut answer = first.clone();
+        if answer.subject != entry.command.subject() {
+            answer.outcome = Err(Refusal::RequestReused(entry.request.clone()));
+        }
+        Some(answer)
+    }
+
     /// The first answer to a command that was applied before.
     #[must_use]
     pub fn answer(&self, operator: &str, request: &str) -> Option<&Applied> {
@@ -103,9 +126,8 @@
         }
     }
 
-    fn remember(&mut self, key: (String, String), index: u64, outcome: &Outcome) {
-        let outcome = outcome.clone();
-        self.answers.insert(key, Applied { index, outcome });
+    fn remember(&mut self, key: (String, String), applied: Applied) {
+        self.answers.insert(key, applied);
         while self.answers.len() > MAX_ANSWERS {
             let oldest = self.answers.iter().min_by_key(|(_, a)| a.index);
             let Some(key) = oldest.map(|(key, _)| key.clone()) else {
--- a/crates/model/tests/config.rs
+++ b/crates/model/tests/config.rs
@@ -275,3 +275,17 @@
     }
     assert!(refused > 100, "{refused}");
 }
+
+#[test]
+fn a_request_id_that_was_used_for_another_command_is_refused_and_not_answered_as_run() {
+    let mut config = Config::default();
+    let ask = |domain| {
+        let command = Command::PutDomain { name: name(domain) };
+        Entry::new("anna", "same-id", None, command)
+    };
+    assert_eq!(config.apply(1, &ask("vejle")), Ok(()));
+    let reused = Err(Refusal::RequestReused("same-id".to_owned()));
+    assert_eq!(config.apply(2, &ask("horsens")), reused);
+    assert!(!config.domains.contains_key(&name("horsens")));
+    assert_eq!(config.apply(3, &ask("vejle")), Ok(()), "the resend");
+}
--- a/crates/policy/src/request.rs
+++ b/crates/policy/src/request.rs
@@ -211,6 +211,7 @@
     /// The view has changed.
     pub fn on_view(&mut self, context: Context<'_>, _load: &mut Load, out: &mut Vec<Action>) {
         self.observe(context);
+        self.gauges.forget_lost(context.view);
         self.orphan_lost(context);
         self.leave_lost(context, out);
     }
--- a/crates/policy/src/request/choice.rs
+++ b/crates/policy/src/request/choice.rs
@@ -12,7 +12,7 @@
 };
 use rand::Rng;
 
-use crate::{io::Context, load::work::Hint, time::Instant};
+use crate::{io::Context, load::work::Hint, time::Instant, view::View};
 
 /// Time for which a hint counts, in milliseconds.
 const HINT_MS: u64 = 500;
@@ -70,6 +70,16 @@
         self.gauges.insert(place, gauge);
     }
 
+    /// Forgets what VMs said that are no longer live. One that comes back is a new start, which
+    /// can't tell whether work for the former start was run, and would leave it unknown.
+    pub(crate) fn forget_lost(&mut self, view: &View) {
+        let is_live = |gauge: &Gauge| {
+            let steward = gauge.steward.as_ref();
+            steward.is_none_or(|steward| view.get(steward).is_some())
+        };
+        self.gauges.retain(|_, gauge| is_live(gauge));
+    }
+
     /// Notes that a request goes to a steward; returns the epoch to name, 0 where none is known.
     pub(crate) fn send(&mut self, service: &Name, domain: &Name, steward: &Name) -> u64 {
         let place = (service.clone(), domain.clone());
--- a/crates/policy/tests/request_faults.rs
+++ b/crates/policy/tests/request_faults.rs
@@ -265,3 +265,30 @@
         codes(coap::TIMEOUT)
     );
 }
+
+#[test]
+fn the_first_posts_to_a_steward_that_was_restarted_on_purpose_are_answered() {
+    let mut net = Net::new(Shape::LYSGARD, 33);
+    net.run_ms(SETTLED_MS);
+    // Every home learns of every steward's start.
+    net.arrivals(600.0, 1.0, 2_000);
+    net.run_ms(3_000);
+    net.callers.mark();
+    let names: Vec<Name> = net.vms.keys().cloned().collect();
+    for vm in names {
+        // Nobody asks anything while the VM is away, so that nobody learns of another steward.
+        net.leave(&vm);
+        net.run_ms(400);
+        net.kill(&vm);
+        net.agree_after(0, 100);
+        net.run_ms(600);
+        net.restart(&vm);
+        net.agree_after(0, 100);
+        net.run_ms(6_000);
+        net.arrivals(600.0, 1.0, 1_000);
+        net.run_ms(2_000);
+    }
+    net.check("restarted stewards");
+    assert_eq!(net.callers.first(coap::TIMEOUT), 0, "outcome unknown");
+    assert_eq!(net.callers.first(coap::CHANGED), net.callers.asked());
+}
--- a/crates/rpc/src/convert.rs
+++ b/crates/rpc/src/convert.rs
@@ -208,6 +208,7 @@
         Refusal::UnknownDomain(_) => (schema::RefusalKind::UnknownName, "name"),
         Refusal::UnknownUpstream(_) => (schema::RefusalKind::UnknownName, "upstream"),
         Refusal::AddressTaken(..) => (schema::RefusalKind::Conflict, "address"),
+        Refusal::RequestReused(_) => (schema::RefusalKind::Conflict, "request_id"),
         Refusal::Field { field, .. } => (schema::RefusalKind::Field, field),
         _ => (schema::RefusalKind::Conflict, ""),
     }
