Give each answer that acknowledges nothing a message id of its own

Cause: such answers all had message id 0, so that a caller which follows RFC 7252, section 4.5, may drop the second one as a duplicate. Test: answers_that_acknowledge_nothing_carry_the_id_they_are_given.

--- a/crates/entry/src/engine.rs
+++ b/crates/entry/src/engine.rs
@@ -53,6 +53,8 @@
     actions: Vec<Action>,
     meters: Meters,
     stopping: bool,
+    /// Message id of the last answer that acknowledged nothing.
+    next_id: u16,
     /// When the fabric last handed over anything.
     last_packet: Instant,
 }
@@ -120,6 +122,7 @@
                 counted: BTreeMap::new(),
             },
             stopping: false,
+            next_id: 0,
             last_packet: Instant::ZERO,
         };
         Self {
@@ -283,7 +286,8 @@
                 response,
                 acknowledges,
             } => {
-                let bytes = coap::response(&response, acknowledges);
+                let kind = acknowledges.map_or_else(|| self.own_id(), coap::Kind::Acknowledges);
+                let bytes = coap::response(&response, kind);
                 self.send_coap(&self.outlets.requests, bytes, caller);
             }
             Action::Report(announcement) => self.report(ToControl::Announced(announcement)),
@@ -291,6 +295,12 @@
         }
     }
 
+    /// The message id of the next answer that acknowledges nothing.
+    fn own_id(&mut self) -> coap::Kind {
+        self.next_id = self.next_id.wrapping_add(1);
+        coap::Kind::Own(self.next_id)
+    }
+
     fn report(&self, message: ToControl) {
         // The stream is down for long or the control VM is slow; beats repeat what counts.
         if self.control.try_send(message).is_err() {
--- a/crates/standin/src/upstream/requests.rs
+++ b/crates/standin/src/upstream/requests.rs
@@ -211,5 +211,9 @@
 }
 
 fn encode(response: &Response, acknowledges: Option<u16>) -> Step {
-    coap::response(response, acknowledges).map_or(Step::Silence, Step::Answer)
+    // Tokens of attempts differ, so that their last bytes serve as message ids.
+    let own = response.token.last_chunk().copied().unwrap_or_default();
+    let own = coap::Kind::Own(u16::from_be_bytes(own));
+    let kind = acknowledges.map_or(own, coap::Kind::Acknowledges);
+    coap::response(response, kind).map_or(Step::Silence, Step::Answer)
 }
--- a/crates/standin/tests/emulators/caller.rs
+++ b/crates/standin/tests/emulators/caller.rs
@@ -24,7 +24,8 @@
             };
             let work = message::decode(&request.payload.0).unwrap();
             for response in answers(&work, request.token) {
-                let bytes = coap::response(&response, Some(request.message_id)).unwrap();
+                let bytes = coap::response(&response, coap::Kind::Acknowledges(request.message_id))
+                    .unwrap();
                 socket.send_to(&bytes, from).await.unwrap();
             }
         }
--- a/crates/wire/src/coap.rs
+++ b/crates/wire/src/coap.rs
@@ -218,19 +218,31 @@
     message.to_bytes().map_err(|_| Error::Encode)
 }
 
-/// Encodes a response as an acknowledgement of `message_id`, or as a message of its own where
-/// there is none to acknowledge.
+/// How a response is sent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Kind {
+    /// As the acknowledgement of the request with this message id.
+    Acknowledges(u16),
+    /// As a message of its own with this message id.
+    Own(u16),
+}
+
+/// Encodes a response as an acknowledgement of a message id, or as a message of its own.
+///
+/// A message of its own needs an id that the sender has not used lately, or the receiver takes it
+/// for a duplicate (RFC 7252, section 4.5).
 ///
 /// # Errors
 ///
 /// Fails on tokens or options that no message holds.
-pub fn response(response: &Response, acknowledges: Option<u16>) -> Result<Vec<u8>, Error> {
+pub fn response(response: &Response, kind: Kind) -> Result<Vec<u8>, Error> {
     let mut message = Message::new();
-    message.header.set_type(match acknowledges {
-        Some(_) => MessageType::Acknowledgement,
-        None => MessageType::NonConfirmable,
-    });
-    message.header.message_id = acknowledges.unwrap_or_default();
+    let (kind, message_id) = match kind {
+        Kind::Acknowledges(id) => (MessageType::Acknowledgement, id),
+        Kind::Own(id) => (MessageType::NonConfirmable, id),
+    };
+    message.header.set_type(kind);
+    message.header.message_id = message_id;
     message.header.code = MessageClass::from(response.code);
     message.set_token(response.token.clone());
     if let Some(age) = response.max_age_s {
--- a/crates/wire/tests/decoders.rs
+++ b/crates/wire/tests/decoders.rs
@@ -122,7 +122,7 @@
         max_age_s: Some(3),
         payload: Blob::from(b"not run".to_vec()),
     };
-    let bytes = coap::response(&response, Some(300)).expect("a valid response");
+    let bytes = coap::response(&response, coap::Kind::Acknowledges(300)).expect("a valid response");
     let Ok(Received::Response {
         response: read,
         message_id,
@@ -175,3 +175,21 @@
         Err(frame::Error::Body(_))
     ));
 }
+
+#[test]
+fn answers_that_acknowledge_nothing_carry_the_id_they_are_given() {
+    let response = Response {
+        token: vec![1],
+        code: coap::CONTENT,
+        max_age_s: None,
+        payload: Blob::default(),
+    };
+    let ids = [1, 2].map(|id| {
+        let bytes = coap::response(&response, coap::Kind::Own(id)).expect("a valid response");
+        match coap::parse(&bytes) {
+            Ok(Received::Response { message_id, .. }) => message_id,
+            other => panic!("no response: {other:?}"),
+        }
+    });
+    assert_eq!(ids, [1, 2]);
+}
