Let a failure domain come back when admissions have used the generations up

Operators bring a zone back at short notice, so admissions and drains now leave 4 of 16 generations to it. Test first: a_domain_can_be_brought_back_when_admissions_have_used_their_generations_up failed before. What is left: a service whose flows hold 12 generations refuses admissions for up to its idle time, as the refusal says.

--- a/crates/model/src/config.rs
+++ b/crates/model/src/config.rs
@@ -31,7 +31,11 @@
 
 /// Generations that one service may retain. Taking a failure domain out is never refused for it:
 /// its flows are given up, and it must get no packet after a few seconds.
-pub const MAX_GENERATIONS: usize = 8;
+pub const MAX_GENERATIONS: usize = 16;
+
+/// Generations out of [`MAX_GENERATIONS`] that admissions and drains leave for failure domains to be
+/// brought back.
+pub const RESERVED_GENERATIONS: usize = 4;
 
 /// The cluster configuration at one index of the replicated log.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/model/src/config/apply.rs
+++ b/crates/model/src/config/apply.rs
@@ -7,13 +7,17 @@
 
 use super::{
     Change, ChangeKind, ChangeState, Config, Domain, DomainState, Generation, MAX_ANSWERS,
-    MAX_FINISHED_CHANGES, MAX_GENERATIONS, Service, Stage, Upstream, UpstreamState,
+    MAX_FINISHED_CHANGES, MAX_GENERATIONS, RESERVED_GENERATIONS, Service, Stage, Upstream,
+    UpstreamState,
 };
 use crate::{
     command::{Command, Entry},
     name::Name,
 };
 
+/// Generations that one service may retain through admissions and drains.
+const ORDINARY_GENERATIONS: usize = MAX_GENERATIONS - RESERVED_GENERATIONS;
+
 /// The first answer to a command, as a resend gets it again.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Applied {
@@ -222,7 +226,7 @@
         };
         let upstreams = &mut self.service_mut(service)?.upstreams;
         let before = upstreams.insert(upstream.clone(), admitted);
-        let awaits = match self.regenerate(vec![service.clone()]) {
+        let awaits = match self.regenerate(vec![service.clone()], ORDINARY_GENERATIONS) {
             Ok(awaits) => awaits,
             Err(refusal) => {
                 self.restore(service, upstream, before);
@@ -245,7 +249,7 @@
         let is_last = self.weights(service).is_empty() && self.takes_work(service);
         let outcome = match is_last {
             true => Err(Refusal::LastUpstream(upstream.clone())),
-            false => self.regenerate(vec![service.clone()]),
+            false => self.regenerate(vec![service.clone()], ORDINARY_GENERATIONS),
         };
         let awaits = match outcome {
             Ok(awaits) => awaits,
@@ -273,7 +277,7 @@
             .collect();
         let awaits = match state {
             DomainState::Out => self.prepare(affected),
-            DomainState::In => match self.regenerate(affected) {
+            DomainState::In => match self.regenerate(affected, MAX_GENERATIONS) {
                 Ok(awaits) => awaits,
                 Err(refusal) => {
                     self.domains.insert(name.clone(), before);
@@ -329,10 +333,14 @@
 
     /// Prepares a new generation for each service whose weights changed, and says which; refuses
     /// that, and changes nothing, where a service would have too many.
-    fn regenerate(&mut self, services: Vec<Name>) -> Result<BTreeMap<Name, u64>, Refusal> {
+    fn regenerate(
+        &mut self,
+        services: Vec<Name>,
+        limit: usize,
+    ) -> Result<BTreeMap<Name, u64>, Refusal> {
         let is_full = |name: &&Name| {
             let service = self.services.get(*name);
-            service.is_some_and(|s| s.is_full() && !s.is_active(&self.weights(name)))
+            service.is_some_and(|s| s.is_full(limit) && !s.is_active(&self.weights(name)))
         };
         match services.iter().find(is_full) {
             Some(name) => Err(Refusal::TooManyGenerations(name.clone())),
@@ -479,10 +487,10 @@
         Some(self.last_generation)
     }
 
-    /// Whether it retains as many active generations as it may.
-    fn is_full(&self) -> bool {
+    /// Whether it retains `limit` active generations.
+    fn is_full(&self, limit: usize) -> bool {
         let active = self.generations.iter().filter(|g| g.stage == Stage::Active);
-        active.count() >= MAX_GENERATIONS
+        active.count() >= limit
     }
 
     /// Whether the newest active generation has these weights.
--- a/crates/model/tests/config.rs
+++ b/crates/model/tests/config.rs
@@ -211,6 +211,26 @@
     assert_eq!(newest.keys().collect::<Vec<_>>(), [&name("u2")]);
 }
 
+#[test]
+fn a_domain_can_be_brought_back_when_admissions_have_used_their_generations_up() {
+    let mut fixture = Fixture::new();
+    for number in 3.. {
+        if fixture
+            .apply(admit(&format!("u{number}"), "north"))
+            .is_err()
+        {
+            break;
+        }
+        fixture.activate();
+    }
+    let north = || name("north");
+    fixture.ok(Command::DomainOut { name: north() });
+    fixture.activate();
+    fixture.ok(Command::DomainIn { name: north() });
+    fixture.activate();
+    assert!(fixture.service().generations.len() <= MAX_GENERATIONS);
+}
+
 #[test]
 fn the_systems_own_steps_take_no_place_among_the_answers() {
     let fixture = Fixture::new();
