Wait in a test until the command is accepted, not until it is answered

It now resends until the command is accepted, within the same time: stricter, and as the guide tells operators.

--- a/crates/control/tests/three.rs
+++ b/crates/control/tests/three.rs
@@ -77,7 +77,13 @@
         let others = (0..3).find(|number| *number != frozen).unwrap();
         let client = cluster.client(others).await;
         let service = request("2", put_service("booking", "10.9.0.1:443"));
-        eventually(async || client.apply(&service).await.ok()).await;
+        // Another VM may have to become leader first: a refusal for want of one, or an unknown
+        // outcome, is answered by a resend.
+        eventually(async || {
+            let outcome = client.apply(&service).await.ok()?.outcome?;
+            matches!(outcome, Outcome::Accepted(_)).then_some(())
+        })
+        .await;
         eventually(async || {
             entry
                 .config()
