--- /dev/null
+++ b/crates/control/src/desk.rs
@@ -0,0 +1,156 @@
+//! What a control VM does for the platform's callers.
+
+use std::{sync::Arc, time::Duration};
+
+use model::{
+    command::{self, Command},
+    config::{Config, DomainState, Refusal},
+    name::Name,
+    plan::Plan,
+    routing::Announced,
+};
+use platform::desk::{self, Unavailable};
+use tokio::time::timeout;
+
+use crate::{heard::Outcome, replica::driver::random as fresh, state::State};
+
+/// Time in which a call is answered. Callers turn to another control VM after a second.
+const ANSWER_WAIT: Duration = Duration::from_millis(900);
+
+/// Operator in whose name calls are made, since callers name none.
+const OPERATOR: &str = "desk";
+
+impl desk::Desk for State {
+    async fn replace_plan(&self, plan: Plan) -> Result<(), Unavailable> {
+        let version = plan.version;
+        let held = plan_version(&self.replica.latest());
+        // What is committed never goes back, so this needs no other control VM.
+        if held.is_some_and(|held| version <= held) {
+            log::info!(
+                target: "desk",
+                "event=plan outcome=unchanged version={version} held={held:?}"
+            );
+            return Ok(());
+        }
+        let command = Command::ReplacePlan {
+            plan: Arc::new(plan),
+        };
+        let outcome = self.ask(command, None).await;
+        log::info!(
+            target: "desk",
+            "event=plan outcome={} version={version} held={held:?}", word(&outcome)
+        );
+        outcome.map(|_| ())
+    }
+
+    async fn read_plan(&self) -> Result<Arc<Plan>, Unavailable> {
+        let config = self.read().await?;
+        config.plan.clone().ok_or(Unavailable::NoPlan)
+    }
+
+    async fn move_domain(&self, domain: Name, is_out: bool) -> Result<(), Unavailable> {
+        let moved = timeout(ANSWER_WAIT, self.move_until_done(&domain, is_out)).await;
+        let outcome = moved.unwrap_or_else(|_| Err(late()));
+        log::info!(
+            target: "desk",
+            "event=domain domain={domain} out={is_out} outcome={}", word(&outcome)
+        );
+        outcome
+    }
+
+    fn announce(&self, announced: Announced) -> Result<(), Unavailable> {
+        if !self.can_tell() {
+            return Err(Unavailable::CutOff);
+        }
+        let shown = announced.clone();
+        let outcome = self.hear(|heard, now_ms| heard.put(now_ms, announced));
+        if outcome == Outcome::New {
+            log::info!(
+                target: "desk",
+                "event=upstream id={:x} started={} service={} address={} domain={} phase={:?} \
+                 cold_ms={} sequence={}",
+                shown.incarnation.id, shown.incarnation.started_ms, shown.service, shown.address,
+                shown.domain, shown.phase, shown.cold_ms, shown.sequence
+            );
+        }
+        Ok(())
+    }
+
+    fn leave(&self, id: u64) -> Result<(), Unavailable> {
+        if !self.can_tell() {
+            return Err(Unavailable::CutOff);
+        }
+        self.hear(|heard, now_ms| heard.leave(now_ms, id));
+        log::info!(target: "desk", "event=upstream id={id:x} phase=Gone");
+        Ok(())
+    }
+}
+
+impl State {
+    /// Moves a domain. The command counts only for the configuration that was read before it, so
+    /// that one which is delayed can't undo a later call.
+    async fn move_until_done(&self, domain: &Name, is_out: bool) -> Result<(), Unavailable> {
+        let wanted = match is_out {
+            true => DomainState::Out,
+            false => DomainState::In,
+        };
+        loop {
+            let config = self.read().await?;
+            let state = config.domains.get(domain).map(|d| d.state);
+            let name = domain.clone();
+            let command = match (state, is_out) {
+                (Some(state), _) if state == wanted => return Ok(()),
+                (None, false) => return Ok(()),
+                (None, true) => Command::PutDomain { name },
+                (Some(_), true) => Command::DomainOut { name },
+                (Some(_), false) => Command::DomainIn { name },
+            };
+            // A refusal shows in the next read.
+            let refused = self.ask(command, Some(config.version)).await?;
+            if let Some(refusal) = refused {
+                log::debug!(target: "desk", "event=retry domain={domain} reason=\"{refusal}\"");
+            }
+        }
+    }
+
+    /// A linearizable read.
+    async fn read(&self) -> Result<Arc<Config>, Unavailable> {
+        let read = timeout(ANSWER_WAIT, self.replica.read()).await;
+        match read {
+            Ok(Ok(config)) => Ok(config),
+            Ok(Err(error)) => Err(Unavailable::NoQuorum(error.to_string())),
+            Err(_) => Err(late()),
+        }
+    }
+
+    /// Has a command committed; says why it changed nothing, if it didn't.
+    async fn ask(
+        &self,
+        command: Command,
+        expected: Option<u64>,
+    ) -> Result<Option<Refusal>, Unavailable> {
+        let request = format!("{:016x}", fresh());
+        let entry = command::Entry::new(OPERATOR, request, expected, command);
+        let applied = timeout(ANSWER_WAIT, self.replica.propose(entry)).await;
+        match applied {
+            Ok(Ok(applied)) => Ok(applied.outcome.err()),
+            Ok(Err(error)) => Err(Unavailable::NoQuorum(error.to_string())),
+            Err(_) => Err(late()),
+        }
+    }
+}
+
+fn plan_version(config: &Config) -> Option<u64> {
+    config.plan.as_ref().map(|plan| plan.version)
+}
+
+fn late() -> Unavailable {
+    Unavailable::NoQuorum("no answer within 0.9 s".to_owned())
+}
+
+fn word<T>(outcome: &Result<T, Unavailable>) -> &'static str {
+    match outcome {
+        Ok(_) => "acknowledged",
+        Err(_) => "unavailable",
+    }
+}
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -4,7 +4,8 @@
 //! [`replica`] holds the replicated log. [`operator`] takes commands and [`read`] answers reads.
 //! [`session`] serves the stream of an entry VM; [`lease`] and [`announced`] keep what arrives on
 //! it, and [`exchange`] shares that with the other control VMs. [`step`] decides the leader's own
-//! commands. [`process`] puts the parts together.
+//! commands. [`desk`] answers the platform's callers, [`heard`] keeps the upstreams that announce
+//! themselves to it, and [`routing`] tells entry VMs of both. [`process`] puts the parts together.
 //!
 //! ```
 //! use control::{lease::Table, step::Stepper};
@@ -15,14 +16,17 @@
 //! ```
 
 pub mod announced;
+pub mod desk;
 pub mod dump;
 pub mod exchange;
+pub mod heard;
 pub mod lease;
 pub mod operator;
 pub mod peer;
 pub mod process;
 pub mod read;
 pub mod replica;
+pub mod routing;
 pub mod session;
 pub mod state;
 pub mod step;
--- a/crates/control/src/main.rs
+++ b/crates/control/src/main.rs
@@ -2,8 +2,8 @@
 
 use std::process::ExitCode;
 
-use clap::parser::ValueSource;
-use settings::control::Settings;
+use clap::{ArgMatches, parser::ValueSource};
+use settings::{control::Settings, gateway};
 
 fn main() -> ExitCode {
     let matches = daemon::args::command(
@@ -13,27 +13,28 @@
          VMs.",
     )
     .get_matches();
-    let settings: Settings = match settings::load(daemon::args::settings_path(&matches)) {
-        Ok(settings) => settings,
-        Err(error) => {
-            eprintln!("{error}");
-            return ExitCode::FAILURE;
-        }
-    };
-    if daemon::args::only_checks(&matches) {
-        println!("ok");
-        return ExitCode::SUCCESS;
+    let path = daemon::args::settings_path(&matches);
+    if daemon::args::is_gateway(&matches) {
+        return daemon::args::load::<gateway::Control>(&matches, |settings| {
+            start_logs(&matches, settings.log);
+            daemon::process::run("oriole-control", |token| {
+                control::process::run_gateway(settings, path, token)
+            })
+        });
     }
+    daemon::args::load::<Settings>(&matches, |settings| {
+        start_logs(&matches, settings.log);
+        daemon::process::run("oriole-control", |token| {
+            control::process::run(settings, token)
+        })
+    })
+}
+
+/// The command line goes before the settings.
+fn start_logs(matches: &ArgMatches, level: settings::log::Level) {
     let level = match matches.value_source("log") {
-        Some(ValueSource::CommandLine) => daemon::args::log_level(&matches),
-        _ => settings
-            .log
-            .as_str()
-            .parse()
-            .unwrap_or(log::LevelFilter::Info),
+        Some(ValueSource::CommandLine) => daemon::args::log_level(matches),
+        _ => level.as_str().parse().unwrap_or(log::LevelFilter::Info),
     };
     daemon::logs::start(level);
-    daemon::process::run("oriole-control", |token| {
-        control::process::run(settings, token)
-    })
 }
--- a/crates/control/src/process.rs
+++ b/crates/control/src/process.rs
@@ -1,15 +1,16 @@
 //! Builds the parts of the daemon and runs them.
 
-use std::time::Duration;
+use std::{path::PathBuf, time::Duration};
 
 use daemon::{
     http::{self, Question},
+    reload,
     supervisor::{Restart, Supervisor},
 };
-use delivery::{CONTROL_PATH, delta::History, server};
+use delivery::{CONTROL_PATH, ROUTING_PATH, delta::History, server};
 use displaydoc::Display;
 use metrics_exporter_prometheus::PrometheusHandle;
-use settings::control::Settings;
+use settings::{control::Settings, gateway::Control as Gateway};
 use tokio::{
     net::TcpListener,
     sync::{mpsc, watch},
@@ -20,7 +21,7 @@
 use crate::{
     dump, exchange, operator,
     replica::{self, Handle},
-    session,
+    routing, session,
     state::{self, State},
     steps,
 };
@@ -52,13 +53,50 @@
 ///
 /// Says what failed and which setting to look at.
 pub async fn run(settings: Settings, token: CancellationToken) -> Result<(), Error> {
+    let replica = replica_settings(&settings);
+    run_with(settings, replica, None, token).await
+}
+
+/// Runs the daemon on the platform until `token` is cancelled; `source` is the settings file,
+/// which is read again as it changes.
+///
+/// # Errors
+///
+/// Says what failed and which setting to look at.
+pub async fn run_gateway(
+    gateway: Gateway,
+    source: PathBuf,
+    token: CancellationToken,
+) -> Result<(), Error> {
+    let settings = gateway.daemon();
+    let replica = replica::Settings {
+        name: settings.peer_listen.to_string(),
+        peers: gateway.replicas(),
+        keep_voters: Some(gateway.voters()),
+        ..replica_settings(&settings)
+    };
+    run_with(settings, replica, Some((gateway, source)), token).await
+}
+
+async fn run_with(
+    settings: Settings,
+    replica: replica::Settings,
+    gateway: Option<(Gateway, PathBuf)>,
+    token: CancellationToken,
+) -> Result<(), Error> {
     let metrics = http::record_metrics().map_err(Error::Http)?;
     // The replica outlives the rest, so that calls under way at a stop still get their answers.
     let replica_token = CancellationToken::new();
-    let replica = start_replica(&settings, replica_token.clone()).await?;
+    let replica = Handle::start(replica, replica_token.clone())
+        .await
+        .map_err(Error::Replica)?;
     let (publish, delivered) = watch::channel(History::new(state::strip(&replica.latest())));
-    let state = State::new(settings.name.clone(), replica.clone(), delivered);
+    let mut state = State::new(settings.name.clone(), replica.clone(), delivered);
     let root = Supervisor::new("control", token.clone());
+    if let Some((gateway, source)) = gateway {
+        state = state.with_announcements(gateway.announce_ms, settings.delivery_listen.port());
+        start_desk(&gateway, source, &state, &root);
+    }
 
     ntex::rt::spawn(state::publish(replica.watch(), publish));
     start_streams(&settings, &state, &root).await?;
@@ -86,21 +124,37 @@
     outcome.map_err(Error::Task)
 }
 
-async fn start_replica(settings: &Settings, token: CancellationToken) -> Result<Handle, Error> {
-    let peers = settings
-        .replicas
-        .iter()
-        .map(|(name, address)| (name.to_string(), *address))
-        .collect();
-    let replica = replica::Settings {
+fn replica_settings(settings: &Settings) -> replica::Settings {
+    let peers = settings.replicas.iter();
+    replica::Settings {
         name: settings.name.to_string(),
         folder: settings.data_folder.clone(),
         address: settings.peer_listen,
-        peers,
+        peers: peers.map(|(n, address)| (n.to_string(), *address)).collect(),
         found: settings.found,
         ..replica::Settings::default()
-    };
-    Handle::start(replica, token).await.map_err(Error::Replica)
+    }
+}
+
+/// Serves the platform's callers, and follows the seeds of the settings file.
+fn start_desk(gateway: &Gateway, source: PathBuf, state: &State, root: &Supervisor) {
+    let listen = gateway.desk_listen;
+    let desk = state.clone();
+    root.child("desk", Restart::OnFailure, move |token| {
+        let served = platform::desk::serve(listen, desk.clone(), token);
+        async move { served.await.map_err(|e| format!("desk_listen {listen}: {e}")) }
+    });
+    let replica = state.replica.clone();
+    root.child("reload", Restart::OnFailure, move |token| {
+        let mut file = reload::File::new(source.clone());
+        let replica = replica.clone();
+        async move {
+            while let Some(changed) = file.changed::<Gateway>(&token).await {
+                replica.set_peers(changed.replicas());
+            }
+            Ok(())
+        }
+    });
 }
 
 async fn start_streams(settings: &Settings, state: &State, root: &Supervisor) -> Result<(), Error> {
@@ -112,10 +166,10 @@
     let serve = move |stream: server::Stream| {
         let state = served.clone();
         async move {
-            if stream.path == CONTROL_PATH {
-                exchange::hear(stream, state).await;
-            } else {
-                session::serve(stream, state).await;
+            match stream.path.as_str() {
+                CONTROL_PATH => exchange::hear(stream, state).await,
+                ROUTING_PATH => routing::serve(stream, state).await,
+                _ => session::serve(stream, state).await,
             }
         }
     };
--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -53,6 +53,8 @@
     /// Whether this replica may take part in founding a cluster; see
     /// [`machine`] for when that happens.
     pub found: bool,
+    /// Voters that the leader keeps by itself; see [`machine::Settings::keep_voters`].
+    pub keep_voters: Option<usize>,
     /// Commands after which the log is replaced by a snapshot.
     pub snapshot_every: u64,
 }
@@ -65,6 +67,7 @@
             address: SocketAddr::from(([127, 0, 0, 1], 0)),
             peers: BTreeMap::new(),
             found: true,
+            keep_voters: None,
             snapshot_every: 1_024,
         }
     }
@@ -190,6 +193,14 @@
         }
     }
 
+    /// Replaces the replicas that are asked while this one takes no part.
+    pub fn set_peers(&self, peers: BTreeMap<String, SocketAddr>) {
+        if let Way::Driver(sender) = &self.way {
+            // A replica that has stopped asks nobody.
+            drop(sender.send(Input::Peers(peers), Error::NoLeader));
+        }
+    }
+
     /// The configuration that this replica has applied; may be old.
     #[must_use]
     pub fn latest(&self) -> Arc<Config> {
--- a/crates/control/src/replica/driver.rs
+++ b/crates/control/src/replica/driver.rs
@@ -6,6 +6,7 @@
 use std::{
     collections::BTreeMap,
     hash::{BuildHasher, RandomState},
+    net::SocketAddr,
     sync::{
         Arc,
         mpsc::{self, RecvTimeoutError, TrySendError},
@@ -50,6 +51,7 @@
     Propose(command::Entry, oneshot::Sender<Result<Applied, Error>>),
     Read(oneshot::Sender<Result<Arc<Config>, Error>>),
     Replace(String, String, oneshot::Sender<Result<(), Error>>),
+    Peers(BTreeMap<String, SocketAddr>),
     Stop,
 }
 
@@ -74,7 +76,7 @@
     status: watch::Sender<Status>,
     token: CancellationToken,
 ) -> Result<Sender, Error> {
-    if settings.peers.len().is_multiple_of(2) {
+    if settings.keep_voters.is_none() && settings.peers.len().is_multiple_of(2) {
         let reason = "field `peers`: name an odd number of initial replicas, this one included";
         return Err(Error::Stopped(reason.to_owned()));
     }
@@ -143,6 +145,7 @@
         address: settings.address.to_string(),
         peers: peers.map(|(n, a)| (n.clone(), a.to_string())).collect(),
         found: settings.found,
+        keep_voters: settings.keep_voters,
         fresh: (random(), random()),
         seed: random(),
         snapshot_every: settings.snapshot_every.max(1),
@@ -155,7 +158,7 @@
 }
 
 /// A random number other than 0, from the system's generator.
-fn random() -> u64 {
+pub(crate) fn random() -> u64 {
     RandomState::new().hash_one(Instant::now()).max(1)
 }
 
@@ -274,6 +277,10 @@
                 self.waiting.replacements.insert(token, answer);
                 self.machine.replace(token, &old, &new);
             }
+            Input::Peers(peers) => {
+                let peers = peers.into_iter().map(|(n, a)| (n, a.to_string()));
+                self.machine.set_peers(peers.collect());
+            }
             Input::Stop => self.stop(),
         }
         Ok(())
--- a/crates/control/src/replica/machine.rs
+++ b/crates/control/src/replica/machine.rs
@@ -28,6 +28,7 @@
 
 mod member;
 mod request;
+mod roster;
 
 /// Ticks after which a command or read is given up.
 const GIVE_UP_TICKS: u64 = 100;
@@ -52,6 +53,9 @@
     pub peers: BTreeMap<String, String>,
     /// Whether it may take part in founding a cluster.
     pub found: bool,
+    /// Voters that the leader keeps by itself out of all replicas that are there; where there is
+    /// none, operators replace replicas.
+    pub keep_voters: Option<usize>,
     /// Random numbers: the id for an empty disk, and the identity of a cluster to be founded.
     pub fresh: (Id, u64),
     /// Seed of election timeouts.
@@ -69,6 +73,7 @@
             address: String::new(),
             peers: BTreeMap::new(),
             found: true,
+            keep_voters: None,
             fresh: (1, 1),
             seed: 0,
             snapshot_every: 1_024,
@@ -200,9 +205,10 @@
             return Ok(());
         }
         self.members.note_address(&from);
+        self.note_heard(&from);
         match body {
             Body::Consensus(message) => self.replica.step(from.id, message)?,
-            Body::Waiting { is_empty } => self.on_waiting(from, is_empty),
+            Body::Waiting { is_empty } => self.on_waiting(from, is_empty, to),
             Body::Propose(entry) => self.append(&entry),
             Body::ReadIndex { context } => self.on_read_index(&from, context),
             Body::ReadIndexReply { context, index } => self.on_read_index_reply(context, index),
--- a/crates/control/src/replica/machine/member.rs
+++ b/crates/control/src/replica/machine/member.rs
@@ -5,15 +5,18 @@
 use consensus::{Change, Id, Member, Membership, Refusal, Stored};
 use store::Disk;
 
-use super::{Answer, Fault, GIVE_UP_TICKS, Machine, RESEND_TICKS, replica};
+use super::{Answer, Fault, GIVE_UP_TICKS, Machine, RESEND_TICKS, replica, roster};
 use crate::{
-    peer::{Body, Replacement, Sender},
+    peer::{Body, Envelope, Replacement, Sender},
     replica::Error,
 };
 
 /// Ticks for which a newcomer counts as there after it was heard.
 const NEWCOMER_TICKS: u64 = 60;
 
+/// Ticks without a leader after which a replica asks to be taken in again.
+const ASTRAY_TICKS: u64 = 40;
+
 /// How often longer than a command a replacement may take: the newcomer has to catch up.
 const REPLACE_FACTOR: u64 = 6;
 
@@ -29,6 +32,12 @@
     /// As leader: term and round of heartbeats at which a replacement was first asked for, by who
     /// asked and its number.
     asked: BTreeMap<(Id, u64), (u64, u64)>,
+    /// When each replica was last heard, in ticks.
+    heard: BTreeMap<Id, u64>,
+    /// When a leader was last known, in ticks.
+    led_at: u64,
+    /// When this replica began to lead, in ticks; none while it doesn't.
+    leads_since: Option<u64>,
 }
 
 #[derive(Debug)]
@@ -38,6 +47,15 @@
     heard_at: u64,
 }
 
+impl Newcomer {
+    fn member(&self) -> Member {
+        Member {
+            name: self.sender.name.clone(),
+            address: self.sender.address.clone(),
+        }
+    }
+}
+
 #[derive(Debug)]
 struct Replace {
     old: String,
@@ -75,10 +93,15 @@
 
     pub(super) fn tick_members(&mut self) -> Result<(), Fault> {
         let id = self.replica.id();
-        if !self.replica.membership().contains(id) && self.now.is_multiple_of(RESEND_TICKS) {
+        if self.replica.leader().is_some() {
+            self.members.led_at = self.now;
+        }
+        let takes_part = self.replica.membership().contains(id);
+        if self.now.is_multiple_of(RESEND_TICKS) && (!takes_part || self.is_astray()) {
             self.tell_waiting();
             self.found_cluster()?;
         }
+        self.keep_roster();
         self.send_replacements();
         let now = self.now;
         let table = &mut self.members;
@@ -99,20 +122,104 @@
         self.replica.last_index() == 0 && self.replica.term() == 0
     }
 
+    /// Whether this replica has known no leader for so long that it may have been taken out while
+    /// it was away.
+    fn is_astray(&self) -> bool {
+        let silence = self.now - self.members.led_at;
+        self.settings.keep_voters.is_some() && silence > ASTRAY_TICKS
+    }
+
+    /// Replaces the peers that are told that this replica takes no part.
+    pub fn set_peers(&mut self, peers: BTreeMap<String, String>) {
+        self.settings.peers = peers;
+    }
+
+    pub(super) fn note_heard(&mut self, from: &Sender) {
+        self.members.heard.insert(from.id, self.now);
+    }
+
+    /// As leader, makes the next change of the membership where replicas are kept without
+    /// operators.
+    fn keep_roster(&mut self) {
+        if !self.replica.is_leader() {
+            self.members.leads_since = None;
+            return;
+        }
+        let since = *self.members.leads_since.get_or_insert(self.now);
+        let Some(voters) = self.settings.keep_voters else {
+            return;
+        };
+        // A new leader has to hear the others before it takes any for gone.
+        if self.now < since + roster::SILENT_TICKS || self.replica.is_changing() {
+            return;
+        }
+        let newcomers: BTreeMap<Id, Member> = self
+            .members
+            .newcomers
+            .values()
+            .filter(|n| self.now < n.heard_at + NEWCOMER_TICKS)
+            .filter(|n| !self.replica.membership().contains(n.sender.id))
+            .map(|n| (n.sender.id, n.member()))
+            .collect();
+        let commit = self.replica.commit();
+        let learners = self.replica.membership().learners.keys();
+        let caught_up: Vec<Id> = learners
+            .filter(|id| self.replica.matched(**id).is_some_and(|m| m >= commit))
+            .copied()
+            .collect();
+        let sight = roster::Sight {
+            leader: self.replica.id(),
+            voters,
+            now: self.now,
+            membership: self.replica.membership(),
+            heard: &self.members.heard,
+            newcomers: &newcomers,
+            caught_up: &caught_up,
+        };
+        if let Some(change) = roster::next(&sight) {
+            let outcome = match self.replica.change(&change) {
+                Ok(index) => format!("index={index}"),
+                Err(error) => format!("error=\"{error}\""),
+            };
+            let notice = format!("event=roster change=\"{change:?}\" {outcome}");
+            self.output.notices.push(notice);
+        }
+    }
+
     /// Tells all peers that this replica takes no part.
     fn tell_waiting(&mut self) {
         let body = Body::Waiting {
             is_empty: self.is_empty() && self.settings.found,
         };
-        for (name, address) in &self.settings.peers {
-            if *name != self.settings.name {
-                let envelope = self.envelope(0, body.clone());
-                self.output.envelopes.push((address.clone(), envelope));
-            }
+        let known = self.replica.membership().members();
+        let known = known.map(|(_, member)| member.address.clone());
+        let mut addresses: Vec<String> = self.settings.peers.values().cloned().collect();
+        addresses.extend(known);
+        addresses.sort_unstable();
+        addresses.dedup();
+        addresses.retain(|address| *address != self.settings.address);
+        for address in addresses {
+            let envelope = self.envelope(0, body.clone());
+            self.output.envelopes.push((address, envelope));
         }
     }
 
-    pub(super) fn on_waiting(&mut self, from: Sender, is_empty: bool) {
+    /// Notes a replica that takes no part, and lets the leader know where it may not hear it.
+    pub(super) fn on_waiting(&mut self, from: Sender, is_empty: bool, to: Id) {
+        let leader = self.replica.leader().filter(|l| *l != self.replica.id());
+        // What was passed on to a replica by its id isn't passed on again.
+        if let Some(leader) = leader
+            && to == 0
+            && let Some(member) = self.replica.membership().member(leader)
+        {
+            let envelope = Envelope {
+                from: from.clone(),
+                to: leader,
+                body: Body::Waiting { is_empty },
+            };
+            let address = member.address.clone();
+            self.output.envelopes.push((address, envelope));
+        }
         let newcomer = Newcomer {
             is_empty,
             heard_at: self.now,
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -1,6 +1,7 @@
 //! What the parts of the daemon share.
 
 use std::{
+    net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Instant,
 };
@@ -9,7 +10,7 @@
 use model::{config::Config, name::Name};
 use tokio::sync::{Notify, watch};
 
-use crate::{announced, lease, replica::Handle};
+use crate::{announced, heard, lease, replica::Handle};
 
 /// State that streams feed and that the RPC, the leader's steps and the dump read; clones share
 /// it.
@@ -19,25 +20,37 @@
     pub name: Name,
     /// This control VM's replica.
     pub replica: Handle,
-    /// The configuration as entry VMs get it: without the answers, which only control VMs need.
+    /// The configuration as entry VMs get it: without the answers and the plan, which have their own readers.
     pub delivered: watch::Receiver<History>,
     /// Told whenever `soft` changes in a way that may make a step due.
     pub changed: Arc<Notify>,
     soft: Arc<Mutex<Soft>>,
     started: Instant,
+    /// Revision of what upstreams announced here.
+    revisions: watch::Sender<u64>,
+    /// Port at which control VMs take streams of entry VMs; the same on all.
+    delivery_port: u16,
 }
 
 /// State that is rebuilt from beats and announcements.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Soft {
     /// Entry VMs.
     pub vms: lease::Table,
     /// Announced upstreams.
     pub upstreams: announced::Table,
+    /// Upstreams that announce themselves to this control VM.
+    pub heard: heard::Table,
     /// When this control VM last knew a leader.
     pub in_touch_ms: Option<u64>,
 }
 
+/// Time without a leader after which upstreams are sent to another control VM, in milliseconds.
+const CUT_OFF_MS: u64 = 2_500;
+
+/// Time between two announcements of an upstream where the settings name none, in milliseconds.
+const DEFAULT_ANNOUNCE_MS: u64 = 1_000;
+
 impl State {
     /// Starts with no soft state.
     #[must_use]
@@ -47,11 +60,70 @@
             replica,
             delivered,
             changed: Arc::default(),
-            soft: Arc::default(),
+            soft: Arc::new(Mutex::new(Soft {
+                vms: lease::Table::default(),
+                upstreams: announced::Table::default(),
+                heard: heard::Table::new(DEFAULT_ANNOUNCE_MS),
+                in_touch_ms: None,
+            })),
             started: Instant::now(),
+            revisions: watch::Sender::new(0),
+            delivery_port: 0,
         }
     }
 
+    /// Adds what the platform's callers need: the time between two announcements of an upstream,
+    /// and the port at which control VMs take streams of entry VMs.
+    #[must_use]
+    pub fn with_announcements(mut self, every_ms: u64, delivery_port: u16) -> Self {
+        self.soft().heard = heard::Table::new(every_ms);
+        self.delivery_port = delivery_port;
+        self
+    }
+
+    /// Changes what is heard of upstreams, and tells the streams of entry VMs where that is new.
+    pub fn hear<T>(&self, change: impl FnOnce(&mut heard::Table, u64) -> T) -> T {
+        let now_ms = self.now_ms();
+        let mut soft = self.soft();
+        let outcome = change(&mut soft.heard, now_ms);
+        let revision = soft.heard.revision();
+        drop(soft);
+        self.revisions.send_if_modified(|shown| {
+            let is_new = *shown != revision;
+            *shown = revision;
+            is_new
+        });
+        outcome
+    }
+
+    /// Watches the revision of what is heard of upstreams.
+    #[must_use]
+    pub fn revisions(&self) -> watch::Receiver<u64> {
+        self.revisions.subscribe()
+    }
+
+    /// Whether what upstreams say here reaches the others: a leader was known lately.
+    #[must_use]
+    pub fn can_tell(&self) -> bool {
+        let now_ms = self.now_ms();
+        let in_touch_ms = self.soft().in_touch_ms;
+        self.is_in_touch() || in_touch_ms.is_some_and(|at| now_ms < at + CUT_OFF_MS)
+    }
+
+    /// Where the control VMs of the cluster take streams of entry VMs.
+    #[must_use]
+    pub fn controls(&self) -> Vec<SocketAddr> {
+        let status = self.replica.status();
+        let members = status.voters.iter().chain(&status.learners);
+        let addresses = members.filter_map(|name| name.parse::<SocketAddr>().ok());
+        let mut controls: Vec<SocketAddr> = addresses
+            .map(|address| SocketAddr::new(address.ip(), self.delivery_port))
+            .collect();
+        controls.sort_unstable();
+        controls.dedup();
+        controls
+    }
+
     /// Milliseconds since the start of this process.
     #[must_use]
     pub fn now_ms(&self) -> u64 {
@@ -79,6 +151,7 @@
 pub fn strip(config: &Config) -> Arc<Config> {
     let mut config = config.clone();
     config.answers.clear();
+    config.plan = None;
     Arc::new(config)
 }
 
--- a/crates/control/src/steps.rs
+++ b/crates/control/src/steps.rs
@@ -51,6 +51,10 @@
         soft.upstreams.expire(now_ms);
         stepper.commands(now_ms, &config, &soft.vms)
     };
+    let silent = state.hear(|heard, now_ms| heard.expire(now_ms));
+    if silent > 0 {
+        log::info!(target: "steps", "event=upstreams-silent count={silent}");
+    }
     if !state.replica.status().is_leader {
         return;
     }
--- a/crates/daemon/src/args.rs
+++ b/crates/daemon/src/args.rs
@@ -1,6 +1,6 @@
 //! The command line that both daemons share.
 
-use std::path::PathBuf;
+use std::{path::PathBuf, process::ExitCode};
 
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 
@@ -33,6 +33,17 @@
                 .default_value("info")
                 .help("Log this level and those above it"),
         )
+        .arg(
+            Arg::new("gateway")
+                .long("gateway")
+                .action(ArgAction::SetTrue)
+                .help("Meet clients, upstreams and operators through the platform")
+                .long_help(
+                    "Meet clients, upstreams and operators through the platform: packets carry \
+                     the token of their upstream, and plans and announcements arrive over HTTP. \
+                     The settings file then has the keys of GUIDE.md, \"On the platform\".",
+                ),
+        )
         .after_help(
             "SIGTERM and SIGINT stop the process gracefully: it takes no new work, finishes what \
              is under way and exits with 0.",
@@ -52,6 +63,32 @@
     matches.get_flag("check-settings")
 }
 
+/// Whether to run on the platform.
+#[must_use]
+pub fn is_gateway(matches: &ArgMatches) -> bool {
+    matches.get_flag("gateway")
+}
+
+/// Reads the settings and hands them to `run`, or says what is wrong with them; only checks them
+/// where that is all that was asked for.
+pub fn load<T: settings::Load>(
+    matches: &ArgMatches,
+    run: impl FnOnce(T) -> ExitCode,
+) -> ExitCode {
+    let settings = match settings::load(settings_path(matches)) {
+        Ok(settings) => settings,
+        Err(error) => {
+            eprintln!("{error}");
+            return ExitCode::FAILURE;
+        }
+    };
+    if only_checks(matches) {
+        println!("ok");
+        return ExitCode::SUCCESS;
+    }
+    run(settings)
+}
+
 /// Level of the log.
 #[must_use]
 pub fn log_level(matches: &ArgMatches) -> log::LevelFilter {
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -11,4 +11,5 @@
 pub mod http;
 pub mod logs;
 pub mod process;
+pub mod reload;
 pub mod supervisor;
--- a/crates/daemon/src/process.rs
+++ b/crates/daemon/src/process.rs
@@ -1,6 +1,11 @@
 //! Runs a daemon: a runtime, the signals, and the exit code.
 
-use std::{future::Future, process::ExitCode};
+use std::{
+    future::Future,
+    hash::{BuildHasher, RandomState},
+    process::ExitCode,
+    time::Instant,
+};
 
 use tokio::signal::unix::{SignalKind, signal};
 use tokio_util::sync::CancellationToken;
@@ -21,13 +26,21 @@
         ntex::rt::spawn(watch_signals(token));
         future.await.map_err(|e| e.to_string())
     });
-    match result {
+    let code = match result {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             log::error!(target: "process", "{name} stops: {error}");
             ExitCode::FAILURE
         }
-    }
+    };
+    crate::logs::finish();
+    code
+}
+
+/// A seed from the system's random generator.
+#[must_use]
+pub fn fresh_seed() -> u64 {
+    RandomState::new().hash_one(Instant::now())
 }
 
 async fn watch_signals(token: CancellationToken) {
--- a/crates/delivery/src/delta.rs
+++ b/crates/delivery/src/delta.rs
@@ -66,7 +66,7 @@
 impl std::error::Error for Mismatch {}
 
 impl Delta {
-    /// What changed from `old` to `new`; neither has answers to commands.
+    /// What changed from `old` to `new`; neither has answers to commands or a plan.
     #[must_use]
     pub fn between(old: &Config, new: &Config) -> Self {
         // Names each field, so that a new one is not forgotten here.
@@ -78,6 +78,7 @@
             services,
             changes,
             answers: _,
+            plan: _,
         } = new;
         Self {
             cluster: *cluster,
--- a/crates/delivery/src/lib.rs
+++ b/crates/delivery/src/lib.rs
@@ -38,6 +38,9 @@
 /// Path of the streams that other control VMs open.
 pub const CONTROL_PATH: &str = "/control";
 
+/// Path of the streams over which entry VMs learn the routing plan and the upstreams.
+pub const ROUTING_PATH: &str = "/routing";
+
 /// Window of one stream, in bytes: what may be under way without an acknowledgement.
 const STREAM_WINDOW: u32 = 1 << 20;
 
--- a/crates/delivery/src/server.rs
+++ b/crates/delivery/src/server.rs
@@ -123,7 +123,7 @@
     token: CancellationToken,
 ) -> Option<Stream> {
     let path = request.uri().path().to_owned();
-    let known = path == crate::ENTRY_PATH || path == crate::CONTROL_PATH;
+    let known = [crate::ENTRY_PATH, crate::CONTROL_PATH, crate::ROUTING_PATH].contains(&&*path);
     let mut response = Response::new(());
     if !known {
         *response.status_mut() = StatusCode::NOT_FOUND;
--- /dev/null
+++ b/crates/entry/src/gateway.rs
@@ -0,0 +1,181 @@
+//! An entry VM on the platform: a thin shell around [`policy::token::gateway::Gateway`].
+//!
+//! - [`shell`] owns the decisions and performs them.
+//! - [`sources`] keeps a stream to each control VM.
+
+use std::{path::PathBuf, time::Duration};
+
+use daemon::{
+    http::{self, Question},
+    reload,
+    supervisor::{Restart, Supervisor},
+};
+use displaydoc::Display;
+use log::info;
+use settings::gateway::Entry;
+use tokio::{net::UdpSocket, sync::mpsc};
+use tokio_util::sync::CancellationToken;
+
+pub mod shell;
+pub mod sources;
+
+use shell::Shell;
+
+/// Datagrams that are read in a row before other tasks get their turn.
+const BATCH: usize = 64;
+
+/// Time between two looks at what only time changes.
+const TICK: Duration = Duration::from_millis(1_000);
+
+/// Questions that may wait.
+const QUESTIONS: usize = 16;
+
+/// Shortest graceful stop: the fabric has to notice that this VM isn't ready.
+const MIN_STOP: Duration = Duration::from_millis(1_800);
+
+/// Longest graceful stop.
+const MAX_STOP: Duration = Duration::from_millis(4_000);
+
+/// Time without a packet after which a graceful stop is complete.
+const QUIET: Duration = Duration::from_millis(400);
+
+/// Why the daemon stops.
+#[derive(Debug, Display)]
+pub enum Error {
+    /// socket for the fabric can't listen at {0}: {1}; choose another `fabric_listen`
+    Bind(std::net::SocketAddr, std::io::Error),
+    /// {0}
+    Http(http::Error),
+    /// {0}
+    Task(String),
+}
+
+impl std::error::Error for Error {}
+
+/// Runs until `token` is cancelled, then stops gracefully; `source` is the settings file, which is
+/// read again as it changes.
+///
+/// # Errors
+///
+/// Fails when an address can't be listened at, or when a task fails for good.
+pub async fn run(settings: Entry, source: PathBuf, token: CancellationToken) -> Result<(), Error> {
+    let listen = settings.fabric_listen;
+    let socket = UdpSocket::bind(listen).await;
+    let socket = socket.map_err(|e| Error::Bind(listen, e))?;
+    let metrics = http::record_metrics().map_err(Error::Http)?;
+    let shell = Shell::new(&settings, socket);
+
+    // Tasks outlive the request to stop: they serve until the graceful stop is complete.
+    let tasks = CancellationToken::new();
+    let supervisor = Supervisor::new("entry", tasks.clone());
+    start_packets(&supervisor, &shell);
+    start_ticks(&supervisor, &shell);
+    start_http(&supervisor, &settings, &shell, metrics);
+    start_sources(&supervisor, &settings, source, &shell);
+    info!(
+        target: "entry",
+        "event=start vm={} domain={} listen={listen}", settings.name, settings.domain
+    );
+
+    let outcome = tokio::select! {
+        () = token.cancelled() => Ok(()),
+        outcome = supervisor.wait() => outcome,
+    };
+    if outcome.is_ok() {
+        stop(&shell).await;
+    }
+    tasks.cancel();
+    info!(target: "entry", "event=stop outcome={outcome:?}");
+    outcome.map_err(Error::Task)
+}
+
+fn start_packets(supervisor: &Supervisor, shell: &Shell) {
+    let shell = shell.clone();
+    supervisor.child("packets", Restart::OnFailure, move |token| {
+        let shell = shell.clone();
+        async move {
+            loop {
+                tokio::select! {
+                    () = token.cancelled() => return Ok(()),
+                    ready = shell.socket().readable() => ready.map_err(|e| e.to_string())?,
+                }
+                shell.take_packets(BATCH)?;
+                tokio::task::yield_now().await;
+            }
+        }
+    });
+}
+
+fn start_ticks(supervisor: &Supervisor, shell: &Shell) {
+    let shell = shell.clone();
+    supervisor.child("ticks", Restart::Never, move |token| {
+        let shell = shell.clone();
+        async move {
+            loop {
+                tokio::select! {
+                    () = token.cancelled() => return Ok(()),
+                    () = tokio::time::sleep(TICK) => shell.tick(),
+                }
+            }
+        }
+    });
+}
+
+fn start_http(
+    supervisor: &Supervisor,
+    settings: &Entry,
+    shell: &Shell,
+    metrics: metrics_exporter_prometheus::PrometheusHandle,
+) {
+    let (questions, mut asked) = mpsc::channel(QUESTIONS);
+    let listen = settings.health_listen;
+    supervisor.child("http", Restart::OnFailure, move |token| {
+        let served = http::serve(listen, metrics.clone(), questions.clone(), token);
+        async move { served.await.map_err(|e| e.to_string()) }
+    });
+    let shell = shell.clone();
+    ntex::rt::spawn(async move {
+        while let Some(question) = asked.recv().await {
+            // Whoever asked may have gone in the meantime.
+            match question {
+                Question::Dump(answer) => drop(answer.send(shell.dump())),
+                Question::Health(answer) => drop(answer.send(shell.health())),
+            }
+        }
+    });
+}
+
+fn start_sources(supervisor: &Supervisor, settings: &Entry, source: PathBuf, shell: &Shell) {
+    let settings = settings.clone();
+    let shell = shell.clone();
+    supervisor.child("sources", Restart::OnFailure, move |token| {
+        let sources = sources::Sources::new(settings.clone(), shell.clone(), token.clone());
+        let mut file = reload::File::new(source.clone());
+        async move {
+            loop {
+                sources.start_missing();
+                tokio::select! {
+                    () = sources.changed() => {}
+                    changed = file.changed::<Entry>(&token) => match changed {
+                        Some(changed) => sources.set_seeds(&changed),
+                        None => return Ok(()),
+                    },
+                }
+            }
+        }
+    });
+}
+
+/// Forwards until the fabric sends nothing more.
+async fn stop(shell: &Shell) {
+    shell.stop();
+    let finished = async {
+        tokio::time::sleep(MIN_STOP).await;
+        while shell.quiet_for() < QUIET {
+            tokio::time::sleep(QUIET / 4).await;
+        }
+    };
+    if tokio::time::timeout(MAX_STOP, finished).await.is_err() {
+        info!(target: "entry", "event=stop-forced after={MAX_STOP:?}");
+    }
+}
--- /dev/null
+++ b/crates/entry/src/gateway/shell.rs
@@ -0,0 +1,383 @@
+//! The state of an entry VM on the platform, and the packets that it passes on.
+
+use std::{
+    cell::RefCell,
+    io::ErrorKind,
+    net::{SocketAddr, SocketAddrV4},
+    rc::Rc,
+    time::{Duration, Instant as Clock},
+};
+
+use daemon::logs::Budget;
+use log::{info, warn};
+use metrics::counter;
+use model::routing::{Agreed, ToEntry};
+use platform::packet;
+use policy::{
+    time::Instant,
+    token::{
+        gateway::{Action, Decision, Gateway, Settings, Why},
+        segment::{Kind, Segment},
+    },
+};
+use settings::gateway::Entry;
+use tokio::{net::UdpSocket, sync::Notify};
+
+/// Lines about ordinary decisions in a second.
+const ORDINARY_LINES: u32 = 10;
+
+/// Lines about refusals, drops and changed beliefs in a second.
+const RARE_LINES: u32 = 20;
+
+/// Time after which a plan that was asked for is asked for again.
+const PLAN_WAIT: Duration = Duration::from_millis(600);
+
+/// What was counted since the last tick, by what became of packets.
+#[derive(Debug, Clone, Copy, Default)]
+struct Counts {
+    by_why: [u64; 9],
+    malformed: u64,
+    unsent: u64,
+}
+
+/// The shell; clones share it.
+#[derive(Debug, Clone)]
+pub struct Shell {
+    state: Rc<RefCell<State>>,
+    socket: Rc<UdpSocket>,
+    /// Told when the control VMs that are known have changed.
+    pub controls_changed: Rc<Notify>,
+}
+
+#[derive(Debug)]
+struct State {
+    gateway: Gateway,
+    started: Clock,
+    buffer: Vec<u8>,
+    packet_at: Clock,
+    counts: Counts,
+    ordinary: Budget,
+    rare: Budget,
+    /// Version of the plan that was asked for last, and when.
+    asked: Option<(u64, Clock)>,
+    /// Port at which clients take packets.
+    client_port: u16,
+}
+
+impl Shell {
+    /// A shell that forwards through `socket`.
+    #[must_use]
+    pub fn new(settings: &Entry, socket: UdpSocket) -> Self {
+        let started = Clock::now();
+        let state = State {
+            gateway: Gateway::new(Settings {
+                domain: settings.domain.clone(),
+                seed: settings.seed.unwrap_or_else(daemon::process::fresh_seed),
+            }),
+            started,
+            buffer: vec![0; packet::ENVELOPE + packet::MAX_LEN + 1],
+            packet_at: started,
+            counts: Counts::default(),
+            ordinary: Budget::new("ordinary", ORDINARY_LINES),
+            rare: Budget::new("rare", RARE_LINES),
+            asked: None,
+            client_port: settings.fabric_listen.port(),
+        };
+        Self {
+            state: Rc::new(RefCell::new(state)),
+            socket: Rc::new(socket),
+            controls_changed: Rc::default(),
+        }
+    }
+
+    /// The socket of the fabric.
+    #[must_use]
+    pub fn socket(&self) -> &UdpSocket {
+        &self.socket
+    }
+
+    /// Reads up to `limit` packets and passes each on.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the socket can't be read any longer.
+    pub fn take_packets(&self, limit: usize) -> Result<(), String> {
+        let mut state = self.state.borrow_mut();
+        for _ in 0..limit {
+            let place = &mut state.buffer[packet::ENVELOPE..];
+            match self.socket.try_recv_from(place) {
+                Ok((length, _)) => state.take_packet(length, &self.socket),
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return Ok(()),
+                // The kernel reports here that an earlier datagram found no receiver.
+                Err(e) if e.kind() == ErrorKind::ConnectionRefused => {}
+                Err(e) => return Err(format!("reading packets of the fabric failed: {e}")),
+            }
+        }
+        Ok(())
+    }
+
+    /// Lets time pass.
+    pub fn tick(&self) {
+        let mut state = self.state.borrow_mut();
+        let now = state.now();
+        state.gateway.tick(now);
+        state.publish();
+    }
+
+    /// Whether the fabric should send packets here.
+    ///
+    /// # Errors
+    ///
+    /// Says what is missing.
+    pub fn health(&self) -> Result<(), String> {
+        let state = self.state.borrow();
+        state
+            .gateway
+            .is_ready(state.now())
+            .map_err(ToOwned::to_owned)
+    }
+
+    /// The state as JSON.
+    #[must_use]
+    pub fn dump(&self) -> serde_json::Value {
+        let state = self.state.borrow();
+        let (open, complete) = state.gateway.directory().sources();
+        let upstreams = state.gateway.directory().all().map(|u| {
+            let announced = &u.announced;
+            serde_json::json!({
+                "id": format!("{:x}", announced.incarnation.id),
+                "started_ms": announced.incarnation.started_ms,
+                "service": &*announced.service,
+                "address": announced.address,
+                "domain": announced.domain.as_str(),
+                "phase": format!("{:?}", announced.phase),
+                "takes_flows": u.takes_flows(state.now()),
+            })
+        });
+        serde_json::json!({
+            "uptime_ms": state.started.elapsed().as_millis().to_string(),
+            "plan_version": state.gateway.plan_version(),
+            "agreed_index": state.gateway.agreed().index,
+            "domains_out": state.gateway.agreed().out,
+            "controls": state.gateway.agreed().controls,
+            "streams_open": open,
+            "streams_complete": complete,
+            "flows": state.gateway.flows(),
+            "upstreams": upstreams.collect::<Vec<_>>(),
+        })
+    }
+
+    /// Notes that this VM is about to stop.
+    pub fn stop(&self) {
+        self.state.borrow_mut().gateway.stop();
+    }
+
+    /// Time since the last packet.
+    #[must_use]
+    pub fn quiet_for(&self) -> Duration {
+        self.state.borrow().packet_at.elapsed()
+    }
+
+    /// Where control VMs are known to take streams.
+    #[must_use]
+    pub fn controls(&self) -> Vec<SocketAddr> {
+        self.state.borrow().gateway.agreed().controls.clone()
+    }
+
+    /// Notes that the stream to `source` has opened.
+    pub fn source_opened(&self, source: SocketAddr) {
+        info!(target: "sources", "event=control-gained control={source}");
+        self.state.borrow_mut().gateway.source_opened(source);
+    }
+
+    /// Notes that the stream to `source` has ended.
+    pub fn source_lost(&self, source: SocketAddr, reason: &str) {
+        warn!(target: "sources", "event=control-lost control={source} reason=\"{reason}\"");
+        let mut state = self.state.borrow_mut();
+        let now = state.now();
+        state.gateway.source_lost(now, source);
+    }
+
+    /// Takes a message of `source`. Returns the version of a plan that it is to be asked for.
+    pub fn take(&self, source: SocketAddr, message: ToEntry) -> Option<u64> {
+        let mut state = self.state.borrow_mut();
+        let now = state.now();
+        match message {
+            ToEntry::Agreed(agreed) => return self.agree(&mut state, source, agreed),
+            ToEntry::Plan(plan) => state.take_plan(source, plan),
+            ToEntry::Announced(all) => {
+                for (announced, age_ms) in all {
+                    let shown = announced.clone();
+                    if state.gateway.announce(now, source, announced, age_ms)
+                        && state.rare.take(now.0)
+                    {
+                        info!(
+                            target: "upstreams",
+                            "event=upstream id={:x} started={} phase={:?} service={} domain={} \
+                             cold_ms={} sequence={} age_ms={age_ms} control={source}",
+                            shown.incarnation.id, shown.incarnation.started_ms, shown.phase,
+                            shown.service, shown.domain, shown.cold_ms, shown.sequence
+                        );
+                    }
+                }
+            }
+            ToEntry::Silent(all) => {
+                for incarnation in all {
+                    if state.gateway.silent(now, source, incarnation) && state.rare.take(now.0) {
+                        info!(
+                            target: "upstreams",
+                            "event=upstream-silent id={:x} started={} control={source}",
+                            incarnation.id, incarnation.started_ms
+                        );
+                    }
+                }
+            }
+            ToEntry::Complete => state.gateway.source_complete(now, source),
+            ToEntry::Alive => {
+                let told = state.gateway.agreed().plan;
+                return state.ask_for(told);
+            }
+        }
+        None
+    }
+
+    fn agree(&self, state: &mut State, source: SocketAddr, agreed: Agreed) -> Option<u64> {
+        let told = agreed.plan;
+        let before = state.gateway.agreed().clone();
+        if state.gateway.agree(agreed) {
+            let now = state.gateway.agreed();
+            if before.out != now.out {
+                info!(
+                    target: "plan",
+                    "event=domains out={:?} index={} control={source}", now.out, now.index
+                );
+            }
+            if before.controls != now.controls {
+                info!(target: "sources", "event=controls all={:?}", now.controls);
+                self.controls_changed.notify_one();
+            }
+        }
+        state.ask_for(told)
+    }
+}
+
+impl State {
+    fn now(&self) -> Instant {
+        let micros = self.started.elapsed().as_micros();
+        Instant(u64::try_from(micros).unwrap_or(u64::MAX))
+    }
+
+    fn take_plan(&mut self, source: SocketAddr, plan: std::sync::Arc<model::plan::Plan>) {
+        let (version, routes) = (plan.version, plan.routes.len());
+        let held = self.gateway.plan_version();
+        if self.gateway.take_plan(plan) {
+            info!(
+                target: "plan",
+                "event=plan version={version} before={held:?} routes={routes} control={source}"
+            );
+        }
+    }
+
+    /// The version of a plan to ask for, unless that was done a moment ago.
+    fn ask_for(&mut self, told: Option<u64>) -> Option<u64> {
+        let wanted = self.gateway.wanted_plan(told)?;
+        let is_asked = |(version, at): (u64, Clock)| version >= wanted && at.elapsed() < PLAN_WAIT;
+        if self.asked.is_some_and(is_asked) {
+            return None;
+        }
+        self.asked = Some((wanted, Clock::now()));
+        Some(wanted)
+    }
+
+    /// Decides on the packet in the buffer, and does what was decided.
+    fn take_packet(&mut self, length: usize, socket: &UdpSocket) {
+        self.packet_at = Clock::now();
+        let end = packet::ENVELOPE + length;
+        let segment = match packet::decode(&self.buffer[packet::ENVELOPE..end]) {
+            Ok(segment) => segment,
+            Err(fault) => return self.malformed(fault),
+        };
+        let now = self.now();
+        let decision = self.gateway.decide(now, &segment);
+        let sent = match decision.action {
+            Action::Forward { id, to, token } => {
+                let datagram = &mut self.buffer[..end];
+                packet::address_to(datagram, id, token);
+                socket.try_send_to(datagram, SocketAddr::V4(to))
+            }
+            Action::Reset => {
+                let client = SocketAddrV4::new(*segment.key.client.ip(), self.client_port);
+                let reset = packet::reset(&segment);
+                socket.try_send_to(&reset, SocketAddr::V4(client))
+            }
+            Action::Drop => Ok(0),
+        };
+        self.note(now, &segment, decision);
+        if let Err(error) = sent {
+            self.counts.unsent += 1;
+            if self.rare.take(now.0) {
+                warn!(target: "packet", "event=unsent flow={} reason=\"{error}\"", flow(&segment));
+            }
+        }
+    }
+
+    fn malformed(&mut self, fault: packet::Fault) {
+        self.counts.malformed += 1;
+        let now = self.now();
+        if self.rare.take(now.0) {
+            warn!(target: "packet", "event=malformed reason=\"{fault}\"");
+        }
+    }
+
+    /// Counts a decision, and logs it unless it only follows from the packet's token.
+    fn note(&mut self, now: Instant, segment: &Segment, decision: Decision) {
+        let Decision { action, why } = decision;
+        if let Some(count) = self.counts.by_why.get_mut(why as usize) {
+            *count += 1;
+        }
+        let budget = match why {
+            Why::Token => return,
+            Why::Placed | Why::Repeated => &mut self.ordinary,
+            _ => &mut self.rare,
+        };
+        if !budget.take(now.0) {
+            return;
+        }
+        let copy = match segment.kind {
+            Kind::Open { copy } => copy,
+            Kind::Data | Kind::Finish | Kind::Reset => 0,
+        };
+        let (outcome, upstream) = match action {
+            Action::Forward { id, .. } => ("forward", id),
+            Action::Reset => ("reset", 0),
+            Action::Drop => ("drop", 0),
+        };
+        info!(
+            target: "packet",
+            "event=decision flow={} kind={:?} copy={copy} token={:x} why={} outcome={outcome} \
+             upstream={upstream:x} plan={} index={}",
+            flow(segment), segment.kind, segment.token, why.as_str(),
+            self.gateway.plan_version().unwrap_or_default(), self.gateway.agreed().index
+        );
+    }
+
+    /// Hands what was counted to the metrics.
+    fn publish(&mut self) {
+        let counts = std::mem::take(&mut self.counts);
+        for why in Why::ALL {
+            let count = counts.by_why[why as usize];
+            if count > 0 {
+                counter!("oriole_packets_total", "why" => why.as_str()).increment(count);
+            }
+        }
+        counter!("oriole_packets_malformed_total").increment(counts.malformed);
+        counter!("oriole_packets_unsent_total").increment(counts.unsent);
+        let flows = u32::try_from(self.gateway.flows()).unwrap_or(u32::MAX);
+        metrics::gauge!("oriole_flows").set(f64::from(flows));
+    }
+}
+
+/// A flow's id in logs: the client's end and the service's.
+fn flow(segment: &Segment) -> String {
+    format!("{}>{}", segment.key.client, segment.key.service)
+}
--- /dev/null
+++ b/crates/entry/src/gateway/sources.rs
@@ -0,0 +1,154 @@
+//! Streams to all control VMs.
+
+use std::{
+    cell::RefCell,
+    collections::BTreeSet,
+    net::{IpAddr, SocketAddr},
+    rc::Rc,
+    sync::Arc,
+    time::Duration,
+};
+
+use delivery::{ROUTING_PATH, dial, stream};
+use displaydoc::Display;
+use model::routing::{ALIVE_MS, SILENCE_MS, ToControl, ToEntry};
+use settings::gateway::Entry;
+use tokio::time::{Instant, sleep, timeout};
+use tokio_util::sync::CancellationToken;
+
+use super::shell::Shell;
+
+/// Wait before a new try after a stream was lost.
+const RETRY_WAIT: Duration = Duration::from_millis(300);
+
+/// Longest wait between two tries.
+const MAX_RETRY_WAIT: Duration = Duration::from_millis(1_200);
+
+/// Why there is no stream.
+#[derive(Debug, Display)]
+enum End {
+    /// {0}
+    Dial(dial::Error),
+    /// {0}
+    Stream(stream::Error),
+    /// it said nothing for 2.5 s
+    Silent,
+}
+
+impl From<stream::Error> for End {
+    fn from(error: stream::Error) -> Self {
+        Self::Stream(error)
+    }
+}
+
+/// Keeps the streams; clones share them.
+#[derive(Debug, Clone)]
+pub struct Sources {
+    vm: Arc<str>,
+    settings: Rc<RefCell<Entry>>,
+    running: Rc<RefCell<BTreeSet<SocketAddr>>>,
+    shell: Shell,
+    token: CancellationToken,
+}
+
+impl Sources {
+    /// No streams yet; they end with `token`.
+    #[must_use]
+    pub fn new(settings: Entry, shell: Shell, token: CancellationToken) -> Self {
+        Self {
+            vm: settings.name.as_str().into(),
+            settings: Rc::new(RefCell::new(settings)),
+            running: Rc::default(),
+            shell,
+            token,
+        }
+    }
+
+    /// Takes the seeds of changed settings.
+    pub fn set_seeds(&self, settings: &Entry) {
+        self.settings
+            .borrow_mut()
+            .seeds
+            .clone_from(&settings.seeds);
+    }
+
+    /// Waits until other control VMs are known.
+    pub async fn changed(&self) {
+        self.shell.controls_changed.notified().await;
+    }
+
+    /// Starts a task for each control VM that has none.
+    pub fn start_missing(&self) {
+        for control in self.wanted() {
+            if self.running.borrow_mut().insert(control) {
+                ntex::rt::spawn(self.clone().keep(control));
+            }
+        }
+    }
+
+    fn wanted(&self) -> BTreeSet<SocketAddr> {
+        let settings = self.settings.borrow();
+        let ips = settings.seeds.iter().map(SocketAddr::ip);
+        let seeds = ips.map(|ip: IpAddr| settings.delivery(ip));
+        seeds.chain(self.shell.controls()).collect()
+    }
+
+    /// Keeps a stream to `control` open as long as it is wanted.
+    async fn keep(self, control: SocketAddr) {
+        let mut wait = RETRY_WAIT;
+        let mut was_up = true;
+        loop {
+            let mut is_open = false;
+            let end = tokio::select! {
+                () = self.token.cancelled() => return,
+                end = self.follow(control, &mut is_open) => end,
+            };
+            let Err(end) = end;
+            // Only the first of a row of failures is news.
+            if is_open || was_up {
+                self.shell.source_lost(control, &end.to_string());
+            }
+            was_up = false;
+            wait = match is_open {
+                true => RETRY_WAIT,
+                false => (wait * 2).min(MAX_RETRY_WAIT),
+            };
+            tokio::select! {
+                () = self.token.cancelled() => return,
+                () = sleep(wait) => {}
+            }
+            if !self.wanted().contains(&control) {
+                self.running.borrow_mut().remove(&control);
+                return;
+            }
+        }
+    }
+
+    async fn follow(
+        &self,
+        control: SocketAddr,
+        is_open: &mut bool,
+    ) -> Result<std::convert::Infallible, End> {
+        let opened = dial::open(control, ROUTING_PATH).await;
+        let mut stream = opened.map_err(End::Dial)?;
+        let vm = Arc::clone(&self.vm);
+        stream.sender.send(&ToControl::Hello { vm }).await?;
+        self.shell.source_opened(control);
+        *is_open = true;
+        let mut said_at = Instant::now();
+        loop {
+            let silence = Duration::from_millis(SILENCE_MS);
+            let received = timeout(silence, stream.receiver.receive()).await;
+            let message: ToEntry = received.map_err(|_| End::Silent)??;
+            if let Some(version) = self.shell.take(control, message) {
+                stream.sender.send(&ToControl::Want { version }).await?;
+                said_at = Instant::now();
+            }
+            // The control VM says something each second, so this comes often enough.
+            if said_at.elapsed() >= Duration::from_millis(ALIVE_MS - ALIVE_MS / 10) {
+                stream.sender.send(&ToControl::Alive).await?;
+                said_at = Instant::now();
+            }
+        }
+    }
+}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -6,6 +6,7 @@
 //! - [`announce`] takes announcements of upstreams over gRPC.
 //! - [`control`] keeps the stream to a control VM.
 //! - [`run`] is the tree of tasks.
+//! - [`gateway`] is all of it on the platform, where packets carry their upstream's token.
 //!
 //! ```
 //! let command = entry::run::command();
@@ -15,5 +16,6 @@
 pub mod announce;
 pub mod control;
 pub mod engine;
+pub mod gateway;
 pub mod run;
 pub mod sockets;
--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -4,18 +4,17 @@
 
 fn main() -> ExitCode {
     let matches = entry::run::command().get_matches();
-    let path = daemon::args::settings_path(&matches);
-    let settings = match settings::load::<settings::entry::Settings>(&path) {
-        Ok(settings) => settings,
-        Err(error) => {
-            eprintln!("oriole-entry: {error}");
-            return ExitCode::FAILURE;
-        }
-    };
-    if daemon::args::only_checks(&matches) {
-        println!("ok");
-        return ExitCode::SUCCESS;
+    if daemon::args::is_gateway(&matches) {
+        let path = daemon::args::settings_path(&matches);
+        return daemon::args::load::<settings::gateway::Entry>(&matches, |settings| {
+            daemon::logs::start(daemon::args::log_level(&matches));
+            daemon::process::run("oriole-entry", |token| {
+                entry::gateway::run(settings, path, token)
+            })
+        });
     }
-    daemon::logs::start(daemon::args::log_level(&matches));
-    daemon::process::run("oriole-entry", |token| entry::run::run(settings, token))
+    daemon::args::load::<settings::entry::Settings>(&matches, |settings| {
+        daemon::logs::start(daemon::args::log_level(&matches));
+        daemon::process::run("oriole-entry", |token| entry::run::run(settings, token))
+    })
 }
--- a/crates/model/src/command.rs
+++ b/crates/model/src/command.rs
@@ -1,11 +1,14 @@
 //! Commands that change the cluster configuration, as they stand in the replicated log.
 
+use std::sync::Arc;
+
 use serde::{Deserialize, Serialize};
 
 use crate::{
     config::{Service, Upstream},
     key::hash,
     name::Name,
+    plan::Plan,
 };
 
 /// Seed of the digest of what a command asks.
@@ -110,6 +113,12 @@
         /// Oldest generation that is still needed.
         keep: u64,
     },
+    /// Replaces the routing plan where this one's version is higher, and changes nothing
+    /// otherwise.
+    ReplacePlan {
+        /// The plan, which has been checked.
+        plan: Arc<Plan>,
+    },
 }
 
 impl Command {
@@ -121,17 +130,22 @@
             Self::Admit {
                 service, upstream, ..
             } => format!("Admit {service} {upstream}"),
+            Self::ReplacePlan { plan } => format!("ReplacePlan {} {}", plan.version, plan.text),
             other => format!("{other:?}"),
         };
         hash(SUBJECT_SEED, text.as_bytes())
     }
 
-    /// Whether it is a step of the system itself, for which no first answer is kept.
+    /// Whether it is a step of the system itself, or harmless when it is repeated; no first answer
+    /// is kept for it.
     #[must_use]
     pub fn is_step(&self) -> bool {
         matches!(
             self,
-            Self::Found { .. } | Self::Activate { .. } | Self::Retire { .. }
+            Self::Found { .. }
+                | Self::Activate { .. }
+                | Self::Retire { .. }
+                | Self::ReplacePlan { .. }
         )
     }
 }
--- a/crates/model/src/config.rs
+++ b/crates/model/src/config.rs
@@ -7,11 +7,12 @@
 use std::{
     collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
+    sync::Arc,
 };
 
 use serde::{Deserialize, Serialize};
 
-use crate::name::Name;
+use crate::{name::Name, plan::Plan};
 
 mod apply;
 
@@ -59,6 +60,8 @@
     /// Invariants: at most [`MAX_ANSWERS`]; the oldest index goes first; none of the system's own
     /// steps, whose resends are [`Refusal::Stale`] by themselves.
     pub answers: BTreeMap<(String, String), Applied>,
+    /// The routing plan in force, where operators use one.
+    pub plan: Option<Arc<Plan>>,
 }
 
 /// A failure domain.
--- a/crates/model/src/config/apply.rs
+++ b/crates/model/src/config/apply.rs
@@ -1,6 +1,6 @@
 //! Applies commands of the replicated log to a configuration.
 
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, sync::Arc};
 
 use displaydoc::Display;
 use serde::{Deserialize, Serialize};
@@ -13,6 +13,7 @@
 use crate::{
     command::{Command, Entry},
     name::Name,
+    plan::Plan,
 };
 
 /// Generations that one service may retain through admissions and drains.
@@ -165,6 +166,10 @@
                 generation,
             } => self.activate(service, *generation),
             Command::Retire { service, keep } => self.retire(service, *keep),
+            Command::ReplacePlan { plan } => {
+                self.replace_plan(plan);
+                Ok(())
+            }
         }
     }
 
@@ -176,6 +181,13 @@
         Ok(())
     }
 
+    fn replace_plan(&mut self, plan: &Arc<Plan>) {
+        let held = self.plan.as_ref().map(|held| held.version);
+        if held.is_none_or(|held| plan.version > held) {
+            self.plan = Some(Arc::clone(plan));
+        }
+    }
+
     fn put_service(&mut self, entry: &Entry, name: &Name, wanted: &Service) -> Outcome {
         let taken = self
             .services
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -23,3 +23,5 @@
 pub mod delivery;
 pub mod key;
 pub mod name;
+pub mod plan;
+pub mod routing;
--- a/crates/model/src/name.rs
+++ b/crates/model/src/name.rs
@@ -49,6 +49,12 @@
         Ok(Self(text.into()))
     }
 
+    /// The name of what isn't known.
+    #[must_use]
+    pub fn unknown() -> Self {
+        Self("unknown".into())
+    }
+
     /// The name as a string.
     #[must_use]
     pub fn as_str(&self) -> &str {
--- /dev/null
+++ b/crates/model/src/routing.rs
@@ -0,0 +1,112 @@
+//! Messages on the streams over which entry VMs learn the routing plan and the upstreams that
+//! announce themselves.
+//!
+//! An entry VM opens one stream to each control VM, says [`ToControl::Hello`], and repeats
+//! [`ToControl::Alive`] every [`ALIVE_MS`]. The control VM tells all it has heard, then what
+//! changes, and [`ToEntry::Alive`] when nothing does. Moments are told as spans, since the VMs
+//! share no clock.
+
+use std::{
+    net::{SocketAddr, SocketAddrV4},
+    sync::Arc,
+};
+
+use serde::{Deserialize, Serialize};
+
+use crate::{name::Name, plan::Plan};
+
+/// Time between two messages where nothing changes, in milliseconds.
+pub const ALIVE_MS: u64 = 1_000;
+
+/// Time without a message after which a stream is given up, in milliseconds.
+pub const SILENCE_MS: u64 = 2_500;
+
+/// One start of an upstream's process.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Incarnation {
+    /// Identity of the upstream, which a restart may keep.
+    pub id: u64,
+    /// When the process started: milliseconds of the upstream's wall clock since 1970.
+    pub started_ms: u64,
+}
+
+/// Whether an upstream takes new flows.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum Phase {
+    /// It takes new flows.
+    Ready,
+    /// It is about to stop; its flows go on.
+    Draining,
+    /// It has stopped.
+    Gone,
+}
+
+/// What an upstream said of itself in its last announcement.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Announced {
+    /// Who speaks.
+    pub incarnation: Incarnation,
+    /// Service that it serves.
+    pub service: Arc<str>,
+    /// Where it takes packets.
+    pub address: SocketAddrV4,
+    /// Its failure domain.
+    pub domain: Name,
+    /// Requests that it runs at a time.
+    pub slots: u32,
+    /// Whether it takes new flows.
+    pub phase: Phase,
+    /// Time for which it stays cold, in milliseconds.
+    pub cold_ms: u64,
+    /// Number of the announcement; grows within an incarnation.
+    pub sequence: u64,
+}
+
+/// What an entry VM says.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ToControl {
+    /// Opens the stream.
+    Hello {
+        /// Name of the entry VM.
+        vm: Arc<str>,
+    },
+    /// Asks for the plan itself.
+    Want {
+        /// Version that was told.
+        version: u64,
+    },
+    /// The entry VM still listens.
+    Alive,
+}
+
+/// What the cluster has agreed on, as one control VM knows it.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Agreed {
+    /// Index in the replicated log; the higher one is newer.
+    pub index: u64,
+    /// Version of the plan, if there is one.
+    pub plan: Option<u64>,
+    /// Failure domains that operators have taken out.
+    pub out: Vec<Name>,
+    /// Where the control VMs take streams.
+    pub controls: Vec<SocketAddr>,
+}
+
+/// What a control VM says.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ToEntry {
+    /// What the cluster has agreed on; sent once this control VM knows a leader, then as it
+    /// changes.
+    Agreed(Agreed),
+    /// The plan that was asked for, or a newer one.
+    Plan(Arc<Plan>),
+    /// Announcements that are new or say something new, with the time since each, in
+    /// milliseconds.
+    Announced(Vec<(Announced, u64)>),
+    /// Upstreams that have announced nothing to this control VM for too long.
+    Silent(Vec<Incarnation>),
+    /// All that this control VM had heard before the stream opened has been told.
+    Complete,
+    /// Nothing has changed.
+    Alive,
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -9,7 +9,8 @@
 //! - [`load`]: what each upstream bears, admitted by the one VM that is its steward.
 //! - [`request`]: each request runs at most once and gets its own answer.
 //! - [`history`]: what an earlier view may still mean for this one.
-//! - [`node`]: the four together, as `oriole-entry` runs them.
+//! - [`token`]: flows whose packets name their upstream themselves.
+//! - [`node`]: the first five together, as `oriole-entry` runs them.
 //!
 //! ```
 //! use policy::{io::Event, node, time::Instant};
@@ -30,4 +31,5 @@
 pub mod node;
 pub mod request;
 pub mod time;
+pub mod token;
 pub mod view;
--- /dev/null
+++ b/crates/policy/src/token.rs
@@ -0,0 +1,17 @@
+//! Flows that carry the identity of their upstream.
+//!
+//! The fabric's packets have a field that client and upstream hand back unchanged. An entry VM
+//! writes a token there when it places a flow, so that each later packet names its upstream by
+//! itself: no VM needs a record of the flow, and VMs may join and leave while flows stay whole.
+//! The idea is that of Cheetah (Barbette et al., "A High-Speed Load-Balancer Design with
+//! Guaranteed Per-Connection-Consistency", NSDI 2020), here with an id in place of a server index.
+//!
+//! - [`segment`]: what a packet says.
+//! - [`directory`]: the upstreams that are known, merged from what several control VMs tell.
+//! - [`place`]: which upstream takes a new flow.
+//! - [`gateway`]: what becomes of a packet, and why.
+
+pub mod directory;
+pub mod gateway;
+pub mod place;
+pub mod segment;
--- /dev/null
+++ b/crates/policy/src/token/directory.rs
@@ -0,0 +1,306 @@
+//! The upstreams that an entry VM knows, merged from the streams of several control VMs.
+//!
+//! Each control VM tells only what it heard itself, so an upstream counts as heard while any
+//! control VM claims it. Newer incarnations replace older ones, and within an incarnation the
+//! announcement with the higher sequence number counts; a stop is final.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::{SocketAddr, SocketAddrV4},
+    sync::Arc,
+};
+
+use model::routing::{Announced, Incarnation, Phase};
+
+use crate::time::Instant;
+
+/// What a cold upstream's own figure is lengthened by, in milliseconds: the figure is rounded, and
+/// the announcement was under way.
+const COLD_SLACK_MS: u64 = 150;
+
+/// Time for which the claims of a control VM outlive its stream, in milliseconds: the upstreams
+/// that announced themselves there need it to find another.
+const ORPHAN_MS: u64 = 5_000;
+
+/// Time for which an upstream that has ended is remembered, in milliseconds: its flows may still
+/// send, and a late announcement must not bring it back.
+const FORGET_MS: u64 = 120_000;
+
+/// Whether an upstream can be reached, as far as announcements tell.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Presence {
+    /// Some control VM hears it.
+    Heard,
+    /// The control VMs that heard it can't be asked; it counts as heard until then.
+    Orphaned(Instant),
+    /// No control VM hears it since then.
+    Silent(Instant),
+}
+
+/// An upstream.
+#[derive(Debug, Clone)]
+pub struct Upstream {
+    /// What it announced last.
+    pub announced: Announced,
+    /// Token of its flows.
+    pub token: u32,
+    /// From when on it is warm.
+    pub warm_at: Instant,
+    /// When it was last told of.
+    pub told_at: Instant,
+    /// When it was first known to be gone.
+    pub gone_at: Option<Instant>,
+    /// Control VMs that hear it.
+    claims: BTreeSet<SocketAddr>,
+    presence: Presence,
+    /// Whether another upstream holds its token or a later one its address, so that it must not
+    /// get new flows.
+    is_barred: bool,
+}
+
+impl Upstream {
+    fn new(now: Instant, source: SocketAddr, announced: Announced, age_ms: u64) -> Self {
+        Self {
+            token: token_of(announced.incarnation.id),
+            warm_at: warm_at(now, &announced, age_ms),
+            told_at: now,
+            gone_at: (announced.phase == Phase::Gone).then_some(now),
+            claims: BTreeSet::from([source]),
+            presence: Presence::Heard,
+            is_barred: false,
+            announced,
+        }
+    }
+
+    /// Whether new flows may go to it.
+    #[must_use]
+    pub fn takes_flows(&self, now: Instant) -> bool {
+        let is_heard = !matches!(self.presence, Presence::Silent(_));
+        let is_ready = self.announced.phase == Phase::Ready;
+        is_ready && is_heard && !self.is_barred && now >= self.warm_at
+    }
+
+    /// Whether new flows could go to it if it were warm.
+    #[must_use]
+    pub fn is_cold(&self, now: Instant) -> bool {
+        self.takes_flows(self.warm_at) && now < self.warm_at
+    }
+
+    /// When it stopped to matter for new flows, if it did.
+    fn ended_at(&self) -> Option<Instant> {
+        match self.presence {
+            _ if self.gone_at.is_some() => self.gone_at,
+            Presence::Silent(at) => Some(at),
+            Presence::Heard | Presence::Orphaned(_) => None,
+        }
+    }
+
+    /// Takes another announcement of the same incarnation.
+    fn merge(&mut self, now: Instant, source: SocketAddr, announced: Announced, age_ms: u64) {
+        self.claims.insert(source);
+        self.presence = Presence::Heard;
+        if announced.phase == Phase::Gone {
+            self.announced.phase = Phase::Gone;
+            self.gone_at.get_or_insert(now);
+        }
+        if self.gone_at.is_some() || announced.sequence < self.announced.sequence {
+            return;
+        }
+        self.warm_at = warm_at(now, &announced, age_ms);
+        self.told_at = now;
+        self.announced = announced;
+    }
+}
+
+fn warm_at(now: Instant, announced: &Announced, age_ms: u64) -> Instant {
+    match announced.cold_ms {
+        0 => now,
+        cold_ms => now.plus_ms((cold_ms + COLD_SLACK_MS).saturating_sub(age_ms)),
+    }
+}
+
+/// The token of the upstream `id`; never 0, which stands for none.
+///
+/// Ids of up to 32 bits are their own tokens; longer ones are folded, and two may then share one.
+#[must_use]
+pub fn token_of(id: u64) -> u32 {
+    let folded = (id ^ (id >> 32)) & u64::from(u32::MAX);
+    u32::try_from(folded).unwrap_or_default().max(1)
+}
+
+/// All upstreams that are known.
+#[derive(Debug, Default)]
+pub struct Directory {
+    upstreams: BTreeMap<u64, Upstream>,
+    /// Which upstream each token stands for.
+    tokens: BTreeMap<u32, u64>,
+    /// Control VMs whose streams are open; true once all that they knew is told.
+    sources: BTreeMap<SocketAddr, bool>,
+}
+
+impl Directory {
+    /// Notes that the stream of `source` has opened.
+    pub fn opened(&mut self, source: SocketAddr) {
+        self.sources.insert(source, false);
+    }
+
+    /// Notes that `source` has told all that it knew.
+    pub fn complete(&mut self, source: SocketAddr) {
+        self.sources.insert(source, true);
+    }
+
+    /// Whether `source` has told all that it knew.
+    #[must_use]
+    pub fn is_complete(&self, source: SocketAddr) -> bool {
+        self.sources.get(&source).copied().unwrap_or_default()
+    }
+
+    /// Number of control VMs whose streams are open, and of those that have told all they knew.
+    #[must_use]
+    pub fn sources(&self) -> (usize, usize) {
+        let complete = self.sources.values().filter(|c| **c).count();
+        (self.sources.len(), complete)
+    }
+
+    /// Takes an announcement that `source` heard `age_ms` ago. Returns whether it changed what is
+    /// believed of the upstream.
+    pub fn announce(
+        &mut self,
+        now: Instant,
+        source: SocketAddr,
+        announced: Announced,
+        age_ms: u64,
+    ) -> bool {
+        let Incarnation { id, started_ms } = announced.incarnation;
+        let known = self.upstreams.get_mut(&id);
+        let Some(known) = known else {
+            // A stop of an upstream that is unknown says nothing about its address.
+            if announced.phase != Phase::Gone || started_ms > 0 {
+                let upstream = Upstream::new(now, source, announced, age_ms);
+                self.upstreams.insert(id, upstream);
+                self.settle();
+            }
+            return true;
+        };
+        let before = (known.announced.phase, known.announced.incarnation);
+        let is_stop_of_any = announced.phase == Phase::Gone && started_ms == 0;
+        let held_ms = known.announced.incarnation.started_ms;
+        if started_ms == held_ms || is_stop_of_any {
+            known.merge(now, source, announced, age_ms);
+        } else if started_ms > held_ms {
+            *known = Upstream::new(now, source, announced, age_ms);
+        }
+        let is_new = before != (known.announced.phase, known.announced.incarnation);
+        self.settle();
+        is_new
+    }
+
+    /// Notes that `source` hears `incarnation` no longer. Returns whether nobody does.
+    pub fn silent(&mut self, now: Instant, source: SocketAddr, incarnation: Incarnation) -> bool {
+        let Some(known) = self.upstreams.get_mut(&incarnation.id) else {
+            return false;
+        };
+        if known.announced.incarnation != incarnation {
+            return false;
+        }
+        known.claims.remove(&source);
+        let is_lost = known.claims.is_empty() && !matches!(known.presence, Presence::Silent(_));
+        if is_lost {
+            known.presence = Presence::Silent(now);
+        }
+        is_lost
+    }
+
+    /// Notes that the stream of `source` has ended. What only it heard counts as heard a little
+    /// longer; where no stream is left, for as long as that lasts.
+    pub fn lost(&mut self, now: Instant, source: SocketAddr) {
+        self.sources.remove(&source);
+        for upstream in self.upstreams.values_mut() {
+            let had = upstream.claims.remove(&source);
+            if had && upstream.claims.is_empty() && upstream.presence == Presence::Heard {
+                upstream.presence = Presence::Orphaned(now.plus_ms(ORPHAN_MS));
+            }
+        }
+    }
+
+    /// Lets time pass: gives up orphaned claims, and forgets what ended long ago.
+    pub fn tick(&mut self, now: Instant) {
+        let is_blind = !self.sources.values().any(|c| *c);
+        for upstream in self.upstreams.values_mut() {
+            match upstream.presence {
+                // Nobody could say that it has ended.
+                Presence::Orphaned(_) if is_blind => {
+                    upstream.presence = Presence::Orphaned(now.plus_ms(ORPHAN_MS));
+                }
+                Presence::Orphaned(until) if now >= until => {
+                    upstream.presence = Presence::Silent(now);
+                }
+                _ => {}
+            }
+        }
+        let count = self.upstreams.len();
+        self.upstreams.retain(|_, upstream| {
+            upstream
+                .ended_at()
+                .is_none_or(|at| now.ms_since(at) < FORGET_MS)
+        });
+        if self.upstreams.len() != count {
+            self.settle();
+        }
+    }
+
+    /// The upstream `id`.
+    #[must_use]
+    pub fn get(&self, id: u64) -> Option<&Upstream> {
+        self.upstreams.get(&id)
+    }
+
+    /// The upstream that `token` stands for.
+    #[must_use]
+    pub fn by_token(&self, token: u32) -> Option<&Upstream> {
+        self.upstreams.get(self.tokens.get(&token)?)
+    }
+
+    /// All upstreams of `service`.
+    pub fn of_service(&self, service: &Arc<str>) -> impl Iterator<Item = &Upstream> {
+        let wanted = Arc::clone(service);
+        self.upstreams
+            .values()
+            .filter(move |u| u.announced.service == wanted)
+    }
+
+    /// All upstreams.
+    pub fn all(&self) -> impl Iterator<Item = &Upstream> {
+        self.upstreams.values()
+    }
+
+    /// Decides whom each token and each address belongs to, by what all VMs see alike: a token
+    /// belongs to the upstream that started first, an address to the one that started last.
+    fn settle(&mut self) {
+        let mut tokens: BTreeMap<u32, Incarnation> = BTreeMap::new();
+        let mut addresses: BTreeMap<SocketAddrV4, Incarnation> = BTreeMap::new();
+        let by_start = |i: Incarnation| (i.started_ms, i.id);
+        for upstream in self.upstreams.values() {
+            let own = upstream.announced.incarnation;
+            let holder = tokens.entry(upstream.token).or_insert(own);
+            if by_start(own) < by_start(*holder) {
+                *holder = own;
+            }
+            let holder = addresses.entry(upstream.announced.address).or_insert(own);
+            if by_start(own) > by_start(*holder) {
+                *holder = own;
+            }
+        }
+        let mut shared: BTreeMap<u32, u32> = BTreeMap::new();
+        for upstream in self.upstreams.values() {
+            *shared.entry(upstream.token).or_default() += 1;
+        }
+        for upstream in self.upstreams.values_mut() {
+            let own = upstream.announced.incarnation;
+            let is_shared = shared.get(&upstream.token).is_some_and(|n| *n > 1);
+            let is_replaced = addresses.get(&upstream.announced.address) != Some(&own);
+            upstream.is_barred = is_shared || is_replaced;
+        }
+        self.tokens = tokens.into_iter().map(|(t, i)| (t, i.id)).collect();
+    }
+}
--- /dev/null
+++ b/crates/policy/src/token/gateway.rs
@@ -0,0 +1,476 @@
+//! What becomes of a packet from the fabric, and why.
+
+use std::{
+    collections::BTreeMap,
+    net::{SocketAddr, SocketAddrV4},
+    sync::Arc,
+};
+
+use model::{
+    name::Name,
+    plan::{Plan, Target},
+    routing::{Agreed, Announced, Incarnation, Phase},
+};
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+use super::{
+    directory::{Directory, Upstream},
+    place::{self, Question, Sights},
+    segment::{Key, Kind, Segment},
+};
+use crate::time::Instant;
+
+/// Flows that are counted at a time; further ones are passed on without being counted.
+const MAX_FLOWS: usize = 65_536;
+
+/// Time for which the flows of an upstream that has stopped are still passed on to it, in
+/// milliseconds: it says that it stops shortly before it does.
+const STOP_GRACE_MS: u64 = 500;
+
+/// Time without a packet after which a flow is no longer counted where the plan names none, in
+/// milliseconds.
+const DEFAULT_IDLE_MS: u64 = 15_000;
+
+/// Time that a fresh VM waits for further control VMs to tell what they heard, in milliseconds.
+const GATHER_MS: u64 = 1_000;
+
+/// Settings of a gateway.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Settings {
+    /// Failure domain of this VM.
+    pub domain: Name,
+    /// Seed of its random choices.
+    pub seed: u64,
+}
+
+/// What becomes of a packet.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Action {
+    /// It goes to an upstream.
+    Forward {
+        /// Identity of the upstream, which refuses packets for another.
+        id: u64,
+        /// Where the upstream takes packets.
+        to: SocketAddrV4,
+        /// Token that the packet carries from here on.
+        token: u32,
+    },
+    /// The client is told that the flow is over or never began.
+    Reset,
+    /// Nothing.
+    Drop,
+}
+
+/// Why that becomes of it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Why {
+    /// Its token names the upstream.
+    Token,
+    /// It opens a flow, which was placed.
+    Placed,
+    /// It repeats an opening packet whose upstream answers others.
+    Repeated,
+    /// It repeats an opening packet whose upstream answered nobody since.
+    MovedOn,
+    /// This VM has no plan yet.
+    NoPlan,
+    /// No route leads from the address.
+    NoRoute,
+    /// No upstream of the route may take a flow now.
+    NoUpstream,
+    /// It has no token, or one that stands for no known upstream.
+    UnknownToken,
+    /// The upstream of the flow has stopped.
+    Stopped,
+}
+
+impl Why {
+    /// All reasons.
+    pub const ALL: [Self; 9] = [
+        Self::Token,
+        Self::Placed,
+        Self::Repeated,
+        Self::MovedOn,
+        Self::NoPlan,
+        Self::NoRoute,
+        Self::NoUpstream,
+        Self::UnknownToken,
+        Self::Stopped,
+    ];
+
+    /// A word for logs and metrics.
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Token => "token",
+            Self::Placed => "placed",
+            Self::Repeated => "repeated",
+            Self::MovedOn => "moved-on",
+            Self::NoPlan => "no-plan",
+            Self::NoRoute => "no-route",
+            Self::NoUpstream => "no-upstream",
+            Self::UnknownToken => "unknown-token",
+            Self::Stopped => "upstream-stopped",
+        }
+    }
+}
+
+/// A decision.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Decision {
+    /// What becomes of the packet.
+    pub action: Action,
+    /// Why.
+    pub why: Why,
+}
+
+impl Decision {
+    fn new(action: Action, why: Why) -> Self {
+        Self { action, why }
+    }
+}
+
+/// A flow as this VM saw it.
+#[derive(Debug, Clone, Copy)]
+struct Flow {
+    /// Upstream that it was last sent to.
+    upstream: u64,
+    opened_at: Instant,
+    seen_at: Instant,
+    /// Whether the client has taken it up with an upstream.
+    is_open: bool,
+    /// Whether a request is under way: data went out, and nothing new came back since.
+    is_asking: bool,
+    /// Last acknowledgement of the client.
+    acknowledged: u32,
+    /// Whether the client has ended it.
+    is_over: bool,
+}
+
+impl Flow {
+    fn new(now: Instant, upstream: u64) -> Self {
+        Self {
+            upstream,
+            opened_at: now,
+            seen_at: now,
+            is_open: false,
+            is_asking: false,
+            acknowledged: 0,
+            is_over: false,
+        }
+    }
+}
+
+/// All that an entry VM knows and decides by.
+#[derive(Debug)]
+pub struct Gateway {
+    settings: Settings,
+    plan: Option<Arc<Plan>>,
+    routes: BTreeMap<SocketAddrV4, Arc<[Target]>>,
+    agreed: Agreed,
+    directory: Directory,
+    sights: Sights,
+    flows: BTreeMap<Key, Flow>,
+    random: Pcg64Mcg,
+    /// When the first control VM had told all it knew.
+    first_complete: Option<Instant>,
+    is_stopping: bool,
+}
+
+impl Gateway {
+    /// A gateway that knows nothing.
+    #[must_use]
+    pub fn new(settings: Settings) -> Self {
+        Self {
+            random: Pcg64Mcg::seed_from_u64(settings.seed),
+            settings,
+            plan: None,
+            routes: BTreeMap::new(),
+            agreed: Agreed::default(),
+            directory: Directory::default(),
+            sights: Sights::default(),
+            flows: BTreeMap::new(),
+            first_complete: None,
+            is_stopping: false,
+        }
+    }
+
+    /// Takes what a control VM says is agreed on; older news change nothing. Returns whether it
+    /// was newer.
+    pub fn agree(&mut self, agreed: Agreed) -> bool {
+        let is_newer = agreed.index > self.agreed.index;
+        if is_newer {
+            self.agreed = agreed;
+        }
+        is_newer
+    }
+
+    /// Version of the plan that is to be asked for, if it is newer than the one here.
+    #[must_use]
+    pub fn wanted_plan(&self, told: Option<u64>) -> Option<u64> {
+        told.filter(|told| self.plan_version().is_none_or(|held| *told > held))
+    }
+
+    /// Takes a plan; an older one changes nothing. Returns whether it was newer.
+    pub fn take_plan(&mut self, plan: Arc<Plan>) -> bool {
+        if self.plan_version().is_some_and(|held| plan.version <= held) {
+            return false;
+        }
+        let by_address = plan.routes.iter().map(|route| {
+            let targets = route.targets.iter().filter(|t| t.weight > 0);
+            (route.address, targets.cloned().collect())
+        });
+        self.routes = by_address.collect();
+        self.plan = Some(plan);
+        true
+    }
+
+    /// Version of the plan in force here.
+    #[must_use]
+    pub fn plan_version(&self) -> Option<u64> {
+        self.plan.as_ref().map(|plan| plan.version)
+    }
+
+    /// What the cluster has agreed on, as far as it is known here.
+    #[must_use]
+    pub fn agreed(&self) -> &Agreed {
+        &self.agreed
+    }
+
+    /// The upstreams that are known.
+    #[must_use]
+    pub fn directory(&self) -> &Directory {
+        &self.directory
+    }
+
+    /// Number of flows that are counted.
+    #[must_use]
+    pub fn flows(&self) -> usize {
+        self.flows.len()
+    }
+
+    /// Notes that the stream of `source` has opened.
+    pub fn source_opened(&mut self, source: SocketAddr) {
+        self.directory.opened(source);
+    }
+
+    /// Notes that `source` has told all that it knew.
+    pub fn source_complete(&mut self, now: Instant, source: SocketAddr) {
+        self.directory.complete(source);
+        self.first_complete.get_or_insert(now);
+    }
+
+    /// Notes that the stream of `source` has ended.
+    pub fn source_lost(&mut self, now: Instant, source: SocketAddr) {
+        self.directory.lost(now, source);
+    }
+
+    /// Takes an announcement; see [`Directory::announce`].
+    pub fn announce(
+        &mut self,
+        now: Instant,
+        source: SocketAddr,
+        announced: Announced,
+        age_ms: u64,
+    ) -> bool {
+        self.directory.announce(now, source, announced, age_ms)
+    }
+
+    /// Takes that `source` hears an upstream no longer; see [`Directory::silent`].
+    pub fn silent(&mut self, now: Instant, source: SocketAddr, incarnation: Incarnation) -> bool {
+        self.directory.silent(now, source, incarnation)
+    }
+
+    /// Lets time pass.
+    pub fn tick(&mut self, now: Instant) {
+        self.directory.tick(now);
+        self.sights.retain(&self.directory);
+        let idle_ms = self.plan.as_ref().map_or(DEFAULT_IDLE_MS, |p| p.idle_ms);
+        self.flows
+            .retain(|_, flow| !flow.is_over && now.ms_since(flow.seen_at) < idle_ms);
+    }
+
+    /// Notes that this VM is about to stop.
+    pub fn stop(&mut self) {
+        self.is_stopping = true;
+    }
+
+    /// Whether the fabric should send packets here.
+    ///
+    /// # Errors
+    ///
+    /// Says what is missing.
+    pub fn is_ready(&self, now: Instant) -> Result<(), &'static str> {
+        if self.is_stopping {
+            return Err("this VM is about to stop");
+        }
+        if self.plan.is_none() {
+            return Err("no control VM has given this VM a plan yet");
+        }
+        let Some(first) = self.first_complete else {
+            return Err("no control VM has told this VM of upstreams yet");
+        };
+        let (open, complete) = self.directory.sources();
+        if complete < open.max(self.agreed.controls.len()) && now.ms_since(first) < GATHER_MS {
+            return Err("further control VMs have still to tell of upstreams");
+        }
+        Ok(())
+    }
+
+    /// Decides what becomes of a packet.
+    pub fn decide(&mut self, now: Instant, segment: &Segment) -> Decision {
+        match segment.kind {
+            Kind::Open { .. } => self.open(now, segment.key),
+            Kind::Data | Kind::Finish | Kind::Reset => self.follow(now, segment),
+        }
+    }
+
+    fn open(&mut self, now: Instant, key: Key) -> Decision {
+        if self.plan.is_none() {
+            // Its copies reach this VM or another once there is one.
+            return Decision::new(Action::Drop, Why::NoPlan);
+        }
+        let Some(targets) = self.routes.get(&key.service).cloned() else {
+            return Decision::new(Action::Reset, Why::NoRoute);
+        };
+        let known = self.flows.get(&key).copied().filter(|flow| !flow.is_over);
+        if let Some(flow) = known {
+            return self.open_again(now, key, &targets, flow);
+        }
+        self.place(now, key, &targets, None, Why::Placed)
+    }
+
+    /// Decides on a copy of an opening packet.
+    ///
+    /// Where the upstream has answered others meanwhile, a packet was lost, and the same upstream
+    /// gets the copy: two upstreams that answer would leave the client with the token of the wrong
+    /// one. Where it has answered nobody, another gets it.
+    fn open_again(&mut self, now: Instant, key: Key, targets: &[Target], flow: Flow) -> Decision {
+        let id = flow.upstream;
+        let upstream = self.directory.get(id);
+        let can_take = upstream.is_some_and(|u| self.may_take(now, u));
+        let has_answered = flow.is_open || self.sights.has_answered_since(id, flow.opened_at);
+        match upstream {
+            Some(upstream) if can_take && has_answered => {
+                Decision::new(forward(upstream), Why::Repeated)
+            }
+            _ => {
+                self.sights.unanswered(now, id);
+                self.place(now, key, targets, Some(id), Why::MovedOn)
+            }
+        }
+    }
+
+    fn may_take(&self, now: Instant, upstream: &Upstream) -> bool {
+        upstream.takes_flows(now) && !self.agreed.out.contains(&upstream.announced.domain)
+    }
+
+    fn place(
+        &mut self,
+        now: Instant,
+        key: Key,
+        targets: &[Target],
+        tried: Option<u64>,
+        why: Why,
+    ) -> Decision {
+        let mut left: Vec<&Target> = targets.iter().collect();
+        while let Some(at) = draw(&left, &mut self.random) {
+            let question = Question {
+                service: &left[at].service,
+                domain: &self.settings.domain,
+                out: &self.agreed.out,
+                tried,
+            };
+            let random = &mut self.random;
+            let chosen = place::choose(now, question, &self.directory, &self.sights, random);
+            if let Some(upstream) = chosen {
+                let id = upstream.announced.incarnation.id;
+                self.sights.request(now, id);
+                if self.flows.len() < MAX_FLOWS {
+                    self.flows.insert(key, Flow::new(now, id));
+                }
+                return Decision::new(forward(upstream), why);
+            }
+            left.remove(at);
+        }
+        self.flows.remove(&key);
+        Decision::new(Action::Reset, Why::NoUpstream)
+    }
+
+    /// Decides on a packet of a flow that has an upstream.
+    fn follow(&mut self, now: Instant, segment: &Segment) -> Decision {
+        let Some(upstream) = self.directory.by_token(segment.token) else {
+            return Decision::new(Action::Drop, Why::UnknownToken);
+        };
+        let is_stopped = upstream.announced.phase == Phase::Gone
+            && upstream
+                .gone_at
+                .is_some_and(|at| now.ms_since(at) >= STOP_GRACE_MS);
+        if is_stopped {
+            self.flows.remove(&segment.key);
+            let action = match segment.kind {
+                Kind::Reset => Action::Drop,
+                _ => Action::Reset,
+            };
+            return Decision::new(action, Why::Stopped);
+        }
+        let decision = Decision::new(forward(upstream), Why::Token);
+        let id = upstream.announced.incarnation.id;
+        self.note(now, segment, id);
+        decision
+    }
+
+    /// Counts what a packet says of its flow and upstream.
+    fn note(&mut self, now: Instant, segment: &Segment, id: u64) {
+        if !self.flows.contains_key(&segment.key) && self.flows.len() >= MAX_FLOWS {
+            return;
+        }
+        let flow = self
+            .flows
+            .entry(segment.key)
+            .or_insert_with(|| Flow::new(now, id));
+        flow.seen_at = now;
+        flow.upstream = id;
+        flow.is_over = matches!(segment.kind, Kind::Finish | Kind::Reset);
+        if !flow.is_open {
+            flow.is_open = true;
+            // The request that placing counted in advance.
+            flow.is_asking = true;
+            flow.acknowledged = segment.acknowledged;
+            self.sights.answered(now, id);
+            return;
+        }
+        if segment.acknowledged != flow.acknowledged {
+            flow.acknowledged = segment.acknowledged;
+            flow.is_asking = false;
+        }
+        if segment.length > 0 && !flow.is_asking {
+            flow.is_asking = true;
+            self.sights.request(now, id);
+        }
+    }
+}
+
+fn forward(upstream: &Upstream) -> Action {
+    Action::Forward {
+        id: upstream.announced.incarnation.id,
+        to: upstream.announced.address,
+        token: upstream.token,
+    }
+}
+
+/// Draws a target by weight; none where no weight is left.
+fn draw(targets: &[&Target], random: &mut impl Rng) -> Option<usize> {
+    let total: u64 = targets.iter().map(|t| u64::from(t.weight)).sum();
+    if total == 0 {
+        return None;
+    }
+    let mut at = random.random_range(0..total);
+    targets.iter().position(|target| {
+        let weight = u64::from(target.weight);
+        let is_drawn = at < weight;
+        at = at.saturating_sub(weight);
+        is_drawn
+    })
+}
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -1,7 +1,8 @@
 //! Settings files of the daemons: YAML, checked whole before a start.
 //!
 //! A fault ends the start with one line that names the file, the key, its value and what to do.
-//! [`entry::Settings`] are those of an entry VM, [`control::Settings`] those of a control VM.
+//! [`entry::Settings`] are those of an entry VM, [`control::Settings`] those of a control VM;
+//! [`gateway`] has those of both on the platform.
 //!
 //! ```
 //! let text = "name: entry-1\ndomain: vejle\ncontrol: [\"127.0.0.1:7100\"]\n";
@@ -14,6 +15,7 @@
 pub mod control;
 pub mod entry;
 pub mod error;
+pub mod gateway;
 mod fields;
 pub mod log;
 
