Keep new flows in their failure domain, and find each other sooner after a power loss

Cause: during a cut of a failure domain, clients' flows at upstreams across the cut stall (worst windows 0.32 to 0.6). A new flow now stays in its VM's domain where an upstream there takes it.

Ruled out: the store's recovery (0.1 s).

--- a/crates/consensus/src/replica.rs
+++ b/crates/consensus/src/replica.rs
@@ -25,6 +25,9 @@
     pub seed: u64,
     /// Shortest time without a leader before an election; the longest is twice that.
     pub election_ticks: u32,
+    /// The same for a replica that has known no leader since it started: where all have started at
+    /// once nobody leads, and where somebody does, the pre-vote keeps it leading.
+    pub first_election_ticks: u32,
     /// Time between two heartbeats of a leader. Invariant: below a third of `election_ticks`.
     pub heartbeat_ticks: u32,
     /// Most entries in a message.
@@ -45,6 +48,7 @@
             id: 0,
             seed: 0,
             election_ticks: 10,
+            first_election_ticks: 10,
             heartbeat_ticks: 2,
             max_entries: 256,
             max_bytes: 256 << 10,
@@ -134,6 +138,8 @@
     elapsed: u32,
     /// Value of `elapsed` at which an election starts.
     timeout: u32,
+    /// Whether any leader was known since the start.
+    has_known_leader: bool,
     /// Hard state as last handed out to be stored.
     stored: HardState,
     /// Latest snapshot, for replicas that lag behind the log.
@@ -200,6 +206,7 @@
             leader: None,
             elapsed: 0,
             timeout: 0,
+            has_known_leader: false,
             stored: hard_state,
             snapshot: stored.snapshot,
             partial: None,
@@ -464,7 +471,11 @@
     }
 
     fn restart_timeout(&mut self) {
-        let shortest = self.settings.election_ticks.max(1);
+        let ticks = match self.has_known_leader {
+            true => self.settings.election_ticks,
+            false => self.settings.first_election_ticks,
+        };
+        let shortest = ticks.max(1);
         self.elapsed = 0;
         self.timeout = self.rng.random_range(shortest..shortest * 2);
     }
--- a/crates/consensus/src/replica/election.rs
+++ b/crates/consensus/src/replica/election.rs
@@ -139,6 +139,10 @@
         }
         self.leader = Some(from);
         self.elapsed = 0;
+        if !self.has_known_leader {
+            self.has_known_leader = true;
+            self.restart_timeout();
+        }
     }
 
     pub(super) fn is_voter(&self) -> bool {
@@ -178,6 +182,7 @@
         });
         self.leader = Some(self.settings.id);
         self.elapsed = 0;
+        self.has_known_leader = true;
         // Entries of older terms count as committed only behind one of this term.
         self.log.push(Entry {
             index: next,
--- a/crates/control/src/peer/client.rs
+++ b/crates/control/src/peer/client.rs
@@ -15,9 +15,13 @@
 
 use super::{Envelope, HEADER_LEN, MAX_BODY, MAX_QUEUE, WINDOW};
 
-/// Time for a connection to be made, and for a frame to be taken by the peer.
+/// Time for a frame to be taken by the peer.
 const IO_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Time for a connection to be made. A VM without power answers nothing, and the kernel repeats
+/// the first packet only after a second.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+
 /// Time between two tries to connect.
 const RETRY: Duration = Duration::from_millis(100);
 
@@ -107,7 +111,7 @@
     was_connected: &mut bool,
 ) -> Result<(), Error> {
     let failed = |e: String| Error::Connect(address, e);
-    let socket = timeout(IO_TIMEOUT, TcpStream::connect(address)).await;
+    let socket = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
     let socket = socket.map_err(|e| failed(e.to_string()))?;
     let socket = socket.map_err(|e| failed(e.to_string()))?;
     socket
--- a/crates/control/src/replica/driver.rs
+++ b/crates/control/src/replica/driver.rs
@@ -151,6 +151,7 @@
         snapshot_every: settings.snapshot_every.max(1),
         consensus: consensus::Settings {
             election_ticks: 12,
+            first_election_ticks: 3,
             heartbeat_ticks: 3,
             ..consensus::Settings::default()
         },
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -106,8 +106,9 @@
     #[must_use]
     pub fn can_tell(&self) -> bool {
         let now_ms = self.now_ms();
-        let in_touch_ms = self.soft().in_touch_ms;
-        self.is_in_touch() || in_touch_ms.is_some_and(|at| now_ms < at + CUT_OFF_MS)
+        // One that has just started looks for a leader first.
+        let in_touch_ms = self.soft().in_touch_ms.unwrap_or_default();
+        self.is_in_touch() || now_ms < in_touch_ms + CUT_OFF_MS
     }
 
     /// Where the control VMs of the cluster take streams of entry VMs.
--- a/crates/entry/src/gateway/sources.rs
+++ b/crates/entry/src/gateway/sources.rs
@@ -19,16 +19,25 @@
 use super::shell::Shell;
 
 /// Wait before a new try after a stream was lost.
-const RETRY_WAIT: Duration = Duration::from_millis(300);
+const RETRY_WAIT: Duration = Duration::from_millis(100);
 
 /// Longest wait between two tries.
-const MAX_RETRY_WAIT: Duration = Duration::from_millis(1_200);
+const MAX_RETRY_WAIT: Duration = Duration::from_millis(800);
+
+/// Time that the first try to open a stream may take; doubles with each further one. A VM without
+/// power answers nothing, and the kernel repeats the first packet only after a second.
+const DIAL_WAIT: Duration = Duration::from_millis(300);
+
+/// Longest time that a try may take.
+const MAX_DIAL_WAIT: Duration = Duration::from_millis(1_200);
 
 /// Why there is no stream.
 #[derive(Debug, Display)]
 enum End {
     /// {0}
     Dial(dial::Error),
+    /// it did not open a stream within {0:?}
+    DialTimeout(Duration),
     /// {0}
     Stream(stream::Error),
     /// it said nothing for 2.5 s
@@ -96,12 +105,13 @@
     /// Keeps a stream to `control` open as long as it is wanted.
     async fn keep(self, control: SocketAddr) {
         let mut wait = RETRY_WAIT;
+        let mut dial_wait = DIAL_WAIT;
         let mut was_up = true;
         loop {
             let mut is_open = false;
             let end = tokio::select! {
                 () = self.token.cancelled() => return,
-                end = self.follow(control, &mut is_open) => end,
+                end = self.follow(control, dial_wait, &mut is_open) => end,
             };
             let Err(end) = end;
             // Only the first of a row of failures is news.
@@ -109,9 +119,12 @@
                 self.shell.source_lost(control, &end.to_string());
             }
             was_up = false;
-            wait = match is_open {
-                true => RETRY_WAIT,
-                false => (wait * 2).min(MAX_RETRY_WAIT),
+            (wait, dial_wait) = match is_open {
+                true => (RETRY_WAIT, DIAL_WAIT),
+                false => (
+                    (wait * 2).min(MAX_RETRY_WAIT),
+                    (dial_wait * 2).min(MAX_DIAL_WAIT),
+                ),
             };
             tokio::select! {
                 () = self.token.cancelled() => return,
@@ -127,9 +140,11 @@
     async fn follow(
         &self,
         control: SocketAddr,
+        dial_wait: Duration,
         is_open: &mut bool,
     ) -> Result<std::convert::Infallible, End> {
-        let opened = dial::open(control, ROUTING_PATH).await;
+        let opened = timeout(dial_wait, dial::open(control, ROUTING_PATH)).await;
+        let opened = opened.map_err(|_| End::DialTimeout(dial_wait))?;
         let mut stream = opened.map_err(End::Dial)?;
         let vm = Arc::clone(&self.vm);
         stream.sender.send(&ToControl::Hello { vm }).await?;
--- a/crates/policy/src/token/place.rs
+++ b/crates/policy/src/token/place.rs
@@ -138,9 +138,14 @@
         .filter(|u| is_untried(u) && !sights.is_avoided(now, id(u)))
         .copied()
         .collect();
+    let own: Vec<&Upstream> = good
+        .iter()
+        .filter(|u| u.announced.domain == *question.domain)
+        .copied()
+        .collect();
     // One that seems silent is better than none, and one that was tried better than a refusal.
     let untried: Vec<&Upstream> = all.iter().filter(is_untried).copied().collect();
-    let pool = [good, untried, all].into_iter().find(|p| !p.is_empty())?;
+    let pool = [own, good, untried, all].into_iter().find(|p| !p.is_empty())?;
     let cost = |u: &Upstream| {
         #[expect(clippy::cast_precision_loss)]
         let slots = u.announced.slots.max(1) as f32;
