Probe upstreams that seem silent, and reset the flows of those that are down

A VM that sees an answer missing now tries a connection: refused or silent means down, and the next request there is reset at once; where none is left the VM is not ready, so that the fabric turns to other domains.

--- a/crates/entry/src/gateway.rs
+++ b/crates/entry/src/gateway.rs
@@ -2,6 +2,7 @@
 //!
 //! - [`shell`] owns the decisions and performs them.
 //! - [`sources`] keeps a stream to each control VM.
+//! - [`probes`] tries to connect to upstreams that seem silent.
 
 use std::{path::PathBuf, time::Duration};
 
@@ -16,6 +17,7 @@
 use tokio::{net::UdpSocket, sync::mpsc};
 use tokio_util::sync::CancellationToken;
 
+pub mod probes;
 pub mod shell;
 pub mod sources;
 
@@ -70,6 +72,7 @@
     let supervisor = Supervisor::new("entry", tasks.clone());
     start_packets(&supervisor, &shell);
     start_ticks(&supervisor, &shell);
+    probes::start(&supervisor, &shell);
     start_http(&supervisor, &settings, &shell, metrics);
     start_sources(&supervisor, &settings, source, &shell);
     info!(
--- /dev/null
+++ b/crates/entry/src/gateway/probes.rs
@@ -0,0 +1,50 @@
+//! Tries to connect to upstreams that seem silent.
+//!
+//! A connection without a request takes none of the upstream's slots.
+
+use std::{io::ErrorKind, net::SocketAddrV4, time::Duration};
+
+use daemon::supervisor::{Restart, Supervisor};
+use policy::token::sight::Probed;
+use tokio::{
+    net::TcpStream,
+    time::{sleep, timeout},
+};
+
+use super::shell::Shell;
+
+/// Time that a connection may take.
+const CONNECT_WAIT: Duration = Duration::from_millis(250);
+
+/// Time between two looks for what is due.
+const LOOK_EVERY: Duration = Duration::from_millis(100);
+
+/// Probes what is due until the supervisor ends.
+pub fn start(supervisor: &Supervisor, shell: &Shell) {
+    let shell = shell.clone();
+    supervisor.child("probes", Restart::Never, move |token| {
+        let shell = shell.clone();
+        async move {
+            loop {
+                for (id, address) in shell.due_probes() {
+                    ntex::rt::spawn(probe(shell.clone(), id, address));
+                }
+                tokio::select! {
+                    () = token.cancelled() => return Ok(()),
+                    () = shell.probes_changed.notified() => {}
+                    () = sleep(LOOK_EVERY) => {}
+                }
+            }
+        }
+    });
+}
+
+async fn probe(shell: Shell, id: u64, address: SocketAddrV4) {
+    let connected = timeout(CONNECT_WAIT, TcpStream::connect(address)).await;
+    let outcome = match connected {
+        Ok(Ok(_)) => Probed::Accepted,
+        Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => Probed::Refused,
+        Ok(Err(_)) | Err(_) => Probed::Silent,
+    };
+    shell.probed(id, outcome);
+}
--- a/crates/entry/src/gateway/shell.rs
+++ b/crates/entry/src/gateway/shell.rs
@@ -18,6 +18,7 @@
     token::{
         gateway::{Action, Decision, Gateway, Settings, Why},
         segment::{Kind, Segment},
+        sight::Probed,
     },
 };
 use settings::gateway::Entry;
@@ -35,7 +36,7 @@
 /// What was counted since the last tick, by what became of packets.
 #[derive(Debug, Clone, Copy, Default)]
 struct Counts {
-    by_why: [u64; 9],
+    by_why: [u64; Why::ALL.len()],
     malformed: u64,
     unsent: u64,
 }
@@ -47,6 +48,8 @@
     socket: Rc<UdpSocket>,
     /// Told when the control VMs that are known have changed.
     pub controls_changed: Rc<Notify>,
+    /// Told when an upstream may have become suspect.
+    pub probes_changed: Rc<Notify>,
 }
 
 #[derive(Debug)]
@@ -87,6 +90,7 @@
             state: Rc::new(RefCell::new(state)),
             socket: Rc::new(socket),
             controls_changed: Rc::default(),
+            probes_changed: Rc::default(),
         }
     }
 
@@ -116,6 +120,23 @@
         Ok(())
     }
 
+    /// Upstreams that are to be probed now, with the addresses at which they accept connections.
+    #[must_use]
+    pub fn due_probes(&self) -> Vec<(u64, SocketAddrV4)> {
+        let mut state = self.state.borrow_mut();
+        let now = state.now();
+        state.gateway.due_probes(now)
+    }
+
+    /// Takes the outcome of a probe.
+    pub fn probed(&self, id: u64, outcome: Probed) {
+        let mut state = self.state.borrow_mut();
+        let now = state.now();
+        if state.gateway.probed(now, id, outcome) && state.rare.take(now.0) {
+            info!(target: "upstreams", "event=probe upstream={id:x} outcome={outcome:?}");
+        }
+    }
+
     /// Lets time pass.
     pub fn tick(&self) {
         let mut state = self.state.borrow_mut();
--- a/crates/policy/src/token.rs
+++ b/crates/policy/src/token.rs
@@ -8,6 +8,7 @@
 //!
 //! - [`segment`]: what a packet says.
 //! - [`directory`]: the upstreams that are known, merged from what several control VMs tell.
+//! - [`sight`]: what this VM saw of each upstream: how much it bears, whether it answers.
 //! - [`place`]: which upstream takes a new flow.
 //! - [`gateway`]: what becomes of a packet, and why.
 
@@ -15,3 +16,4 @@
 pub mod gateway;
 pub mod place;
 pub mod segment;
+pub mod sight;
--- a/crates/policy/src/token/gateway.rs
+++ b/crates/policy/src/token/gateway.rs
@@ -1,7 +1,7 @@
 //! What becomes of a packet from the fabric, and why.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     net::{SocketAddr, SocketAddrV4},
     sync::Arc,
 };
@@ -16,8 +16,9 @@
 
 use super::{
     directory::{Directory, Upstream},
-    place::{self, Question, Sights},
+    place::{self, Question},
     segment::{Key, Kind, Segment},
+    sight::{Probed, Sights},
 };
 use crate::time::Instant;
 
@@ -83,11 +84,13 @@
     UnknownToken,
     /// The upstream of the flow has stopped.
     Stopped,
+    /// The upstream of the flow answers neither clients nor probes.
+    Down,
 }
 
 impl Why {
     /// All reasons.
-    pub const ALL: [Self; 9] = [
+    pub const ALL: [Self; 10] = [
         Self::Token,
         Self::Placed,
         Self::Repeated,
@@ -97,6 +100,7 @@
         Self::NoUpstream,
         Self::UnknownToken,
         Self::Stopped,
+        Self::Down,
     ];
 
     /// A word for logs and metrics.
@@ -112,6 +116,7 @@
             Self::NoUpstream => "no-upstream",
             Self::UnknownToken => "unknown-token",
             Self::Stopped => "upstream-stopped",
+            Self::Down => "upstream-down",
         }
     }
 }
@@ -142,6 +147,10 @@
     is_open: bool,
     /// Whether a request is under way: data went out, and nothing new came back since.
     is_asking: bool,
+    /// When that request was first passed on.
+    asked_at: Instant,
+    /// Number of the byte behind the last one that the client sent.
+    sent: u32,
     /// Last acknowledgement of the client.
     acknowledged: u32,
     /// Whether the client has ended it.
@@ -156,6 +165,8 @@
             seen_at: now,
             is_open: false,
             is_asking: false,
+            asked_at: now,
+            sent: 0,
             acknowledged: 0,
             is_over: false,
         }
@@ -274,7 +285,14 @@
         announced: Announced,
         age_ms: u64,
     ) -> bool {
-        self.directory.announce(now, source, announced, age_ms)
+        let id = announced.incarnation.id;
+        let before = self.directory.get(id).map(|u| u.announced.incarnation);
+        let is_new = self.directory.announce(now, source, announced, age_ms);
+        let after = self.directory.get(id).map(|u| u.announced.incarnation);
+        if before != after {
+            self.sights.renew(id);
+        }
+        is_new
     }
 
     /// Takes that `source` hears an upstream no longer; see [`Directory::silent`].
@@ -282,6 +300,27 @@
         self.directory.silent(now, source, incarnation)
     }
 
+    /// Upstreams that are to be probed now, with the addresses at which they accept connections.
+    pub fn due_probes(&mut self, now: Instant) -> Vec<(u64, SocketAddrV4)> {
+        self.sights.due_probes(now, &self.directory)
+    }
+
+    /// Takes the outcome of a probe. Returns whether it changed what is believed of the upstream.
+    ///
+    /// Where an upstream says nothing its failure domain may be cut off, so the others in it are
+    /// probed too.
+    pub fn probed(&mut self, now: Instant, id: u64, outcome: Probed) -> bool {
+        let is_news = self.sights.probed(now, id, outcome);
+        let domain = self.directory.get(id).map(|u| &u.announced.domain);
+        if let (true, Probed::Silent, Some(domain)) = (is_news, outcome, domain) {
+            let others = self.directory.all();
+            for other in others.filter(|o| o.announced.domain == *domain && o.takes_flows(now)) {
+                self.sights.doubt(now, other.announced.incarnation.id);
+            }
+        }
+        is_news
+    }
+
     /// Lets time pass.
     pub fn tick(&mut self, now: Instant) {
         self.directory.tick(now);
@@ -315,9 +354,26 @@
         if complete < open.max(self.agreed.controls.len()) && now.ms_since(first) < GATHER_MS {
             return Err("further control VMs have still to tell of upstreams");
         }
+        if self.is_cut_off(now) {
+            return Err("no upstream that may take new flows answers this VM");
+        }
         Ok(())
     }
 
+    /// Whether some service has upstreams that may take new flows, but none of them answers here.
+    fn is_cut_off(&self, now: Instant) -> bool {
+        let services: BTreeSet<&Arc<str>> = self
+            .routes
+            .values()
+            .flat_map(|targets| targets.iter().map(|t| &t.service))
+            .collect();
+        services.into_iter().any(|service| {
+            let all = self.directory.of_service(service);
+            let mut able = all.filter(|u| self.may_take(now, u)).peekable();
+            able.peek().is_some() && able.all(|u| self.sights.is_down(u.announced.incarnation.id))
+        })
+    }
+
     /// Decides what becomes of a packet.
     pub fn decide(&mut self, now: Instant, segment: &Segment) -> Decision {
         match segment.kind {
@@ -356,7 +412,7 @@
                 Decision::new(forward(upstream), Why::Repeated)
             }
             _ => {
-                self.sights.unanswered(now, id);
+                self.sights.unanswered(now, id, flow.opened_at);
                 self.place(now, key, targets, Some(id), Why::MovedOn)
             }
         }
@@ -418,6 +474,11 @@
         let decision = Decision::new(forward(upstream), Why::Token);
         let id = upstream.announced.incarnation.id;
         self.note(now, segment, id);
+        if segment.length > 0 && self.sights.is_down(id) {
+            // The client may ask again elsewhere before its deadline.
+            self.flows.remove(&segment.key);
+            return Decision::new(Action::Reset, Why::Down);
+        }
         decision
     }
 
@@ -433,25 +494,45 @@
         flow.seen_at = now;
         flow.upstream = id;
         flow.is_over = matches!(segment.kind, Kind::Finish | Kind::Reset);
+        let end = segment.sequence.wrapping_add(u32::from(segment.length));
         if !flow.is_open {
             flow.is_open = true;
             // The request that placing counted in advance.
             flow.is_asking = true;
+            flow.asked_at = now;
             flow.acknowledged = segment.acknowledged;
+            flow.sent = end;
             self.sights.answered(now, id);
             return;
         }
         if segment.acknowledged != flow.acknowledged {
             flow.acknowledged = segment.acknowledged;
             flow.is_asking = false;
+            self.sights.answered(now, id);
+        }
+        if segment.length == 0 {
+            return;
+        }
+        if !is_after(end, flow.sent) {
+            // The client sends again what the upstream did not acknowledge in time.
+            let asked_at = flow.asked_at;
+            self.sights.unanswered(now, id, asked_at);
+            return;
         }
-        if segment.length > 0 && !flow.is_asking {
+        flow.sent = end;
+        if !flow.is_asking {
             flow.is_asking = true;
+            flow.asked_at = now;
             self.sights.request(now, id);
         }
     }
 }
 
+/// Whether byte number `a` comes after `b`; numbers wrap around.
+fn is_after(a: u32, b: u32) -> bool {
+    a != b && a.wrapping_sub(b) < u32::MAX / 2
+}
+
 fn forward(upstream: &Upstream) -> Action {
     Action::Forward {
         id: upstream.announced.incarnation.id,
--- a/crates/policy/src/token/place.rs
+++ b/crates/policy/src/token/place.rs
@@ -6,105 +6,24 @@
 //! takes the one with the least of them for each slot. Drawing keeps VMs that know little from
 //! choosing the same upstream at once, such as one that has just become ready.
 
-use std::{collections::BTreeMap, sync::Arc};
+use std::sync::Arc;
 
 use model::name::Name;
 use rand::Rng;
 
-use super::directory::{Directory, Upstream};
+use super::{
+    directory::{Directory, Upstream},
+    sight::Sights,
+};
 use crate::time::Instant;
 
 /// Upstreams that are drawn for one flow.
 const DRAWN: usize = 3;
 
-/// Time in which a request's weight falls to 1/e, in milliseconds.
-const MEMORY_MS: f32 = 2_000.0;
-
 /// How much more load an upstream of this VM's own failure domain may bear before another is
 /// preferred: bytes between failure domains cost.
 const OWN_DOMAIN_SHARE: f32 = 1.3;
 
-/// First time for which an upstream that did not answer gets no new flows, in milliseconds;
-/// doubles with each further time.
-const FIRST_AVOID_MS: u64 = 1_000;
-
-/// Longest time for which an upstream that did not answer gets no new flows, in milliseconds.
-const MAX_AVOID_MS: u64 = 4_000;
-
-/// What this VM saw of one upstream.
-#[derive(Debug, Clone, Copy, Default, PartialEq)]
-pub struct Sight {
-    /// Requests passed on lately, each weighted by its age, as of `at`.
-    load: f32,
-    at: Instant,
-    /// When a client last took up a flow with it.
-    answered_at: Option<Instant>,
-    /// Opening packets that it left unanswered in a row.
-    unanswered: u32,
-    /// Until when it gets no new flows where there is another.
-    avoided_until: Instant,
-}
-
-impl Sight {
-    fn load(&self, now: Instant) -> f32 {
-        // Spans are milliseconds to minutes, so the loss of precision doesn't matter.
-        #[expect(clippy::cast_precision_loss)]
-        let age_ms = now.ms_since(self.at) as f32;
-        self.load * (-age_ms / MEMORY_MS).exp()
-    }
-}
-
-/// What this VM saw of all upstreams, by id.
-#[derive(Debug, Clone, Default)]
-pub struct Sights(BTreeMap<u64, Sight>);
-
-impl Sights {
-    /// Notes a request that was passed on.
-    pub fn request(&mut self, now: Instant, id: u64) {
-        let sight = self.0.entry(id).or_default();
-        sight.load = sight.load(now) + 1.0;
-        sight.at = now;
-    }
-
-    /// Notes that a client has taken up a flow with the upstream.
-    pub fn answered(&mut self, now: Instant, id: u64) {
-        let sight = self.0.entry(id).or_default();
-        sight.answered_at = Some(now);
-        sight.unanswered = 0;
-        sight.avoided_until = Instant::ZERO;
-    }
-
-    /// Notes that an opening packet has had no answer. Returns how many in a row had none.
-    pub fn unanswered(&mut self, now: Instant, id: u64) -> u32 {
-        let sight = self.0.entry(id).or_default();
-        sight.unanswered += 1;
-        let doublings = (sight.unanswered - 1).min(8);
-        let avoid_ms = (FIRST_AVOID_MS << doublings).min(MAX_AVOID_MS);
-        sight.avoided_until = now.plus_ms(avoid_ms);
-        sight.unanswered
-    }
-
-    /// Whether the upstream has answered anyone since `moment`.
-    #[must_use]
-    pub fn has_answered_since(&self, id: u64, moment: Instant) -> bool {
-        let answered_at = self.0.get(&id).and_then(|s| s.answered_at);
-        answered_at.is_some_and(|at| at >= moment)
-    }
-
-    /// Forgets upstreams that the directory has forgotten.
-    pub fn retain(&mut self, directory: &Directory) {
-        self.0.retain(|id, _| directory.get(*id).is_some());
-    }
-
-    fn is_avoided(&self, now: Instant, id: u64) -> bool {
-        self.0.get(&id).is_some_and(|s| now < s.avoided_until)
-    }
-
-    fn load(&self, now: Instant, id: u64) -> f32 {
-        self.0.get(&id).map_or(0.0, |s| s.load(now))
-    }
-}
-
 /// What a choice depends on.
 #[derive(Debug, Clone, Copy)]
 pub struct Question<'a> {
--- a/crates/policy/src/token/segment.rs
+++ b/crates/policy/src/token/segment.rs
@@ -36,6 +36,8 @@
     pub kind: Kind,
     /// Token that the client received last on the flow; 0 where it received none.
     pub token: u32,
+    /// Number of the first byte that it carries.
+    pub sequence: u32,
     /// Next byte that the client expects from the upstream.
     pub acknowledged: u32,
     /// Bytes of data that it carries.
