Recall upstreams from disk, and hold packets for a moment while a VM knows too little

Control VMs now keep what they heard on disk as a hint; entry VMs pass on open flows to it at once, place new flows only on upstreams that were heard again, and hold packets up to 300 ms. Ruled out: placing on recalled upstreams (one that started anew meanwhile is cold).

--- a/crates/control/src/heard.rs
+++ b/crates/control/src/heard.rs
@@ -24,6 +24,10 @@
 /// must not bring it back.
 const FORGET_MS: u64 = 120_000;
 
+/// Time after the start of this process in which upstreams of before may announce themselves
+/// again, in milliseconds.
+const RECALL_MS: u64 = 10_000;
+
 /// Largest number of upstreams that are kept.
 pub const MAX_UPSTREAMS: usize = 65_536;
 
@@ -67,6 +71,8 @@
     revision: u64,
     /// Time without an announcement after which an upstream is silent.
     expiry_ms: u64,
+    /// Upstreams that were heard before this process started, by id.
+    recalled: BTreeMap<u64, Announced>,
 }
 
 impl Table {
@@ -78,9 +84,26 @@
             changes: BTreeMap::new(),
             revision: 0,
             expiry_ms: MISSED * every_ms + SLACK_MS,
+            recalled: BTreeMap::new(),
         }
     }
 
+    /// Takes the upstreams that were heard before this process started.
+    #[must_use]
+    pub fn recall(mut self, heard: Vec<Announced>) -> Self {
+        let by_id = heard.into_iter().map(|a| (a.incarnation.id, a));
+        self.recalled = by_id.collect();
+        self
+    }
+
+    /// Upstreams that were heard before this process started, and not again since.
+    #[must_use]
+    pub fn recalled(&self) -> Vec<Announced> {
+        let again = |id: &u64| self.lines.contains_key(id);
+        let left = self.recalled.iter().filter(|(id, _)| !again(id));
+        left.map(|(_, announced)| announced.clone()).collect()
+    }
+
     /// Takes an announcement.
     pub fn put(&mut self, now_ms: u64, announced: Announced) -> Outcome {
         let id = announced.incarnation.id;
@@ -127,6 +150,9 @@
     /// how many have fallen silent.
     pub fn expire(&mut self, now_ms: u64) -> usize {
         let expiry_ms = self.expiry_ms;
+        if now_ms > RECALL_MS {
+            self.recalled.clear();
+        }
         let is_due = |line: &&mut Line| {
             let is_live = !line.is_silent && line.announced.phase != Phase::Gone;
             is_live && now_ms >= line.heard_ms + expiry_ms
@@ -179,10 +205,11 @@
         self.revision
     }
 
-    /// All upstreams that are heard.
+    /// All upstreams that are heard and have not stopped.
     pub fn all(&self) -> impl Iterator<Item = &Announced> {
         let heard = self.lines.values().filter(|line| !line.is_silent);
-        heard.map(|line| &line.announced)
+        let heard = heard.map(|line| &line.announced);
+        heard.filter(|announced| announced.phase != Phase::Gone)
     }
 
     fn insert(&mut self, now_ms: u64, announced: Announced) {
--- /dev/null
+++ b/crates/control/src/hints.rs
@@ -0,0 +1,116 @@
+//! What this control VM last heard of upstreams, kept on disk as a hint.
+//!
+//! After all VMs have stopped at once, it lets entry VMs pass on the packets of flows that are
+//! still open before each upstream has announced itself again. Nothing depends on it: a hint that
+//! is old, torn or missing only costs that time.
+
+use std::{
+    fs::{self, File},
+    io::{self, Write},
+    path::{Path, PathBuf},
+    thread,
+};
+
+use model::routing::Announced;
+use tokio::sync::watch;
+
+/// Name of the file.
+const FILE: &str = "hints";
+
+/// Name of the file while it is written.
+const PART: &str = "hints-part";
+
+/// Largest file that is read, in bytes.
+const MAX_LEN: usize = 64 << 20;
+
+/// Length of the checksum before the body, in bytes.
+const CHECKSUM: usize = 4;
+
+/// Reads what was heard before the last stop; nothing where that can't be used.
+#[must_use]
+pub fn read(folder: &Path) -> Vec<Announced> {
+    let bytes = match fs::read(folder.join(FILE)) {
+        Ok(bytes) => bytes,
+        Err(error) if error.kind() == io::ErrorKind::NotFound => return Vec::new(),
+        Err(error) => {
+            log::warn!(target: "hints", "event=hints outcome=unreadable reason=\"{error}\"");
+            return Vec::new();
+        }
+    };
+    match decode(&bytes) {
+        Ok(heard) => heard,
+        Err(reason) => {
+            log::warn!(target: "hints", "event=hints outcome=passed-over reason=\"{reason}\"");
+            Vec::new()
+        }
+    }
+}
+
+/// Decodes a file.
+///
+/// # Errors
+///
+/// Says what is wrong with it.
+pub fn decode(bytes: &[u8]) -> Result<Vec<Announced>, String> {
+    let (Some(sum), Some(body)) = (bytes.first_chunk::<CHECKSUM>(), bytes.get(CHECKSUM..)) else {
+        return Err("it is shorter than its checksum".to_owned());
+    };
+    if u32::from_le_bytes(*sum) != crc32fast::hash(body) {
+        return Err("its checksum is wrong".to_owned());
+    }
+    wire::frame::decode_body::<_, MAX_LEN>(body).map_err(|e| e.to_string())
+}
+
+/// Encodes a file.
+///
+/// # Errors
+///
+/// Says why it can't be encoded.
+pub fn encode(heard: &[Announced]) -> Result<Vec<u8>, String> {
+    let body = wire::frame::encode_body(&heard).map_err(|e| e.to_string())?;
+    let mut bytes = crc32fast::hash(&body).to_le_bytes().to_vec();
+    bytes.extend_from_slice(&body);
+    Ok(bytes)
+}
+
+/// Starts the thread that writes what was heard whenever that changes; it ends with the sender. A
+/// slow disk only makes it skip versions.
+///
+/// # Errors
+///
+/// Fails when the thread can't be started.
+pub fn start_writer(
+    folder: PathBuf,
+    mut heard: watch::Receiver<Vec<Announced>>,
+) -> io::Result<()> {
+    let runtime = tokio::runtime::Handle::current();
+    let write_all = move || {
+        let mut was_written = true;
+        while runtime.block_on(heard.changed()).is_ok() {
+            let latest = heard.borrow_and_update().clone();
+            let written = write(&folder, &latest);
+            if let Err(reason) = &written
+                && was_written
+            {
+                log::warn!(target: "hints", "event=hints outcome=unwritten reason=\"{reason}\"");
+            }
+            was_written = written.is_ok();
+        }
+    };
+    thread::Builder::new()
+        .name("hints".to_owned())
+        .spawn(write_all)
+        .map(drop)
+}
+
+fn write(folder: &Path, heard: &[Announced]) -> Result<(), String> {
+    let bytes = encode(heard)?;
+    let write_file = || -> io::Result<()> {
+        let mut file = File::create(folder.join(PART))?;
+        file.write_all(&bytes)?;
+        file.sync_data()?;
+        fs::rename(folder.join(PART), folder.join(FILE))?;
+        File::open(folder)?.sync_all()
+    };
+    write_file().map_err(|e| e.to_string())
+}
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -5,7 +5,7 @@
 //! [`session`] serves the stream of an entry VM; [`lease`] and [`announced`] keep what arrives on
 //! it, and [`exchange`] shares that with the other control VMs. [`step`] decides the leader's own
 //! commands. [`desk`] answers the platform's callers, [`heard`] keeps the upstreams that announce
-//! themselves to it, and [`routing`] tells entry VMs of both. [`process`] puts the parts together.
+//! themselves to it ([`hints`] on disk as well), and [`routing`] tells entry VMs of both. [`process`] puts the parts together.
 //!
 //! ```
 //! use control::{lease::Table, step::Stepper};
@@ -20,6 +20,7 @@
 pub mod dump;
 pub mod exchange;
 pub mod heard;
+pub mod hints;
 pub mod lease;
 pub mod operator;
 pub mod peer;
--- a/crates/control/src/process.rs
+++ b/crates/control/src/process.rs
@@ -19,7 +19,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::{
-    dump, exchange, operator,
+    dump, exchange, heard, hints, operator,
     replica::{self, Handle},
     routing, session,
     state::{self, State},
@@ -32,6 +32,9 @@
 /// Questions about the process that may wait.
 const QUESTIONS: usize = 16;
 
+/// Shortest time between two versions of the hints on disk.
+const HINT_PAUSE: Duration = Duration::from_millis(500);
+
 /// Why the daemon stopped.
 #[derive(Debug, Display)]
 pub enum Error {
@@ -94,7 +97,10 @@
     let mut state = State::new(settings.name.clone(), replica.clone(), delivered);
     let root = Supervisor::new("control", token.clone());
     if let Some((gateway, source)) = gateway {
-        state = state.with_announcements(gateway.announce_ms, settings.delivery_listen.port());
+        let recalled = hints::read(&settings.data_folder);
+        let heard = heard::Table::new(gateway.announce_ms).recall(recalled);
+        state = state.with_announcements(heard, settings.delivery_listen.port());
+        start_hints(&settings, &state, &root)?;
         start_desk(&gateway, source, &state, &root);
     }
 
@@ -136,6 +142,29 @@
     }
 }
 
+/// Writes what upstreams announce to disk as it changes, at most twice a second.
+fn start_hints(settings: &Settings, state: &State, root: &Supervisor) -> Result<(), Error> {
+    let (publish, heard) = watch::channel(Vec::new());
+    hints::start_writer(settings.data_folder.clone(), heard)
+        .map_err(|e| Error::Task(format!("the thread that writes hints can't start: {e}")))?;
+    let state = state.clone();
+    root.child("hints", Restart::Never, move |token| {
+        let (state, publish) = (state.clone(), publish.clone());
+        let mut revisions = state.revisions();
+        async move {
+            loop {
+                tokio::select! {
+                    () = token.cancelled() => return Ok(()),
+                    changed = revisions.changed() => changed.map_err(|e| e.to_string())?,
+                }
+                publish.send_replace(state.soft().heard.all().cloned().collect());
+                tokio::time::sleep(HINT_PAUSE).await;
+            }
+        }
+    });
+    Ok(())
+}
+
 /// Serves the platform's callers, and follows the seeds of the settings file.
 fn start_desk(gateway: &Gateway, source: PathBuf, state: &State, root: &Supervisor) {
     let listen = gateway.desk_listen;
--- a/crates/control/src/routing.rs
+++ b/crates/control/src/routing.rs
@@ -71,6 +71,10 @@
     let mut revisions = state.revisions();
     let mut config = state.replica.watch();
     let mut status = state.replica.watch_status();
+    let recalled = state.soft().heard.recalled();
+    if !recalled.is_empty() {
+        stream.sender.send(&ToEntry::Recalled(recalled)).await?;
+    }
     tell(stream, state, &mut told).await?;
     stream.sender.send(&ToEntry::Complete).await?;
     log::info!(
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -72,11 +72,11 @@
         }
     }
 
-    /// Adds what the platform's callers need: the time between two announcements of an upstream,
-    /// and the port at which control VMs take streams of entry VMs.
+    /// Adds what the platform's callers need: a table for the announcements of upstreams, and the
+    /// port at which control VMs take streams of entry VMs.
     #[must_use]
-    pub fn with_announcements(mut self, every_ms: u64, delivery_port: u16) -> Self {
-        self.soft().heard = heard::Table::new(every_ms);
+    pub fn with_announcements(mut self, heard: heard::Table, delivery_port: u16) -> Self {
+        self.soft().heard = heard;
         self.delivery_port = delivery_port;
         self
     }
--- a/crates/entry/src/gateway/shell.rs
+++ b/crates/entry/src/gateway/shell.rs
@@ -2,6 +2,7 @@
 
 use std::{
     cell::RefCell,
+    collections::VecDeque,
     io::ErrorKind,
     net::{SocketAddr, SocketAddrV4},
     rc::Rc,
@@ -16,7 +17,7 @@
 use policy::{
     time::Instant,
     token::{
-        gateway::{Action, Decision, Gateway, Settings, Why},
+        gateway::{Action, Decision, Gateway, HOLD_MS, Settings, Why},
         segment::{Kind, Segment},
         sight::Probed,
     },
@@ -30,6 +31,9 @@
 /// Lines about refusals, drops and changed beliefs in a second.
 const RARE_LINES: u32 = 20;
 
+/// Packets that are held at a time; the oldest gives way.
+const MAX_HELD: usize = 256;
+
 /// Time after which a plan that was asked for is asked for again.
 const PLAN_WAIT: Duration = Duration::from_millis(600);
 
@@ -65,6 +69,8 @@
     asked: Option<(u64, Clock)>,
     /// Port at which clients take packets.
     client_port: u16,
+    /// Packets that are decided on again when more is known, with when they came.
+    held: VecDeque<(Instant, Vec<u8>)>,
 }
 
 impl Shell {
@@ -85,6 +91,7 @@
             rare: Budget::new("rare", RARE_LINES),
             asked: None,
             client_port: settings.fabric_listen.port(),
+            held: VecDeque::new(),
         };
         Self {
             state: Rc::new(RefCell::new(state)),
@@ -222,9 +229,15 @@
     /// Takes a message of `source`. Returns the version of a plan that it is to be asked for.
     pub fn take(&self, source: SocketAddr, message: ToEntry) -> Option<u64> {
         let mut state = self.state.borrow_mut();
+        let wanted = self.learn(&mut state, source, message);
+        state.release_held(&self.socket);
+        wanted
+    }
+
+    fn learn(&self, state: &mut State, source: SocketAddr, message: ToEntry) -> Option<u64> {
         let now = state.now();
         match message {
-            ToEntry::Agreed(agreed) => return self.agree(&mut state, source, agreed),
+            ToEntry::Agreed(agreed) => return self.agree(state, source, agreed),
             ToEntry::Plan(plan) => state.take_plan(source, plan),
             ToEntry::Announced(all) => {
                 for (announced, age_ms) in all {
@@ -242,6 +255,15 @@
                     }
                 }
             }
+            ToEntry::Recalled(all) => {
+                info!(
+                    target: "upstreams",
+                    "event=recalled upstreams={} control={source}", all.len()
+                );
+                for announced in all {
+                    state.gateway.recall(now, announced);
+                }
+            }
             ToEntry::Silent(all) => {
                 for incarnation in all {
                     if state.gateway.silent(now, source, incarnation) && state.rare.take(now.0) {
@@ -310,9 +332,29 @@
         Some(wanted)
     }
 
-    /// Decides on the packet in the buffer, and does what was decided.
+    /// Decides again on the packets that are held.
+    fn release_held(&mut self, socket: &UdpSocket) {
+        let now = self.now();
+        for (came, bytes) in std::mem::take(&mut self.held) {
+            if now.ms_since(came) >= HOLD_MS {
+                continue;
+            }
+            let end = packet::ENVELOPE + bytes.len();
+            if let Some(place) = self.buffer.get_mut(packet::ENVELOPE..end) {
+                place.copy_from_slice(&bytes);
+                self.decide(bytes.len(), came, socket);
+            }
+        }
+    }
+
     fn take_packet(&mut self, length: usize, socket: &UdpSocket) {
         self.packet_at = Clock::now();
+        let now = self.now();
+        self.decide(length, now, socket);
+    }
+
+    /// Decides on the packet in the buffer, which came at `came`, and does what was decided.
+    fn decide(&mut self, length: usize, came: Instant, socket: &UdpSocket) {
         let end = packet::ENVELOPE + length;
         let segment = match packet::decode(&self.buffer[packet::ENVELOPE..end]) {
             Ok(segment) => segment,
@@ -331,6 +373,14 @@
                 let reset = packet::reset(&segment);
                 socket.try_send_to(&reset, SocketAddr::V4(client))
             }
+            Action::Hold => {
+                if self.held.len() >= MAX_HELD {
+                    self.held.pop_front();
+                }
+                let bytes = self.buffer[packet::ENVELOPE..end].to_vec();
+                self.held.push_back((came, bytes));
+                Ok(0)
+            }
             Action::Drop => Ok(0),
         };
         self.note(now, &segment, decision);
@@ -371,6 +421,7 @@
         let (outcome, upstream) = match action {
             Action::Forward { id, .. } => ("forward", id),
             Action::Reset => ("reset", 0),
+            Action::Hold => ("hold", 0),
             Action::Drop => ("drop", 0),
         };
         info!(
--- a/crates/model/src/routing.rs
+++ b/crates/model/src/routing.rs
@@ -103,6 +103,9 @@
     /// Announcements that are new or say something new, with the time since each, in
     /// milliseconds.
     Announced(Vec<(Announced, u64)>),
+    /// Upstreams that this control VM had heard before its process started, and not again since:
+    /// they may have flows, but get no new ones.
+    Recalled(Vec<Announced>),
     /// Upstreams that have announced nothing to this control VM for too long.
     Silent(Vec<Incarnation>),
     /// All that this control VM had heard before the stream opened has been told.
--- a/crates/policy/src/token/directory.rs
+++ b/crates/policy/src/token/directory.rs
@@ -35,6 +35,8 @@
     Orphaned(Instant),
     /// No control VM hears it since then.
     Silent(Instant),
+    /// A control VM heard it before it started anew, as told then.
+    Recalled(Instant),
 }
 
 /// An upstream.
@@ -59,23 +61,30 @@
 }
 
 impl Upstream {
-    fn new(now: Instant, source: SocketAddr, announced: Announced, age_ms: u64) -> Self {
+    fn new(now: Instant, announced: Announced, age_ms: u64) -> Self {
         Self {
             token: token_of(announced.incarnation.id),
             warm_at: warm_at(now, &announced, age_ms),
             told_at: now,
             gone_at: (announced.phase == Phase::Gone).then_some(now),
-            claims: BTreeSet::from([source]),
+            claims: BTreeSet::new(),
             presence: Presence::Heard,
             is_barred: false,
             announced,
         }
     }
 
+    fn heard(now: Instant, source: SocketAddr, announced: Announced, age_ms: u64) -> Self {
+        Self {
+            claims: BTreeSet::from([source]),
+            ..Self::new(now, announced, age_ms)
+        }
+    }
+
     /// Whether new flows may go to it.
     #[must_use]
     pub fn takes_flows(&self, now: Instant) -> bool {
-        let is_heard = !matches!(self.presence, Presence::Silent(_));
+        let is_heard = matches!(self.presence, Presence::Heard | Presence::Orphaned(_));
         let is_ready = self.announced.phase == Phase::Ready;
         is_ready && is_heard && !self.is_barred && now >= self.warm_at
     }
@@ -90,7 +99,7 @@
     fn ended_at(&self) -> Option<Instant> {
         match self.presence {
             _ if self.gone_at.is_some() => self.gone_at,
-            Presence::Silent(at) => Some(at),
+            Presence::Silent(at) | Presence::Recalled(at) => Some(at),
             Presence::Heard | Presence::Orphaned(_) => None,
         }
     }
@@ -176,7 +185,7 @@
         let Some(known) = known else {
             // A stop of an upstream that is unknown says nothing about its address.
             if announced.phase != Phase::Gone || started_ms > 0 {
-                let upstream = Upstream::new(now, source, announced, age_ms);
+                let upstream = Upstream::heard(now, source, announced, age_ms);
                 self.upstreams.insert(id, upstream);
                 self.settle();
             }
@@ -188,13 +197,42 @@
         if started_ms == held_ms || is_stop_of_any {
             known.merge(now, source, announced, age_ms);
         } else if started_ms > held_ms {
-            *known = Upstream::new(now, source, announced, age_ms);
+            *known = Upstream::heard(now, source, announced, age_ms);
         }
         let is_new = before != (known.announced.phase, known.announced.incarnation);
         self.settle();
         is_new
     }
 
+    /// Takes an upstream that a control VM heard before it started anew. It gets no new flows until
+    /// it announces itself: it may have started anew as well.
+    pub fn recall(&mut self, now: Instant, announced: Announced) {
+        let id = announced.incarnation.id;
+        if self.upstreams.contains_key(&id) {
+            return;
+        }
+        let mut upstream = Upstream::new(now, announced, 0);
+        upstream.presence = Presence::Recalled(now);
+        self.upstreams.insert(id, upstream);
+        self.settle();
+    }
+
+    /// Whether fewer than half of the upstreams of `service` that were there before all control VMs
+    /// started anew have announced themselves again.
+    #[must_use]
+    pub fn is_gathering(&self, now: Instant, service: &Arc<str>) -> bool {
+        let mut recalled = 0;
+        let mut heard = 0;
+        for upstream in self.of_service(service) {
+            match upstream.presence {
+                Presence::Recalled(_) if upstream.announced.phase == Phase::Ready => recalled += 1,
+                _ if upstream.takes_flows(now) => heard += 1,
+                _ => {}
+            }
+        }
+        heard < recalled
+    }
+
     /// Notes that `source` hears `incarnation` no longer. Returns whether nobody does.
     pub fn silent(&mut self, now: Instant, source: SocketAddr, incarnation: Incarnation) -> bool {
         let Some(known) = self.upstreams.get_mut(&incarnation.id) else {
--- a/crates/policy/src/token/gateway.rs
+++ b/crates/policy/src/token/gateway.rs
@@ -33,6 +33,13 @@
 /// milliseconds.
 const DEFAULT_IDLE_MS: u64 = 15_000;
 
+/// Time for which a packet is held at most, in milliseconds: a fifth of the shortest deadlines, and
+/// less than the time after which clients send it again twice.
+pub const HOLD_MS: u64 = 300;
+
+/// Time after which a fresh VM takes what it knows for all there is, in milliseconds.
+const SETTLE_MS: u64 = 1_000;
+
 /// Time that a fresh VM waits for further control VMs to tell what they heard, in milliseconds.
 const GATHER_MS: u64 = 1_000;
 
@@ -59,6 +66,8 @@
     },
     /// The client is told that the flow is over or never began.
     Reset,
+    /// It is decided on again when more is known, within [`HOLD_MS`].
+    Hold,
     /// Nothing.
     Drop,
 }
@@ -80,6 +89,8 @@
     NoRoute,
     /// No upstream of the route may take a flow now.
     NoUpstream,
+    /// Most upstreams have still to announce themselves after all control VMs started anew.
+    Gathering,
     /// It has no token, or one that stands for no known upstream.
     UnknownToken,
     /// The upstream of the flow has stopped.
@@ -90,7 +101,7 @@
 
 impl Why {
     /// All reasons.
-    pub const ALL: [Self; 10] = [
+    pub const ALL: [Self; 11] = [
         Self::Token,
         Self::Placed,
         Self::Repeated,
@@ -98,6 +109,7 @@
         Self::NoPlan,
         Self::NoRoute,
         Self::NoUpstream,
+        Self::Gathering,
         Self::UnknownToken,
         Self::Stopped,
         Self::Down,
@@ -114,6 +126,7 @@
             Self::NoPlan => "no-plan",
             Self::NoRoute => "no-route",
             Self::NoUpstream => "no-upstream",
+            Self::Gathering => "gathering",
             Self::UnknownToken => "unknown-token",
             Self::Stopped => "upstream-stopped",
             Self::Down => "upstream-down",
@@ -295,6 +308,11 @@
         is_new
     }
 
+    /// Takes an upstream of before; see [`Directory::recall`].
+    pub fn recall(&mut self, now: Instant, announced: Announced) {
+        self.directory.recall(now, announced);
+    }
+
     /// Takes that `source` hears an upstream no longer; see [`Directory::silent`].
     pub fn silent(&mut self, now: Instant, source: SocketAddr, incarnation: Incarnation) -> bool {
         self.directory.silent(now, source, incarnation)
@@ -385,7 +403,7 @@
     fn open(&mut self, now: Instant, key: Key) -> Decision {
         if self.plan.is_none() {
             // Its copies reach this VM or another once there is one.
-            return Decision::new(Action::Drop, Why::NoPlan);
+            return Decision::new(Action::Hold, Why::NoPlan);
         }
         let Some(targets) = self.routes.get(&key.service).cloned() else {
             return Decision::new(Action::Reset, Why::NoRoute);
@@ -418,6 +436,12 @@
         }
     }
 
+    /// Whether what this VM knows is all there is: it started long enough ago.
+    fn is_settled(&self, now: Instant) -> bool {
+        let first = self.first_complete;
+        first.is_some_and(|at| now.ms_since(at) >= SETTLE_MS)
+    }
+
     fn may_take(&self, now: Instant, upstream: &Upstream) -> bool {
         upstream.takes_flows(now) && !self.agreed.out.contains(&upstream.announced.domain)
     }
@@ -430,6 +454,12 @@
         tried: Option<u64>,
         why: Why,
     ) -> Decision {
+        let is_fresh = !self.is_settled(now);
+        let is_gathering = |t: &Target| self.directory.is_gathering(now, &t.service);
+        if is_fresh && targets.iter().any(is_gathering) {
+            // The few that are known already would get everything.
+            return Decision::new(Action::Hold, Why::Gathering);
+        }
         let mut left: Vec<&Target> = targets.iter().collect();
         while let Some(at) = draw(&left, &mut self.random) {
             let question = Question {
@@ -457,7 +487,11 @@
     /// Decides on a packet of a flow that has an upstream.
     fn follow(&mut self, now: Instant, segment: &Segment) -> Decision {
         let Some(upstream) = self.directory.by_token(segment.token) else {
-            return Decision::new(Action::Drop, Why::UnknownToken);
+            let action = match self.is_settled(now) {
+                true => Action::Drop,
+                false => Action::Hold,
+            };
+            return Decision::new(action, Why::UnknownToken);
         };
         let is_stopped = upstream.announced.phase == Phase::Gone
             && upstream
