Let flows leave an overloaded failure domain, by how long answers take

Entry VMs see how long answers take in what clients acknowledge; flows leave the domain as far as it is slower than the others, and slower upstreams get less.

--- a/crates/policy/src/token.rs
+++ b/crates/policy/src/token.rs
@@ -9,10 +9,13 @@
 //! - [`segment`]: what a packet says.
 //! - [`directory`]: the upstreams that are known, merged from what several control VMs tell.
 //! - [`sight`]: what this VM saw of each upstream: how much it bears, whether it answers.
+//! - [`delay`]: how long upstreams take to answer.
 //! - [`place`]: which upstream takes a new flow.
 //! - [`gateway`]: what becomes of a packet, and why.
 
+pub mod delay;
 pub mod directory;
+mod flow;
 pub mod gateway;
 pub mod place;
 pub mod segment;
--- /dev/null
+++ b/crates/policy/src/token/flow.rs
@@ -0,0 +1,108 @@
+//! A flow as one entry VM sees it: the client's half, from the packets that reach this VM.
+
+use super::segment::{Kind, Segment};
+use crate::time::Instant;
+
+/// A flow.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Flow {
+    /// Upstream that it was last sent to.
+    pub(super) upstream: u64,
+    /// When its first packet came.
+    pub(super) opened_at: Instant,
+    /// When its last packet came.
+    pub(super) seen_at: Instant,
+    /// Whether the client has taken it up with an upstream.
+    pub(super) is_open: bool,
+    /// Whether the client has ended it.
+    pub(super) is_over: bool,
+    /// Whether a request is under way: data went out, and nothing new came back since.
+    is_asking: bool,
+    /// When that request was first passed on.
+    asked_at: Instant,
+    /// Number of the byte behind the last one that the client sent.
+    sent: u32,
+    /// Last acknowledgement of the client.
+    acknowledged: u32,
+}
+
+/// What a packet says of the flow's upstream.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub(super) struct Signal {
+    /// The client has something new from it.
+    pub(super) is_answer: bool,
+    /// How long it took for that, or the client has waited for it so far, in milliseconds.
+    pub(super) took_ms: Option<u64>,
+    /// The client has sent again what it first sent then.
+    pub(super) waits_since: Option<Instant>,
+    /// A request begins.
+    pub(super) is_request: bool,
+}
+
+impl Flow {
+    /// A flow that begins now, at `upstream`.
+    pub(super) fn new(now: Instant, upstream: u64) -> Self {
+        Self {
+            upstream,
+            opened_at: now,
+            seen_at: now,
+            is_open: false,
+            is_over: false,
+            is_asking: false,
+            asked_at: now,
+            sent: 0,
+            acknowledged: 0,
+        }
+    }
+
+    /// Takes a packet other than an opening one.
+    pub(super) fn take(&mut self, now: Instant, segment: &Segment) -> Signal {
+        self.seen_at = now;
+        self.is_over = matches!(segment.kind, Kind::Finish | Kind::Reset);
+        let end = segment
+            .sequence
+            .wrapping_add(u32::from(segment.length));
+        if !self.is_open {
+            self.is_open = true;
+            // Its request was counted when the flow was placed.
+            self.is_asking = true;
+            self.asked_at = now;
+            self.acknowledged = segment.acknowledged;
+            self.sent = end;
+            return Signal {
+                is_answer: true,
+                ..Signal::default()
+            };
+        }
+        let mut signal = Signal::default();
+        if segment.acknowledged != self.acknowledged {
+            self.acknowledged = segment.acknowledged;
+            signal.is_answer = true;
+            // Where more data goes with it, the client had the answer before.
+            if self.is_asking && segment.length == 0 {
+                signal.took_ms = Some(now.ms_since(self.asked_at));
+            }
+            self.is_asking = false;
+        }
+        if segment.length == 0 {
+            return signal;
+        }
+        if !is_after(end, self.sent) {
+            signal.waits_since = Some(self.asked_at);
+            signal.took_ms = Some(now.ms_since(self.asked_at));
+            return signal;
+        }
+        self.sent = end;
+        if !self.is_asking {
+            self.is_asking = true;
+            self.asked_at = now;
+            signal.is_request = true;
+        }
+        signal
+    }
+}
+
+/// Whether byte number `a` comes after `b`; numbers wrap around.
+fn is_after(a: u32, b: u32) -> bool {
+    a != b && a.wrapping_sub(b) < u32::MAX / 2
+}
--- a/crates/policy/src/token/gateway.rs
+++ b/crates/policy/src/token/gateway.rs
@@ -15,7 +15,9 @@
 use rand_pcg::Pcg64Mcg;
 
 use super::{
+    delay::Delays,
     directory::{Directory, Upstream},
+    flow::Flow,
     place::{self, Question},
     segment::{Key, Kind, Segment},
     sight::{Probed, Sights},
@@ -149,43 +151,6 @@
     }
 }
 
-/// A flow as this VM saw it.
-#[derive(Debug, Clone, Copy)]
-struct Flow {
-    /// Upstream that it was last sent to.
-    upstream: u64,
-    opened_at: Instant,
-    seen_at: Instant,
-    /// Whether the client has taken it up with an upstream.
-    is_open: bool,
-    /// Whether a request is under way: data went out, and nothing new came back since.
-    is_asking: bool,
-    /// When that request was first passed on.
-    asked_at: Instant,
-    /// Number of the byte behind the last one that the client sent.
-    sent: u32,
-    /// Last acknowledgement of the client.
-    acknowledged: u32,
-    /// Whether the client has ended it.
-    is_over: bool,
-}
-
-impl Flow {
-    fn new(now: Instant, upstream: u64) -> Self {
-        Self {
-            upstream,
-            opened_at: now,
-            seen_at: now,
-            is_open: false,
-            is_asking: false,
-            asked_at: now,
-            sent: 0,
-            acknowledged: 0,
-            is_over: false,
-        }
-    }
-}
-
 /// All that an entry VM knows and decides by.
 #[derive(Debug)]
 pub struct Gateway {
@@ -195,6 +160,7 @@
     agreed: Agreed,
     directory: Directory,
     sights: Sights,
+    delays: Delays,
     flows: BTreeMap<Key, Flow>,
     random: Pcg64Mcg,
     /// When the first control VM had told all it knew.
@@ -214,6 +180,7 @@
             agreed: Agreed::default(),
             directory: Directory::default(),
             sights: Sights::default(),
+            delays: Delays::default(),
             flows: BTreeMap::new(),
             first_complete: None,
             is_stopping: false,
@@ -343,6 +310,8 @@
     pub fn tick(&mut self, now: Instant) {
         self.directory.tick(now);
         self.sights.retain(&self.directory);
+        let directory = &self.directory;
+        self.delays.retain(|id| directory.get(id).is_some());
         let idle_ms = self.plan.as_ref().map_or(DEFAULT_IDLE_MS, |p| p.idle_ms);
         self.flows
             .retain(|_, flow| !flow.is_over && now.ms_since(flow.seen_at) < idle_ms);
@@ -431,6 +400,8 @@
             }
             _ => {
                 self.sights.unanswered(now, id, flow.opened_at);
+                let waited_ms = now.ms_since(flow.opened_at);
+                self.note_delay(now, id, Some(waited_ms));
                 self.place(now, key, targets, Some(id), Why::MovedOn)
             }
         }
@@ -468,8 +439,14 @@
                 out: &self.agreed.out,
                 tried,
             };
-            let random = &mut self.random;
-            let chosen = place::choose(now, question, &self.directory, &self.sights, random);
+            let chosen = place::choose(
+                now,
+                question,
+                &self.directory,
+                &self.sights,
+                &self.delays,
+                &mut self.random,
+            );
             if let Some(upstream) = chosen {
                 let id = upstream.announced.incarnation.id;
                 self.sights.request(now, id);
@@ -525,46 +502,27 @@
             .flows
             .entry(segment.key)
             .or_insert_with(|| Flow::new(now, id));
-        flow.seen_at = now;
         flow.upstream = id;
-        flow.is_over = matches!(segment.kind, Kind::Finish | Kind::Reset);
-        let end = segment.sequence.wrapping_add(u32::from(segment.length));
-        if !flow.is_open {
-            flow.is_open = true;
-            // The request that placing counted in advance.
-            flow.is_asking = true;
-            flow.asked_at = now;
-            flow.acknowledged = segment.acknowledged;
-            flow.sent = end;
-            self.sights.answered(now, id);
-            return;
-        }
-        if segment.acknowledged != flow.acknowledged {
-            flow.acknowledged = segment.acknowledged;
-            flow.is_asking = false;
+        let signal = flow.take(now, segment);
+        if signal.is_answer {
             self.sights.answered(now, id);
         }
-        if segment.length == 0 {
-            return;
-        }
-        if !is_after(end, flow.sent) {
-            // The client sends again what the upstream did not acknowledge in time.
-            let asked_at = flow.asked_at;
-            self.sights.unanswered(now, id, asked_at);
-            return;
+        if let Some(since) = signal.waits_since {
+            self.sights.unanswered(now, id, since);
         }
-        flow.sent = end;
-        if !flow.is_asking {
-            flow.is_asking = true;
-            flow.asked_at = now;
+        if signal.is_request {
             self.sights.request(now, id);
         }
+        self.note_delay(now, id, signal.took_ms);
     }
-}
 
-/// Whether byte number `a` comes after `b`; numbers wrap around.
-fn is_after(a: u32, b: u32) -> bool {
-    a != b && a.wrapping_sub(b) < u32::MAX / 2
+    /// Takes how long an answer took, or has taken so far.
+    fn note_delay(&mut self, now: Instant, id: u64, took_ms: Option<u64>) {
+        if let (Some(upstream), Some(ms)) = (self.directory.get(id), took_ms) {
+            let Announced { service, domain, .. } = &upstream.announced;
+            self.delays.answered(now, id, service, domain, ms);
+        }
+    }
 }
 
 fn forward(upstream: &Upstream) -> Action {
--- a/crates/policy/src/token/place.rs
+++ b/crates/policy/src/token/place.rs
@@ -2,9 +2,11 @@
 //!
 //! The load that it answers: many entry VMs, each of which sees a small part of the flows, before
 //! upstreams with two or three slots; long flows with a request each second, and flows of one
-//! request. An entry VM counts the requests that it passed on lately, draws a few upstreams and
-//! takes the one with the least of them for each slot. Drawing keeps VMs that know little from
-//! choosing the same upstream at once, such as one that has just become ready.
+//! request. A flow stays in this VM's failure domain, so that cuts between domains don't concern
+//! it, unless answers show that the domain is overloaded. There, a few upstreams are drawn, and the
+//! one with the least requests of this VM for each slot, weighed with how slow it is, takes it.
+//! Drawing keeps VMs that know little from choosing the same upstream at once, such as one that has
+//! just become ready.
 
 use std::sync::Arc;
 
@@ -12,6 +14,7 @@
 use rand::Rng;
 
 use super::{
+    delay::Delays,
     directory::{Directory, Upstream},
     sight::Sights,
 };
@@ -20,9 +23,8 @@
 /// Upstreams that are drawn for one flow.
 const DRAWN: usize = 3;
 
-/// How much more load an upstream of this VM's own failure domain may bear before another is
-/// preferred: bytes between failure domains cost.
-const OWN_DOMAIN_SHARE: f32 = 1.3;
+/// Requests, for each slot, that each upstream is taken to bear beside those of this VM.
+const BACKGROUND: f32 = 1.0;
 
 /// What a choice depends on.
 #[derive(Debug, Clone, Copy)]
@@ -43,6 +45,7 @@
     question: Question<'_>,
     directory: &'a Directory,
     sights: &Sights,
+    delays: &Delays,
     random: &mut impl Rng,
 ) -> Option<&'a Upstream> {
     let takes = |u: &&Upstream| u.takes_flows(now) && !question.out.contains(&u.announced.domain);
@@ -52,27 +55,28 @@
         .collect();
     let id = |u: &Upstream| u.announced.incarnation.id;
     let is_untried = |u: &&&Upstream| question.tried != Some(id(u));
-    let good: Vec<&Upstream> = all
+    let good: Vec<&'a Upstream> = all
         .iter()
         .filter(|u| is_untried(u) && !sights.is_avoided(now, id(u)))
         .copied()
         .collect();
-    let own: Vec<&Upstream> = good
-        .iter()
-        .filter(|u| u.announced.domain == *question.domain)
-        .copied()
-        .collect();
+    let is_own = |u: &&'a Upstream| u.announced.domain == *question.domain;
+    let (own, others): (Vec<&'a Upstream>, Vec<&'a Upstream>) = good.iter().copied().partition(is_own);
+    let leaving = delays.leaving(now, question.service, question.domain);
+    let leaves = leaving > 0.0 && random.random::<f32>() < leaving;
+    let near = match leaves && !others.is_empty() {
+        true => others,
+        false => own,
+    };
     // One that seems silent is better than none, and one that was tried better than a refusal.
     let untried: Vec<&Upstream> = all.iter().filter(is_untried).copied().collect();
-    let pool = [own, good, untried, all].into_iter().find(|p| !p.is_empty())?;
+    let pools = [near, good, untried, all];
+    let pool = pools.into_iter().find(|p| !p.is_empty())?;
     let cost = |u: &Upstream| {
         #[expect(clippy::cast_precision_loss)]
         let slots = u.announced.slots.max(1) as f32;
-        let share = match u.announced.domain == *question.domain {
-            true => OWN_DOMAIN_SHARE,
-            false => 1.0,
-        };
-        (sights.load(now, id(u)) + 1.0) / (slots * share)
+        let slowness = delays.slowness(now, id(u), question.service);
+        (sights.load(now, id(u)) / slots + BACKGROUND) * slowness
     };
     let drawn = (0..DRAWN).map(|_| pool[random.random_range(0..pool.len())]);
     drawn.min_by(|a, b| cost(a).total_cmp(&cost(b)))
