--- a/crates/control/src/process.rs
+++ b/crates/control/src/process.rs
@@ -76,6 +76,7 @@
         name: settings.peer_listen.to_string(),
         peers: gateway.replicas(),
         keep_voters: Some(gateway.voters()),
+        outlives_disk: true,
         ..replica_settings(&settings)
     };
     run_with(settings, replica, Some((gateway, source)), token).await
--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -55,6 +55,8 @@
     pub found: bool,
     /// Voters that the leader keeps by itself; see [`machine::Settings::keep_voters`].
     pub keep_voters: Option<usize>,
+    /// Whether to wait for a disk that fails, such as a full one, rather than to stop.
+    pub outlives_disk: bool,
     /// Commands after which the log is replaced by a snapshot.
     pub snapshot_every: u64,
 }
@@ -68,6 +70,7 @@
             peers: BTreeMap::new(),
             found: true,
             keep_voters: None,
+            outlives_disk: false,
             snapshot_every: 1_024,
         }
     }
--- a/crates/control/src/replica/driver.rs
+++ b/crates/control/src/replica/driver.rs
@@ -7,6 +7,7 @@
     collections::BTreeMap,
     hash::{BuildHasher, RandomState},
     net::SocketAddr,
+    path::PathBuf,
     sync::{
         Arc,
         mpsc::{self, RecvTimeoutError, TrySendError},
@@ -41,6 +42,9 @@
 /// Inputs taken before what they led to is stored, with one sync for all.
 const MAX_BATCH: usize = 256;
 
+/// Time between two tries to open the folder again.
+const REOPEN_WAIT: Duration = Duration::from_millis(500);
+
 /// Longest time to hand over leadership before the thread ends.
 const HAND_OVER: Duration = Duration::from_millis(1_500);
 
@@ -55,6 +59,24 @@
     Stop,
 }
 
+impl Input {
+    /// Tells who waits that there is no answer now. A receiver that is gone wants none.
+    fn refuse(self) {
+        match self {
+            Self::Propose(_, answer) => {
+                let _ = answer.send(Err(Error::NoLeader));
+            }
+            Self::Read(answer) => {
+                let _ = answer.send(Err(Error::NoLeader));
+            }
+            Self::Replace(_, _, answer) => {
+                let _ = answer.send(Err(Error::NoLeader));
+            }
+            Self::Peer(_) | Self::Peers(_) | Self::Stop => {}
+        }
+    }
+}
+
 /// The way to the thread.
 #[derive(Debug, Clone)]
 pub(super) struct Sender(mpsc::SyncSender<Input>);
@@ -86,7 +108,8 @@
         stopped(&format!("listening on {address} failed: {e}"))
     })?;
     let folder = Folder::open(&settings.folder).map_err(|e| stopped(&e))?;
-    let machine = Machine::open(folder, machine_settings(&settings)).map_err(|e| stopped(&e))?;
+    let machine_settings = machine_settings(&settings);
+    let machine = Machine::open(folder, machine_settings.clone()).map_err(|e| stopped(&e))?;
     let (sender, inputs) = mpsc::sync_channel(MAX_INPUTS);
     let sender = Sender(sender);
     // The transport outlives the token until leadership is handed over.
@@ -120,7 +143,9 @@
     let runtime = tokio::runtime::Handle::current();
     let driver = Driver {
         client: Client::new(runtime, transport.clone()),
-        machine,
+        folder: settings.folder.clone(),
+        settings: machine_settings,
+        outlives_disk: settings.outlives_disk,
         config,
         status,
         waiting: Waiting::default(),
@@ -130,7 +155,7 @@
         .name("replica".to_owned())
         .spawn(move || {
             let _transport = transport.drop_guard();
-            let reason = driver.run(&inputs);
+            let reason = driver.run(machine, &inputs);
             // Nobody hears it when the runtime has ended as well.
             let _ = ended.send(reason);
         })
@@ -201,8 +226,11 @@
 }
 
 struct Driver {
-    machine: Machine<Folder>,
     client: Client,
+    folder: PathBuf,
+    settings: machine::Settings,
+    /// Whether to open the folder again when the disk fails, rather than to end.
+    outlives_disk: bool,
     config: watch::Sender<Arc<Config>>,
     status: watch::Sender<Status>,
     waiting: Waiting,
@@ -211,41 +239,101 @@
 }
 
 impl Driver {
-    /// Runs until it is asked to stop or the disk fails; says why.
-    fn run(mut self, inputs: &mpsc::Receiver<Input>) -> String {
-        match self.run_until_stopped(inputs) {
-            Ok(()) => "it was asked to".to_owned(),
-            Err(fault) => {
-                log::error!("replica: {fault}");
-                fault.to_string()
+    /// Runs until it is asked to stop or the disk fails for good; says why.
+    fn run(mut self, mut machine: Machine<Folder>, inputs: &mpsc::Receiver<Input>) -> String {
+        loop {
+            let fault = match self.run_until_stopped(&mut machine, inputs) {
+                Ok(()) => return "it was asked to".to_owned(),
+                Err(fault) => fault,
+            };
+            log::error!(target: "replica", "event=fault reason=\"{fault}\"");
+            if !self.outlives_disk || !matches!(fault, Fault::Store(_)) {
+                return fault.to_string();
+            }
+            // The folder is locked until the machine is gone.
+            drop(machine);
+            self.give_up_waiting();
+            machine = match self.reopen(inputs) {
+                Some(machine) => machine,
+                None => return "it was asked to".to_owned(),
+            };
+            log::info!(target: "replica", "event=reopened committed={}", machine.status().committed);
+        }
+    }
+
+    /// Tells all who wait that there is no answer now.
+    fn give_up_waiting(&mut self) {
+        let waiting = std::mem::take(&mut self.waiting);
+        // Receivers that are gone no longer want an answer.
+        for sender in waiting.commands.into_values() {
+            let _ = sender.send(Err(Error::OutcomeUnknown));
+        }
+        for sender in waiting.reads.into_values() {
+            let _ = sender.send(Err(Error::NoLeader));
+        }
+        for sender in waiting.replacements.into_values() {
+            let _ = sender.send(Err(Error::NoLeader));
+        }
+        self.status.send_modify(|status| {
+            status.is_leader = false;
+            status.leader = None;
+        });
+    }
+
+    /// Opens the folder again, once the disk lets it; none when the thread is asked to stop.
+    fn reopen(&self, inputs: &mpsc::Receiver<Input>) -> Option<Machine<Folder>> {
+        loop {
+            let until = Instant::now() + REOPEN_WAIT;
+            loop {
+                let wait = until.saturating_duration_since(Instant::now());
+                match inputs.recv_timeout(wait) {
+                    Ok(Input::Stop) | Err(RecvTimeoutError::Disconnected) => return None,
+                    Ok(input) => input.refuse(),
+                    Err(RecvTimeoutError::Timeout) => break,
+                }
+            }
+            let folder = Folder::open(&self.folder).map_err(|e| e.to_string());
+            let opened = folder.and_then(|folder| {
+                let settings = self.settings.clone();
+                Machine::open(folder, settings).map_err(|e| e.to_string())
+            });
+            match opened {
+                Ok(machine) => return Some(machine),
+                Err(reason) => {
+                    log::debug!(target: "replica", "event=still-closed reason=\"{reason}\"");
+                }
             }
         }
     }
 
-    fn run_until_stopped(&mut self, inputs: &mpsc::Receiver<Input>) -> Result<(), Fault> {
+    fn run_until_stopped(
+        &mut self,
+        machine: &mut Machine<Folder>,
+        inputs: &mpsc::Receiver<Input>,
+    ) -> Result<(), Fault> {
         let mut next_tick = Instant::now();
         // What is known to be committed is applied before anything else.
-        self.flush()?;
+        self.flush(machine)?;
         loop {
             let now = Instant::now();
             if now >= next_tick {
                 // After a long stop only one tick passes, so that messages that waited meanwhile
                 // are taken before an election starts.
                 next_tick = now + TICK;
-                self.machine.tick()?;
-                self.flush()?;
+                machine.tick()?;
+                self.flush(machine)?;
             }
-            if self.is_stopped(now) {
+            if self.is_stopped(machine, now) {
                 return Ok(());
             }
             let wait = next_tick.saturating_duration_since(now);
             match inputs.recv_timeout(wait) {
                 Ok(input) => {
-                    self.take(input)?;
+                    self.take(machine, input)?;
                     for input in inputs.try_iter().take(MAX_BATCH) {
-                        self.take(input)?;
+                        self.take(machine, input)?;
                     }
-                    self.flush()?;
+                    self.flush(machine)?;
                 }
                 Err(RecvTimeoutError::Timeout) => {}
                 Err(RecvTimeoutError::Disconnected) => return Ok(()),
@@ -253,59 +341,60 @@
         }
     }
 
-    fn is_stopped(&self, now: Instant) -> bool {
+    fn is_stopped(&self, machine: &Machine<Folder>, now: Instant) -> bool {
         let Some(stop_at) = self.stop_at else {
             return false;
         };
-        now >= stop_at || !self.machine.replica().is_leader()
+        now >= stop_at || !machine.replica().is_leader()
     }
 
-    fn take(&mut self, input: Input) -> Result<(), Fault> {
+    fn take(&mut self, machine: &mut Machine<Folder>, input: Input) -> Result<(), Fault> {
         match input {
-            Input::Peer(envelope) => self.machine.receive(envelope)?,
+            Input::Peer(envelope) => machine.receive(envelope)?,
             Input::Propose(entry, answer) => {
                 let token = self.waiting.token();
                 self.waiting.commands.insert(token, answer);
-                self.machine.propose(token, entry);
+                machine.propose(token, entry);
             }
             Input::Read(answer) => {
                 let token = self.waiting.token();
                 self.waiting.reads.insert(token, answer);
-                self.machine.read(token);
+                machine.read(token);
             }
             Input::Replace(old, new, answer) => {
                 let token = self.waiting.token();
                 self.waiting.replacements.insert(token, answer);
-                self.machine.replace(token, &old, &new);
+                machine.replace(token, &old, &new);
             }
             Input::Peers(peers) => {
                 let peers = peers.into_iter().map(|(n, a)| (n, a.to_string()));
-                self.machine.set_peers(peers.collect());
+                self.settings.peers = peers.collect();
+                machine.set_peers(self.settings.peers.clone());
             }
-            Input::Stop => self.stop(),
+            Input::Stop => self.stop(machine),
         }
         Ok(())
     }
 
-    fn stop(&mut self) {
+    fn stop(&mut self, machine: &mut Machine<Folder>) {
         let now = Instant::now();
-        let has_led = self.machine.hand_over();
+        let has_led = machine.hand_over();
         self.stop_at = Some(if has_led { now + HAND_OVER } else { now });
     }
 
-    fn flush(&mut self) -> Result<(), Fault> {
+    fn flush(&mut self, machine: &mut Machine<Folder>) -> Result<(), Fault> {
         let Output {
             envelopes,
             answers,
             notices,
-        } = self.machine.flush()?;
+        } = machine.flush()?;
         for notice in notices {
             log::info!("replica: {notice}");
         }
         for (address, envelope) in envelopes {
             self.client.send(&address, envelope);
         }
-        self.publish();
+        self.publish(machine);
         for answer in answers {
             self.waiting.answer(answer);
         }
@@ -313,16 +402,17 @@
     }
 
     /// Shows the others what changed, before answers are given.
-    fn publish(&self) {
-        let config = self.machine.config();
+    fn publish(&self, machine: &Machine<Folder>) {
+        let config = machine.config();
         self.config.send_if_modified(|shown| {
-            let is_new = !Arc::ptr_eq(shown, config);
+            // A folder that was opened again may be behind what was shown.
+            let is_new = !Arc::ptr_eq(shown, config) && config.index >= shown.index;
             if is_new {
                 *shown = Arc::clone(config);
             }
             is_new
         });
-        let status = self.machine.status();
+        let status = machine.status();
         self.status.send_if_modified(|shown| {
             let is_new = *shown != status;
             if is_new {
