Pace what an entry VM sends to what its link carries

A trace of one upload on an entry VM shows 16 full packets arriving within 2 ms and most of them repeated after 200 ms, round after round: the link of 2 Mbit/s drops what is sent at once. Ruled out: the socket (no send failed), the processor (0.0024 of 0.038 cores). The VM now sends at 92% of the link's rate from a queue of at most 190 ms.

--- a/crates/control/src/replica/driver.rs
+++ b/crates/control/src/replica/driver.rs
@@ -389,7 +389,7 @@
             notices,
         } = machine.flush()?;
         for notice in notices {
-            log::info!("replica: {notice}");
+            log::info!(target: "replica", "event=notice text=\"{notice}\"");
         }
         for (address, envelope) in envelopes {
             self.client.send(&address, envelope);
@@ -415,6 +415,13 @@
         let status = machine.status();
         self.status.send_if_modified(|shown| {
             let is_new = *shown != status;
+            if shown.leader != status.leader || shown.voters != status.voters {
+                log::info!(
+                    target: "replica",
+                    "event=cluster leader={:?} term={} committed={} voters={:?} learners={:?}",
+                    status.leader, status.term, status.committed, status.voters, status.learners
+                );
+            }
             if is_new {
                 *shown = status;
             }
--- a/crates/control/src/replica/machine/member.rs
+++ b/crates/control/src/replica/machine/member.rs
@@ -179,9 +179,9 @@
         if let Some(change) = roster::next(&sight) {
             let outcome = match self.replica.change(&change) {
                 Ok(index) => format!("index={index}"),
-                Err(error) => format!("error=\"{error}\""),
+                Err(error) => error.to_string(),
             };
-            let notice = format!("event=roster change=\"{change:?}\" {outcome}");
+            let notice = format!("roster: {change:?}: {outcome}");
             self.output.notices.push(notice);
         }
     }
--- a/crates/entry/src/gateway.rs
+++ b/crates/entry/src/gateway.rs
@@ -71,6 +71,7 @@
     let tasks = CancellationToken::new();
     let supervisor = Supervisor::new("entry", tasks.clone());
     start_packets(&supervisor, &shell);
+    start_paced(&supervisor, &shell);
     start_ticks(&supervisor, &shell);
     probes::start(&supervisor, &shell);
     start_http(&supervisor, &settings, &shell, metrics);
@@ -109,6 +110,32 @@
     });
 }
 
+/// Sends what waits for the link.
+fn start_paced(supervisor: &Supervisor, shell: &Shell) {
+    let shell = shell.clone();
+    supervisor.child("paced", Restart::Never, move |token| {
+        let shell = shell.clone();
+        async move {
+            loop {
+                let wait = shell.send_paced();
+                tokio::select! {
+                    () = token.cancelled() => return Ok(()),
+                    () = shell.paced_changed.notified() => {}
+                    () = sleep_for(wait) => {}
+                }
+            }
+        }
+    });
+}
+
+/// Sleeps; forever where there is nothing to wake for.
+async fn sleep_for(wait: Option<Duration>) {
+    match wait {
+        Some(wait) => tokio::time::sleep(wait).await,
+        None => std::future::pending().await,
+    }
+}
+
 fn start_ticks(supervisor: &Supervisor, shell: &Shell) {
     let shell = shell.clone();
     supervisor.child("ticks", Restart::Never, move |token| {
--- a/crates/entry/src/gateway/shell.rs
+++ b/crates/entry/src/gateway/shell.rs
@@ -18,6 +18,7 @@
     time::Instant,
     token::{
         gateway::{Action, Decision, Gateway, HOLD_MS, Settings, Why},
+        pace::Pacer,
         segment::{Kind, Segment},
         sight::Probed,
     },
@@ -54,6 +55,8 @@
     pub controls_changed: Rc<Notify>,
     /// Told when an upstream may have become suspect.
     pub probes_changed: Rc<Notify>,
+    /// Told when datagrams may have begun to wait for the link.
+    pub paced_changed: Rc<Notify>,
 }
 
 #[derive(Debug)]
@@ -71,6 +74,8 @@
     client_port: u16,
     /// Packets that are decided on again when more is known, with when they came.
     held: VecDeque<(Instant, Vec<u8>)>,
+    /// Datagrams that wait for the link, with where they go.
+    paced: Pacer<(Vec<u8>, SocketAddr)>,
 }
 
 impl Shell {
@@ -92,12 +97,14 @@
             asked: None,
             client_port: settings.fabric_listen.port(),
             held: VecDeque::new(),
+            paced: Pacer::new(settings.link_mbps),
         };
         Self {
             state: Rc::new(RefCell::new(state)),
             socket: Rc::new(socket),
             controls_changed: Rc::default(),
             probes_changed: Rc::default(),
+            paced_changed: Rc::default(),
         }
     }
 
@@ -114,6 +121,26 @@
     /// Fails when the socket can't be read any longer.
     pub fn take_packets(&self, limit: usize) -> Result<(), String> {
         let mut state = self.state.borrow_mut();
+        let was_waiting = state.paced.next_at().is_some();
+        let outcome = self.take_some(&mut state, limit);
+        if !was_waiting && state.paced.next_at().is_some() {
+            self.paced_changed.notify_one();
+        }
+        outcome
+    }
+
+    /// Sends the datagrams that waited and may go now. Returns the time until the next one may.
+    pub fn send_paced(&self) -> Option<Duration> {
+        let mut state = self.state.borrow_mut();
+        let now = state.now();
+        while let Some((datagram, to)) = state.paced.pop(now) {
+            state.send_now(&datagram, to, &self.socket);
+        }
+        let next = state.paced.next_at()?;
+        Some(next.since(now))
+    }
+
+    fn take_some(&self, state: &mut State, limit: usize) -> Result<(), String> {
         for _ in 0..limit {
             let place = &mut state.buffer[packet::ENVELOPE..];
             match self.socket.try_recv_from(place) {
@@ -362,16 +389,14 @@
         };
         let now = self.now();
         let decision = self.gateway.decide(now, &segment);
-        let sent = match decision.action {
+        match decision.action {
             Action::Forward { id, to, token } => {
-                let datagram = &mut self.buffer[..end];
-                packet::address_to(datagram, id, token);
-                socket.try_send_to(datagram, SocketAddr::V4(to))
+                packet::address_to(&mut self.buffer[..end], id, token);
+                self.send(end, SocketAddr::V4(to), socket);
             }
             Action::Reset => {
                 let client = SocketAddrV4::new(*segment.key.client.ip(), self.client_port);
-                let reset = packet::reset(&segment);
-                socket.try_send_to(&reset, SocketAddr::V4(client))
+                self.send_now(&packet::reset(&segment), SocketAddr::V4(client), socket);
             }
             Action::Hold => {
                 if self.held.len() >= MAX_HELD {
@@ -379,19 +404,45 @@
                 }
                 let bytes = self.buffer[packet::ENVELOPE..end].to_vec();
                 self.held.push_back((came, bytes));
-                Ok(0)
             }
-            Action::Drop => Ok(0),
-        };
+            Action::Drop => {}
+        }
         self.note(now, &segment, decision);
-        if let Err(error) = sent {
+    }
+
+    /// Sends the first `length` bytes of the buffer as soon as the link carries them.
+    fn send(&mut self, length: usize, to: SocketAddr, socket: &UdpSocket) {
+        let now = self.now();
+        if self.paced.may_send(now, length) {
+            let sent = socket.try_send_to(&self.buffer[..length], to);
+            self.note_sent(sent);
+            return;
+        }
+        let datagram = self.buffer[..length].to_vec();
+        if self.paced.push(length, (datagram, to)).is_err() {
             self.counts.unsent += 1;
             if self.rare.take(now.0) {
-                warn!(target: "packet", "event=unsent flow={} reason=\"{error}\"", flow(&segment));
+                warn!(target: "packet", "event=unsent to={to} reason=\"the link is full\"");
             }
         }
     }
 
+    fn send_now(&mut self, datagram: &[u8], to: SocketAddr, socket: &UdpSocket) {
+        let sent = socket.try_send_to(datagram, to);
+        self.note_sent(sent);
+    }
+
+    fn note_sent(&mut self, sent: std::io::Result<usize>) {
+        let Err(error) = sent else {
+            return;
+        };
+        self.counts.unsent += 1;
+        let now = self.now();
+        if self.rare.take(now.0) {
+            warn!(target: "packet", "event=unsent reason=\"{error}\"");
+        }
+    }
+
     fn malformed(&mut self, fault: packet::Fault) {
         self.counts.malformed += 1;
         let now = self.now();
--- a/crates/policy/src/token.rs
+++ b/crates/policy/src/token.rs
@@ -11,12 +11,14 @@
 //! - [`sight`]: what this VM saw of each upstream: how much it bears, whether it answers.
 //! - [`delay`]: how long upstreams take to answer.
 //! - [`place`]: which upstream takes a new flow.
+//! - [`pace`]: how much of it the link carries when.
 //! - [`gateway`]: what becomes of a packet, and why.
 
 pub mod delay;
 pub mod directory;
 mod flow;
 pub mod gateway;
+pub mod pace;
 pub mod place;
 pub mod segment;
 pub mod sight;
--- /dev/null
+++ b/crates/policy/src/token/pace.rs
@@ -0,0 +1,133 @@
+//! Paces what a VM sends to what its link carries.
+//!
+//! The load that it answers: clients send up to 16 full packets at once, and a link of 2 Mbit/s
+//! drops most of such a burst, which clients repeat after 200 ms. Small packets go before large
+//! ones, since opening packets and acknowledgements wait for nothing else.
+
+use std::collections::VecDeque;
+
+use crate::time::Instant;
+
+/// Part of the link's rate that flows may use; the rest is for streams to control VMs.
+const SHARE: f64 = 0.92;
+
+/// What may be sent at once on an idle link, in bytes: two full packets.
+const BURST: f64 = 2_600.0;
+
+/// Time that a packet may wait, in milliseconds: clients repeat it after 200 ms.
+const MAX_WAIT_MS: f64 = 190.0;
+
+/// Largest packet that goes before others, in bytes.
+const SMALL: usize = 300;
+
+/// Bytes that a datagram takes on the link beside its own.
+const OVERHEAD: usize = 28;
+
+/// Bits of a megabit for each millisecond, as bytes.
+const BYTES_PER_MS: f64 = 125.0;
+
+/// A queue before a link.
+#[derive(Debug)]
+pub struct Pacer<T> {
+    /// Rate, in bytes for each millisecond.
+    rate: f64,
+    /// Bytes that may be sent at `at`; negative after a packet that was larger.
+    room: f64,
+    at: Instant,
+    small: VecDeque<(usize, T)>,
+    large: VecDeque<(usize, T)>,
+    /// Bytes in both queues.
+    queued: usize,
+}
+
+impl<T> Pacer<T> {
+    /// A queue before a link of `mbps` megabits a second.
+    #[must_use]
+    pub fn new(mbps: f64) -> Self {
+        let rate = (mbps * BYTES_PER_MS * SHARE).max(1.0);
+        Self {
+            rate,
+            room: Self::burst(rate),
+            at: Instant::ZERO,
+            small: VecDeque::new(),
+            large: VecDeque::new(),
+            queued: 0,
+        }
+    }
+
+    /// Fast links take more at once: what they carry in a millisecond.
+    fn burst(rate: f64) -> f64 {
+        rate.max(BURST)
+    }
+
+    /// Whether a packet of `bytes` may go now, before nothing that waits. It then counts as sent.
+    pub fn may_send(&mut self, now: Instant, bytes: usize) -> bool {
+        self.refill(now);
+        let is_free = self.queued == 0 && self.room > 0.0;
+        if is_free {
+            self.spend(bytes);
+        }
+        is_free
+    }
+
+    /// Lets a packet wait.
+    ///
+    /// # Errors
+    ///
+    /// Gives it back where it would wait for too long.
+    pub fn push(&mut self, bytes: usize, packet: T) -> Result<(), T> {
+        let on_link = bytes + OVERHEAD;
+        // Queues are far below the precision of the type.
+        #[expect(clippy::cast_precision_loss)]
+        let wait_ms = (self.queued + on_link) as f64 / self.rate;
+        if wait_ms > MAX_WAIT_MS {
+            return Err(packet);
+        }
+        self.queued += on_link;
+        match bytes <= SMALL {
+            true => self.small.push_back((on_link, packet)),
+            false => self.large.push_back((on_link, packet)),
+        }
+        Ok(())
+    }
+
+    /// The next packet that may go now.
+    pub fn pop(&mut self, now: Instant) -> Option<T> {
+        self.refill(now);
+        if self.room <= 0.0 {
+            return None;
+        }
+        let next = self.small.pop_front().or_else(|| self.large.pop_front());
+        let (on_link, packet) = next?;
+        self.queued -= on_link;
+        self.spend(on_link - OVERHEAD);
+        Some(packet)
+    }
+
+    /// When the next packet may go; none where none waits.
+    #[must_use]
+    pub fn next_at(&self) -> Option<Instant> {
+        if self.queued == 0 {
+            return None;
+        }
+        // A wait is positive and below a second.
+        #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+        let wait_us = (-self.room / self.rate * 1_000.0).max(0.0).ceil() as u64;
+        Some(Instant(self.at.0 + wait_us + 1))
+    }
+
+    fn refill(&mut self, now: Instant) {
+        // Spans are microseconds to minutes, so the loss of precision doesn't matter.
+        #[expect(clippy::cast_precision_loss)]
+        let passed_ms = now.0.saturating_sub(self.at.0) as f64 / 1_000.0;
+        self.room = (self.room + passed_ms * self.rate).min(Self::burst(self.rate));
+        self.at = now;
+    }
+
+    fn spend(&mut self, bytes: usize) {
+        // Packets are far below the precision of the type.
+        #[expect(clippy::cast_precision_loss)]
+        let on_link = (bytes + OVERHEAD) as f64;
+        self.room -= on_link;
+    }
+}
--- a/crates/settings/src/gateway.rs
+++ b/crates/settings/src/gateway.rs
@@ -17,6 +17,11 @@
 /// Ports that a VM needs for the traffic between VMs, in a row.
 const PORTS: u16 = 4;
 
+/// Rate of a VM's link where the settings name none, in megabits a second.
+const DEFAULT_LINK_MBPS: f64 = 1_000.0;
+
+const LINK_ADVICE: &str = "write the megabits a second that this VM's link carries, above 0";
+
 /// Names of the ports, as steps from the first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Port {
@@ -27,7 +32,7 @@
 }
 
 /// What an entry VM is told at its start.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+#[derive(Debug, Clone, PartialEq, Serialize)]
 pub struct Entry {
     /// Name of this VM.
     pub name: String,
@@ -41,6 +46,8 @@
     pub first_port: u16,
     /// Addresses of some control VMs; their ports don't matter.
     pub seeds: Vec<SocketAddr>,
+    /// Rate of this VM's link, in megabits a second.
+    pub link_mbps: f64,
     /// How much the process logs.
     pub log: Level,
     /// Seed of this process's random choices, for tests; drawn when it is not set.
@@ -82,6 +89,7 @@
         "health_listen",
         "first_port",
         "seeds",
+        "link_mbps",
         "log",
         "seed",
     ];
@@ -94,12 +102,19 @@
             health_listen: fields.listen("health_listen")?,
             first_port: first_port(fields)?,
             seeds: seeds(fields)?,
+            link_mbps: fields
+                .optional("link_mbps", LINK_ADVICE)?
+                .unwrap_or(DEFAULT_LINK_MBPS),
             log: fields.log()?,
             seed: fields.optional("seed", "write a whole number, or leave it out")?,
         })
     }
 
     fn check(&self) -> Result<(), Fault> {
+        if !(self.link_mbps > 0.0 && self.link_mbps.is_finite()) {
+            let shown = self.link_mbps.to_string();
+            return Err(Fault::new("link_mbps", shown, "no packet fits", LINK_ADVICE));
+        }
         check_seeds(&self.seeds)
     }
 }
