--- a/crates/control/src/replica/machine/member.rs
+++ b/crates/control/src/replica/machine/member.rs
@@ -149,8 +149,7 @@
         let Some(voters) = self.settings.keep_voters else {
             return;
         };
-        // A new leader has to hear the others before it takes any for gone.
-        if self.now < since + roster::SILENT_TICKS || self.replica.is_changing() {
+        if self.replica.is_changing() {
             return;
         }
         let newcomers: BTreeMap<Id, Member> = self
@@ -171,6 +170,7 @@
             leader: self.replica.id(),
             voters,
             now: self.now,
+            since,
             membership: self.replica.membership(),
             heard: &self.members.heard,
             newcomers: &newcomers,
--- a/crates/control/src/replica/machine/roster.rs
+++ b/crates/control/src/replica/machine/roster.rs
@@ -9,7 +9,7 @@
 use consensus::{Change, Id, Member, Membership};
 
 /// Ticks without a message after which a voter is replaced, where another replica is ready.
-pub(super) const SILENT_TICKS: u64 = 50;
+const SILENT_TICKS: u64 = 50;
 
 /// Ticks without a message after which a learner is taken out.
 const GONE_TICKS: u64 = 400;
@@ -26,6 +26,8 @@
     pub(super) voters: usize,
     /// Time, in ticks.
     pub(super) now: u64,
+    /// When it began to lead, in ticks: only since then do the others answer to it.
+    pub(super) since: u64,
     /// Who takes part.
     pub(super) membership: &'a Membership,
     /// When each replica was last heard.
@@ -37,19 +39,20 @@
 }
 
 impl Sight<'_> {
+    /// Ticks for which `id` could have been heard, but was not.
     fn silence(&self, id: Id) -> u64 {
-        match self.heard.get(&id) {
-            _ if id == self.leader => 0,
-            Some(at) => self.now.saturating_sub(*at),
-            None => u64::MAX,
+        if id == self.leader {
+            return 0;
         }
+        let heard_at = self.heard.get(&id).copied().unwrap_or_default();
+        self.now.saturating_sub(heard_at.max(self.since))
     }
 
     /// Whether another replica speaks from the address of `id`: its disk was emptied.
     fn is_superseded(&self, id: Id, member: &Member) -> bool {
         let others = self.membership.members().chain(self.newcomer_members());
         let mut same = others.filter(|(i, m)| *i != id && m.address == member.address);
-        same.any(|(i, _)| self.silence(i) < self.silence(id))
+        same.any(|(i, _)| self.heard.get(&i) > self.heard.get(&id))
     }
 
     fn newcomer_members(&self) -> impl Iterator<Item = (Id, &Member)> {
--- a/crates/control/tests/cluster/main.rs
+++ b/crates/control/tests/cluster/main.rs
@@ -10,6 +10,7 @@
 mod net;
 mod operators;
 mod repair;
+mod roster;
 mod step;
 
 /// Seeds of a test; the environment variables `FIRST_SEED` and `SEEDS` give others.
--- /dev/null
+++ b/crates/control/tests/cluster/roster.rs
@@ -0,0 +1,205 @@
+//! Replicas that keep their own set: no operator replaces what is lost.
+
+use std::collections::BTreeMap;
+
+use control::replica::machine::Answer;
+use model::{
+    command::{Command, Entry},
+    config::DomainState,
+    name::Name,
+};
+use rand::Rng;
+
+use crate::{fault::strike, net::Net, seeds};
+
+/// Ticks within which a cluster without faults must get somewhere.
+const PATIENCE: u64 = 3_000;
+
+/// Ticks within which a lost disk must be made up for: 4 s.
+const CATCH_UP: u64 = 80;
+
+/// A founded cluster of `count` control VMs, three of which found it and are known to all.
+fn cluster(seed: u64, count: usize) -> Net {
+    let mut net = Net::new(seed, 3);
+    let peers = peers(&net);
+    for number in 3..count {
+        net.add_node(format!("c{number}"), peers.clone());
+    }
+    for node in &mut net.nodes {
+        node.settings.keep_voters = Some(3);
+        // As in the daemon: a lost disk must be made up for in time.
+        node.settings.consensus.election_ticks = 12;
+        node.settings.consensus.heartbeat_ticks = 3;
+    }
+    net.found();
+    let has_all = |net: &mut Net| members(net) == count;
+    assert!(net.step_until(PATIENCE, has_all), "not all take part:\n{net}");
+    net
+}
+
+fn peers(net: &Net) -> BTreeMap<String, String> {
+    net.nodes[0].settings.peers.clone()
+}
+
+/// Replicas that take part, as the leader sees it; 0 without one.
+fn members(net: &Net) -> usize {
+    let leader = net.leader().and_then(|l| net.nodes[l].machine.as_ref());
+    leader.map_or(0, |m| m.replica().membership().ids().count())
+}
+
+/// Addresses of the voters, as the leader sees it.
+fn voters(net: &Net) -> Vec<String> {
+    let leader = net.leader().and_then(|l| net.nodes[l].machine.as_ref());
+    let addresses = leader.map(|machine| {
+        let voters = machine.replica().membership().voters.values();
+        voters.map(|m| m.address.clone()).collect()
+    });
+    let mut addresses: Vec<String> = addresses.unwrap_or_default();
+    addresses.sort_unstable();
+    addresses
+}
+
+/// Commits a domain through any node, and waits for the answer.
+fn commit(net: &mut Net, token: u64) {
+    let name = Name::new(format!("domain-{token}")).unwrap();
+    for node in 0..net.nodes.len() {
+        let entry = Entry::new("op", token.to_string(), None, Command::PutDomain { name: name.clone() });
+        net.with(node, |m| {
+            m.propose(token, entry);
+            Ok(())
+        });
+    }
+    let is_done = |net: &mut Net| {
+        let done = |a: &Answer| matches!(a, Answer::Proposed(t, Ok(_)) if *t == token);
+        net.answers.iter().any(|(_, a)| done(a))
+    };
+    assert!(net.step_until(PATIENCE, is_done), "{token} isn't committed:\n{net}");
+}
+
+/// Whether each node that runs knows the domain of `token`.
+fn all_know(net: &Net, token: u64) -> bool {
+    let name = Name::new(format!("domain-{token}")).unwrap();
+    let mut running = net.nodes.iter().filter_map(|n| n.machine.as_ref());
+    running.all(|m| m.config().domains.get(&name).map(|d| d.state) == Some(DomainState::In))
+}
+
+#[test]
+fn a_fourth_control_vm_takes_part_without_a_vote() {
+    let mut net = cluster(1, 4);
+    assert_eq!(voters(&net).len(), 3);
+    commit(&mut net, 1);
+    assert!(net.step_until(PATIENCE, |net| all_know(net, 1)), "{net}");
+    assert_eq!(net.violations, Vec::<String>::new());
+}
+
+#[test]
+fn an_emptied_disk_is_made_up_for_in_time() {
+    for seed in seeds(20) {
+        for count in [3, 4] {
+            let mut net = cluster(seed, count);
+            commit(&mut net, 1);
+            let lost = net.rng.random_range(0..count);
+            net.empty_disk(lost);
+            for _ in 0..20 {
+                net.step();
+            }
+            net.start(lost);
+            let is_whole = |net: &mut Net| {
+                let old_is_gone = members(net) == count;
+                old_is_gone && voters(net).len() == 3 && all_know(net, 1)
+            };
+            assert!(
+                net.step_until(CATCH_UP, is_whole),
+                "seed {seed}, {lost} of {count}:\n{net}"
+            );
+            // A second loss right after it loses nothing.
+            let other = (lost + 1) % count;
+            net.empty_disk(other);
+            net.start(other);
+            assert!(net.step_until(PATIENCE, is_whole), "seed {seed}, second:\n{net}");
+            assert_eq!(net.violations, Vec::<String>::new(), "seed {seed}");
+        }
+    }
+}
+
+#[test]
+fn a_control_vm_that_is_gone_for_good_gives_its_vote_to_another() {
+    for seed in seeds(10) {
+        let mut net = cluster(seed, 3);
+        commit(&mut net, 1);
+        let gone = net.rng.random_range(0..3);
+        net.kill(gone, true);
+        let peers = peers(&net);
+        let fresh = net.add_node("c9".to_owned(), peers);
+        net.nodes[fresh].settings.keep_voters = Some(3);
+        net.nodes[fresh].settings.found = false;
+        net.start(fresh);
+        let gone_address = gone.to_string();
+        let is_replaced = |net: &mut Net| {
+            let voters = voters(net);
+            voters.contains(&fresh.to_string()) && !voters.contains(&gone_address)
+        };
+        assert!(net.step_until(PATIENCE, is_replaced), "seed {seed}:\n{net}");
+        commit(&mut net, 2);
+        assert_eq!(net.violations, Vec::<String>::new(), "seed {seed}");
+    }
+}
+
+#[test]
+fn a_voter_that_was_replaced_while_it_was_away_takes_part_again() {
+    let mut net = cluster(3, 4);
+    let voter: usize = voters(&net)[0].parse().unwrap();
+    net.kill(voter, false);
+    let address = voter.to_string();
+    let is_replaced = |net: &mut Net| {
+        let voters = voters(net);
+        voters.len() == 3 && !voters.contains(&address)
+    };
+    assert!(net.step_until(PATIENCE, is_replaced), "{net}");
+    commit(&mut net, 1);
+    net.start(voter);
+    let is_back = |net: &mut Net| members(net) == 4 && all_know(net, 1);
+    assert!(net.step_until(PATIENCE, is_back), "{net}");
+    assert_eq!(net.violations, Vec::<String>::new());
+}
+
+#[test]
+fn what_is_committed_survives_power_losses_with_one_lost_disk() {
+    for seed in seeds(30) {
+        let count = 3 + usize::from(seed % 2 == 0);
+        let mut net = cluster(seed, count);
+        for token in 1..=3 {
+            commit(&mut net, token);
+        }
+        // Right after the answer: one disk is lost, and all others lose power.
+        let lost = net.rng.random_range(0..count);
+        for node in 0..count {
+            match node == lost {
+                true => net.empty_disk(node),
+                false => net.kill(node, true),
+            }
+        }
+        net.nodes[lost].settings.found = false;
+        net.start_all();
+        let is_whole = |net: &mut Net| (1..=3).all(|token| all_know(net, token));
+        assert!(net.step_until(PATIENCE, is_whole), "seed {seed}, lost {lost}:\n{net}");
+        commit(&mut net, 9);
+        assert_eq!(net.violations, Vec::<String>::new(), "seed {seed}");
+    }
+}
+
+#[test]
+fn faults_at_any_moment_leave_one_cluster_that_goes_on() {
+    for seed in seeds(30) {
+        let mut net = cluster(seed, 4);
+        for _ in 0..400 {
+            strike(&mut net);
+            net.step();
+        }
+        net.heal();
+        commit(&mut net, 77);
+        let is_whole = |net: &mut Net| voters(net).len() == 3 && all_know(net, 77);
+        assert!(net.step_until(PATIENCE, is_whole), "seed {seed}:\n{net}");
+        assert_eq!(net.violations, Vec::<String>::new(), "seed {seed}");
+    }
+}
