Play the platform's path as real processes; explain a flow from several VMs' logs

Stand-ins for the platform's clients, upstreams and operator; nine tests on loopback: flows over kills of entry VMs, what was acknowledged after the death of all processes, plans, drains, domains out, SIGHUP, the three kinds of failed request explained by the log lines alone, and a flood of refusals. oriolectl explain orders the lines.

--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -53,6 +53,7 @@
                 .arg(name("vm", "VM", "Name of an entry VM or a control VM")),
         )
         .subcommand(report())
+        .subcommand(explain())
         .subcommand(
             Command::new("completions")
                 .about("Print completions for a shell")
@@ -60,6 +61,21 @@
         )
 }
 
+fn explain() -> Command {
+    Command::new("explain")
+        .about("Print what the logs of several VMs say of one flow, in order")
+        .arg(name("flow", "FLOW", "The flow as CLIENT:PORT>ADDRESS:PORT"))
+        .arg(
+            Arg::new("logs")
+                .value_name("LOG")
+                .required(true)
+                .action(ArgAction::Append)
+                .num_args(1..)
+                .value_parser(value_parser!(PathBuf))
+                .help("Logs of entry VMs and control VMs"),
+        )
+}
+
 fn globals() -> [Arg; 8] {
     [
         Arg::new("control")
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod call;
 pub mod change;
 pub mod exit;
+pub mod explain;
 mod list;
 mod render;
 pub mod report;
@@ -52,6 +53,9 @@
     if let Some(("report", report)) = matches.subcommand() {
         return report::run(report, args::output(matches));
     }
+    if let Some(("explain", explain)) = matches.subcommand() {
+        return explain::run(explain);
+    }
     let mut controls = call::Controls::new(args::controls(matches)?, args::timeout(matches));
     if let Some(command) = change::asked(matches)? {
         return change::run(&mut controls, matches, command).await;
--- a/crates/entry/src/gateway/shell.rs
+++ b/crates/entry/src/gateway/shell.rs
@@ -32,6 +32,9 @@
 /// Lines about refusals, drops and changed beliefs in a second.
 const RARE_LINES: u32 = 20;
 
+/// Time from which on a client's wait is worth a line, in milliseconds: clients then send again.
+const LATE_MS: u64 = 200;
+
 /// Packets that are held at a time; the oldest gives way.
 const MAX_HELD: usize = 256;
 
@@ -453,10 +456,17 @@
 
     /// Counts a decision, and logs it unless it only follows from the packet's token.
     fn note(&mut self, now: Instant, segment: &Segment, decision: Decision) {
-        let Decision { action, why } = decision;
+        let Decision {
+            action,
+            why,
+            waited_ms,
+        } = decision;
         if let Some(count) = self.counts.by_why.get_mut(why as usize) {
             *count += 1;
         }
+        if let Some(waited_ms) = waited_ms {
+            self.note_wait(now, segment, waited_ms);
+        }
         let budget = match why {
             Why::Token => return,
             Why::Placed | Why::Repeated => &mut self.ordinary,
@@ -477,13 +487,28 @@
         };
         info!(
             target: "packet",
-            "event=decision flow={} kind={:?} copy={copy} token={:x} why={} outcome={outcome} \
+            "event=decision flow={} kind={} copy={copy} token={:x} why={} outcome={outcome} \
              upstream={upstream:x} plan={} index={}",
-            flow(segment), segment.kind, segment.token, why.as_str(),
+            flow(segment), segment.kind.as_str(), segment.token, why.as_str(),
             self.gateway.plan_version().unwrap_or_default(), self.gateway.agreed().index
         );
     }
 
+    /// Counts how long a client waited for its upstream, and logs what is late.
+    fn note_wait(&mut self, now: Instant, segment: &Segment, waited_ms: u64) {
+        // Waits are far below the precision of the type.
+        #[expect(clippy::cast_precision_loss)]
+        metrics::histogram!("oriole_answer_wait_seconds").record(waited_ms as f64 / 1_000.0);
+        if waited_ms >= LATE_MS && self.rare.take(now.0) {
+            let upstream = self.gateway.directory().by_token(segment.token);
+            let upstream = upstream.map_or(0, |u| u.announced.incarnation.id);
+            info!(
+                target: "packet",
+                "event=late flow={} waited_ms={waited_ms} upstream={upstream:x}", flow(segment)
+            );
+        }
+    }
+
     /// Hands what was counted to the metrics.
     fn publish(&mut self) {
         let counts = std::mem::take(&mut self.counts);
--- a/crates/policy/src/token/gateway.rs
+++ b/crates/policy/src/token/gateway.rs
@@ -143,11 +143,18 @@
     pub action: Action,
     /// Why.
     pub why: Why,
+    /// How long the client waited for its upstream, or has waited so far, in milliseconds; none
+    /// where the packet doesn't tell.
+    pub waited_ms: Option<u64>,
 }
 
 impl Decision {
     fn new(action: Action, why: Why) -> Self {
-        Self { action, why }
+        Self {
+            action,
+            why,
+            waited_ms: None,
+        }
     }
 }
 
@@ -482,21 +489,22 @@
             };
             return Decision::new(action, Why::Stopped);
         }
-        let decision = Decision::new(forward(upstream), Why::Token);
+        let mut decision = Decision::new(forward(upstream), Why::Token);
         let id = upstream.announced.incarnation.id;
-        self.note(now, segment, id);
+        decision.waited_ms = self.note(now, segment, id);
         if segment.length > 0 && self.sights.is_down(id) {
             // The client may ask again elsewhere before its deadline.
             self.flows.remove(&segment.key);
-            return Decision::new(Action::Reset, Why::Down);
+            (decision.action, decision.why) = (Action::Reset, Why::Down);
         }
         decision
     }
 
-    /// Counts what a packet says of its flow and upstream.
-    fn note(&mut self, now: Instant, segment: &Segment, id: u64) {
+    /// Counts what a packet says of its flow and upstream. Returns how long the client has waited
+    /// for the upstream, where the packet tells.
+    fn note(&mut self, now: Instant, segment: &Segment, id: u64) -> Option<u64> {
         if !self.flows.contains_key(&segment.key) && self.flows.len() >= MAX_FLOWS {
-            return;
+            return None;
         }
         let flow = self
             .flows
@@ -514,6 +522,7 @@
             self.sights.request(now, id);
         }
         self.note_delay(now, id, signal.took_ms);
+        signal.took_ms
     }
 
     /// Takes how long an answer took, or has taken so far.
--- a/crates/policy/src/token/segment.rs
+++ b/crates/policy/src/token/segment.rs
@@ -27,6 +27,19 @@
     Reset,
 }
 
+impl Kind {
+    /// A word for logs.
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Open { .. } => "open",
+            Self::Data => "data",
+            Self::Finish => "finish",
+            Self::Reset => "reset",
+        }
+    }
+}
+
 /// A client's packet.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Segment {
--- a/crates/standin/src/experiment/process.rs
+++ b/crates/standin/src/experiment/process.rs
@@ -77,6 +77,12 @@
         &self.name
     }
 
+    /// Its process id.
+    #[must_use]
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Where its output goes.
     #[must_use]
     pub fn log(&self) -> &Path {
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod experiment;
 pub mod fabric;
 pub mod message;
+pub mod platform;
 pub mod ports;
 pub mod run_log;
 pub mod seed;
--- /dev/null
+++ b/crates/standin/tests/gateway/main.rs
@@ -0,0 +1,201 @@
+//! The whole path on the platform, as real processes on loopback addresses.
+
+#![expect(clippy::unwrap_used, reason = "a step that fails fails its test")]
+
+mod system;
+
+use std::{process::Command, time::Duration};
+
+use cli::explain::{Line, explain};
+use standin::platform::{Got, Mood, call};
+use system::{DEADLINE, System, eventually, plan};
+
+#[test]
+fn flows_stay_whole_while_entry_vms_come_and_go() {
+    let mut system = System::start();
+    let mut flows: Vec<_> = (0..20).map(|n| system.serve_one(n % 2)).collect();
+    // The fabric sends everything through the other VM, then one is killed.
+    for flow in &mut flows {
+        let got = system.client.ask(system.entry(0), flow, DEADLINE);
+        assert_eq!(got, Got::Answer);
+    }
+    system.entries[0].kill();
+    for flow in &mut flows {
+        let got = system.client.ask(system.entry(1), flow, DEADLINE);
+        assert_eq!(got, Got::Answer);
+    }
+    system.entries[0].restart().unwrap();
+    system.wait_until_ready();
+    for flow in &mut flows {
+        let got = system.client.ask(system.entry(0), flow, DEADLINE);
+        assert_eq!(got, Got::Answer);
+    }
+    let strays: u64 = system.upstreams.iter().map(|u| u.strays()).sum();
+    assert_eq!(strays, 0);
+}
+
+#[test]
+fn what_was_acknowledged_survives_the_death_of_all_processes() {
+    let mut system = System::start();
+    let mut flow = system.serve_one(0);
+    system.put_plan(5);
+    let zone = "/api/evacuations/south";
+    eventually("the domain is out", || {
+        matches!(call(system.desk(0), "POST", zone, ""), Ok((200, _)))
+    });
+    let all = system.controls.iter_mut().chain(&mut system.entries);
+    for process in all {
+        process.kill();
+        process.restart().unwrap();
+    }
+    let wanted = plan(5, system.service);
+    eventually("the plan is read back", || system.read_plan().as_ref() == Some(&wanted));
+    system.wait_until_ready();
+    assert!(system.dump(0).contains(r#""domains_out":["south"]"#));
+    // Its upstream lived on, and so does the flow.
+    let got = system.client.ask(system.entry(1), &mut flow, DEADLINE);
+    assert_eq!(got, Got::Answer);
+}
+
+#[test]
+fn an_older_plan_is_acknowledged_without_effect_and_a_wrong_one_refused() {
+    let system = System::start();
+    system.put_plan(9);
+    let newest = plan(9, system.service);
+    for version in [8, 9] {
+        let text = plan(version, "198.18.0.7:80".parse().unwrap());
+        assert_eq!(system.put(&text), Some(200));
+    }
+    assert_eq!(system.put(&newest[..40]), Some(400));
+    assert_eq!(system.read_plan(), Some(newest));
+    eventually("the plan is in force", || system.dump(0).contains("\"plan_version\":9"));
+    system.serve_one(0);
+}
+
+#[test]
+fn draining_upstreams_and_domains_that_are_out_get_no_new_flows() {
+    let system = System::start();
+    system.upstreams[0].drain();
+    eventually("the domain is out", || {
+        let path = "/api/evacuations/south";
+        matches!(call(system.desk(1), "POST", path, ""), Ok((200, _)))
+    });
+    for number in 0..2 {
+        eventually("the entry VM has heard of both", || {
+            let dump = system.dump(number);
+            dump.contains("Draining") && dump.contains(r#""domains_out":["south"]"#)
+        });
+    }
+    let before: Vec<u64> = system.upstreams.iter().map(|u| u.opened()).collect();
+    for number in 0..20 {
+        system.serve_one(number % 2);
+    }
+    let after: Vec<u64> = system.upstreams.iter().map(|u| u.opened()).collect();
+    assert_eq!((after[0], after[2]), (before[0], before[2]));
+    assert_eq!(after[1], before[1] + 20);
+}
+
+#[test]
+fn sighup_ends_no_process() {
+    let mut system = System::start();
+    let all = system.controls.iter().chain(&system.entries);
+    let ids: Vec<String> = all.map(|p| p.id().to_string()).collect();
+    assert!(Command::new("kill").arg("-HUP").args(&ids).status().unwrap().success());
+    eventually("each process says so", || {
+        let lines = system.lines();
+        lines.iter().filter(|l| l.value("event") == Some("sighup")).count() == ids.len()
+    });
+    let mut all = system.controls.iter_mut().chain(&mut system.entries);
+    assert!(all.all(|p| p.is_running()));
+}
+
+/// The lines that explain a flow, once one of them has `wanted`.
+fn explained(system: &System, flow: &str, wanted: &str) -> Vec<Line> {
+    let mut found = Vec::new();
+    eventually(wanted, || {
+        found = explain(flow, system.lines());
+        found.iter().any(|line| line.text.contains(wanted))
+    });
+    found
+}
+
+#[test]
+fn a_flow_that_was_refused_while_opening_is_explained() {
+    let system = System::start();
+    let unknown = "198.18.0.99:443".parse().unwrap();
+    let (flow, got) = system.client.open(system.entry(0), unknown);
+    assert_eq!(got, Got::Reset);
+    let lines = explained(&system, &flow.id(), "why=no-route");
+    // The line names the plan by which it was decided, and another says when that came.
+    let decision = lines.iter().find(|l| l.value("flow").is_some()).unwrap();
+    assert_eq!(decision.value("outcome"), Some("reset"));
+    assert_eq!(decision.value("plan"), Some("1"));
+    let came = |l: &&Line| l.value("event") == Some("plan") && l.value("version") == Some("1");
+    assert!(lines.iter().find(came).unwrap().time <= decision.time);
+}
+
+#[test]
+fn silence_on_an_open_flow_is_explained_by_its_upstreams_end() {
+    let mut system = System::start();
+    let mut flow = system.serve_one(0);
+    system.upstreams.clear();
+    // The first request meets silence; once a probe has told, the flow is reset.
+    let mut last = Got::Nothing;
+    eventually("the flow is reset", || {
+        last = system.client.ask(system.entry(0), &mut flow, DEADLINE);
+        last != Got::Nothing
+    });
+    assert_eq!(last, Got::Reset);
+    let lines = explained(&system, &flow.id(), "why=upstream-down");
+    let place = |wanted: &str| lines.iter().position(|l| l.text.contains(wanted));
+    let (late, probe) = (place("event=late").unwrap(), place("outcome=Refused").unwrap());
+    assert!(late < probe && probe < place("why=upstream-down").unwrap(), "{lines:#?}");
+}
+
+#[test]
+fn an_answer_that_came_late_is_explained_by_its_slow_upstream() {
+    let system = System::start();
+    let mut flow = system.serve_one(0);
+    for upstream in &system.upstreams {
+        upstream.set_mood(Mood::Slow(Duration::from_millis(450)));
+    }
+    let got = system.client.ask(system.entry(0), &mut flow, 4 * DEADLINE);
+    assert_eq!(got, Got::Answer);
+    let lines = explained(&system, &flow.id(), "event=late");
+    let late = lines.iter().find(|l| l.value("event") == Some("late")).unwrap();
+    let waited: u64 = late.value("waited_ms").unwrap().parse().unwrap();
+    assert!(waited >= 200);
+    let upstream = late.value("upstream").unwrap();
+    // It accepted the probe: it is slow, not gone.
+    let probe = |l: &&Line| l.value("event") == Some("probe") && l.value("upstream") == Some(upstream);
+    eventually("the probe is logged", || {
+        let lines = system.lines();
+        lines.iter().find(probe).is_some_and(|l| l.value("outcome") == Some("Accepted"))
+    });
+}
+
+#[test]
+fn a_flood_of_refusals_is_decided_and_logged_within_bounds() {
+    let system = System::start();
+    let unknown = "198.18.0.99:443".parse().unwrap();
+    let refused = (0..600).filter(|_| {
+        let (_, got) = system.client.open(system.entry(0), unknown);
+        got == Got::Reset
+    });
+    assert_eq!(refused.count(), 600);
+    let mut left_out = 0;
+    let mut logged = 0;
+    eventually("what was left out is counted", || {
+        // A later second's first line says what was left out before.
+        system.client.open(system.entry(0), unknown);
+        let lines = system.lines();
+        let own = || lines.iter().filter(|l| l.log == "entry-0");
+        logged = own().filter(|l| l.text.contains("why=no-route")).count();
+        let counts = own().filter(|l| l.value("event") == Some("left-out"));
+        let counts = counts.filter_map(|l| l.value("lines")?.parse::<usize>().ok());
+        left_out = counts.sum();
+        logged + left_out >= 600
+    });
+    assert!(left_out > 0, "{logged} lines and none left out");
+    system.serve_one(0);
+}
