--- a/crates/standin/tests/gateway/main.rs
+++ b/crates/standin/tests/gateway/main.rs
@@ -7,44 +7,33 @@
 use std::{process::Command, time::Duration};
 
 use cli::explain::{Line, explain};
-use standin::platform::{Got, Mood, call};
-use system::{DEADLINE, System, eventually, plan};
+use standin::platform::{client::Got, system::plan, upstream::Mood};
+use system::{DEADLINE, Whole, eventually};
 
 #[test]
 fn flows_stay_whole_while_entry_vms_come_and_go() {
-    let mut system = System::start();
+    let mut system = Whole::start();
     let mut flows: Vec<_> = (0..20).map(|n| system.serve_one(n % 2)).collect();
     // The fabric sends everything through the other VM, then one is killed.
-    for flow in &mut flows {
-        let got = system.client.ask(system.entry(0), flow, DEADLINE);
-        assert_eq!(got, Got::Answer);
-    }
+    let first: Vec<u64> = flows.iter_mut().map(|f| system.ask(0, f)).collect();
     system.entries[0].kill();
-    for flow in &mut flows {
-        let got = system.client.ask(system.entry(1), flow, DEADLINE);
-        assert_eq!(got, Got::Answer);
-    }
+    let second: Vec<u64> = flows.iter_mut().map(|f| system.ask(1, f)).collect();
     system.entries[0].restart().unwrap();
     system.wait_until_ready();
-    for flow in &mut flows {
-        let got = system.client.ask(system.entry(0), flow, DEADLINE);
-        assert_eq!(got, Got::Answer);
-    }
+    let third: Vec<u64> = flows.iter_mut().map(|f| system.ask(0, f)).collect();
+    assert_eq!((&first, &first), (&second, &third));
     let strays: u64 = system.upstreams.iter().map(|u| u.strays()).sum();
     assert_eq!(strays, 0);
 }
 
 #[test]
 fn what_was_acknowledged_survives_the_death_of_all_processes() {
-    let mut system = System::start();
+    let mut system = Whole::start();
     let mut flow = system.serve_one(0);
     system.put_plan(5);
-    let zone = "/api/evacuations/south";
-    eventually("the domain is out", || {
-        matches!(call(system.desk(0), "POST", zone, ""), Ok((200, _)))
-    });
-    let all = system.controls.iter_mut().chain(&mut system.entries);
-    for process in all {
+    system.domain_out("south");
+    let parts: &mut standin::platform::system::System = &mut system;
+    for process in parts.controls.iter_mut().chain(&mut parts.entries) {
         process.kill();
         process.restart().unwrap();
     }
@@ -55,13 +44,12 @@
     system.wait_until_ready();
     assert!(system.dump(0).contains(r#""domains_out":["south"]"#));
     // Its upstream lived on, and so does the flow.
-    let got = system.client.ask(system.entry(1), &mut flow, DEADLINE);
-    assert_eq!(got, Got::Answer);
+    system.ask(1, &mut flow);
 }
 
 #[test]
 fn an_older_plan_is_acknowledged_without_effect_and_a_wrong_one_refused() {
-    let system = System::start();
+    let system = Whole::start();
     system.put_plan(9);
     let newest = plan(9, system.service);
     for version in [8, 9] {
@@ -78,30 +66,28 @@
 
 #[test]
 fn draining_upstreams_and_domains_that_are_out_get_no_new_flows() {
-    let system = System::start();
+    let system = Whole::start();
     system.upstreams[0].drain();
-    eventually("the domain is out", || {
-        let path = "/api/evacuations/south";
-        matches!(call(system.desk(1), "POST", path, ""), Ok((200, _)))
-    });
+    system.domain_out("south");
     for number in 0..2 {
         eventually("the entry VM has heard of both", || {
             let dump = system.dump(number);
             dump.contains("Draining") && dump.contains(r#""domains_out":["south"]"#)
         });
     }
-    let before: Vec<u64> = system.upstreams.iter().map(|u| u.opened()).collect();
+    let opened = || -> Vec<usize> { system.upstreams.iter().map(|u| u.opened().len()).collect() };
+    let before = opened();
     for number in 0..20 {
         system.serve_one(number % 2);
     }
-    let after: Vec<u64> = system.upstreams.iter().map(|u| u.opened()).collect();
+    let after = opened();
     assert_eq!((after[0], after[2]), (before[0], before[2]));
     assert_eq!(after[1], before[1] + 20);
 }
 
 #[test]
 fn sighup_ends_no_process() {
-    let mut system = System::start();
+    let mut system = Whole::start();
     let all = system.controls.iter().chain(&system.entries);
     let ids: Vec<String> = all.map(|p| p.id().to_string()).collect();
     assert!(
@@ -120,12 +106,13 @@
             .count()
             == ids.len()
     });
-    let mut all = system.controls.iter_mut().chain(&mut system.entries);
+    let parts: &mut standin::platform::system::System = &mut system;
+    let mut all = parts.controls.iter_mut().chain(&mut parts.entries);
     assert!(all.all(|p| p.is_running()));
 }
 
 /// The lines that explain a flow, once one of them has `wanted`.
-fn explained(system: &System, flow: &str, wanted: &str) -> Vec<Line> {
+fn explained(system: &Whole, flow: &str, wanted: &str) -> Vec<Line> {
     let mut found = Vec::new();
     eventually(wanted, || {
         found = explain(flow, system.lines());
@@ -136,7 +123,7 @@
 
 #[test]
 fn a_flow_that_was_refused_while_opening_is_explained() {
-    let system = System::start();
+    let system = Whole::start();
     let unknown = "198.18.0.99:443".parse().unwrap();
     let (flow, got) = system.client.open(system.entry(0), unknown);
     assert_eq!(got, Got::Reset);
@@ -151,7 +138,7 @@
 
 #[test]
 fn silence_on_an_open_flow_is_explained_by_its_upstreams_end() {
-    let mut system = System::start();
+    let mut system = Whole::start();
     let mut flow = system.serve_one(0);
     system.upstreams.clear();
     // The first request meets silence; once a probe has told, the flow is reset.
@@ -175,13 +162,13 @@
 
 #[test]
 fn an_answer_that_came_late_is_explained_by_its_slow_upstream() {
-    let system = System::start();
+    let system = Whole::start();
     let mut flow = system.serve_one(0);
     for upstream in &system.upstreams {
         upstream.set_mood(Mood::Slow(Duration::from_millis(450)));
     }
     let got = system.client.ask(system.entry(0), &mut flow, 4 * DEADLINE);
-    assert_eq!(got, Got::Answer);
+    assert!(matches!(got, Got::Answer(_)));
     let lines = explained(&system, &flow.id(), "event=late");
     let late = lines
         .iter()
@@ -204,7 +191,7 @@
 
 #[test]
 fn a_flood_of_refusals_is_decided_and_logged_within_bounds() {
-    let system = System::start();
+    let system = Whole::start();
     let unknown = "198.18.0.99:443".parse().unwrap();
     let refused = (0..600).filter(|_| {
         let (_, got) = system.client.open(system.entry(0), unknown);
--- a/crates/standin/tests/gateway/system.rs
+++ b/crates/standin/tests/gateway/system.rs
@@ -2,8 +2,7 @@
 
 use std::{
     fs,
-    net::{Ipv4Addr, SocketAddr, SocketAddrV4, UdpSocket},
-    path::PathBuf,
+    ops::{Deref, DerefMut},
     sync::{Mutex, MutexGuard, PoisonError},
     thread::sleep,
     time::{Duration, Instant},
@@ -11,10 +10,13 @@
 
 use cli::explain::Line;
 use standin::{
-    experiment::{build, process::Process},
-    platform::{ANNOUNCE, Client, Flow, Got, Profile, Upstream, call},
+    experiment::build,
+    platform::{
+        client::{Client, Flow, Got},
+        system::{Size, System},
+        upstream::Upstream,
+    },
 };
-use tempfile::TempDir;
 
 /// Longest wait for something that is to come.
 const PATIENCE: Duration = Duration::from_secs(30);
@@ -22,34 +24,31 @@
 /// One system at a time: each is half a dozen processes.
 static ONE_AT_A_TIME: Mutex<()> = Mutex::new(());
 
+/// Third byte of all addresses.
+const NET: u8 = 77;
+
 /// Time that a client waits for an answer on an open flow.
 pub(crate) const DEADLINE: Duration = Duration::from_millis(800);
 
-pub(crate) struct System {
-    pub(crate) controls: Vec<Process>,
-    pub(crate) entries: Vec<Process>,
+pub(crate) struct Whole {
+    system: System,
     pub(crate) upstreams: Vec<Upstream>,
     pub(crate) client: Client,
-    pub(crate) service: SocketAddrV4,
-    port: u16,
-    folder: TempDir,
     _guard: MutexGuard<'static, ()>,
 }
 
-/// Address `number` of this system on loopback.
-fn ip(number: u8) -> Ipv4Addr {
-    Ipv4Addr::new(127, 0, 77, number)
-}
+impl Deref for Whole {
+    type Target = System;
 
-fn socket(number: u8, port: u16) -> SocketAddr {
-    SocketAddr::from((ip(number), port))
+    fn deref(&self) -> &System {
+        &self.system
+    }
 }
 
-/// The first of a few ports that are free.
-fn free_port() -> u16 {
-    let probe = UdpSocket::bind(socket(200, 0)).unwrap();
-    // Ports in a row, clear of the range that the kernel hands out first.
-    12_000 + probe.local_addr().unwrap().port() % 8_000
+impl DerefMut for Whole {
+    fn deref_mut(&mut self) -> &mut System {
+        &mut self.system
+    }
 }
 
 /// Waits for something that is to come.
@@ -64,168 +63,81 @@
     }
 }
 
-impl System {
+impl Whole {
     /// Starts all, gives them a plan, and waits until the entry VMs are ready.
     pub(crate) fn start() -> Self {
         let guard = ONE_AT_A_TIME.lock().unwrap_or_else(PoisonError::into_inner);
-        let port = free_port();
-        let mut system = Self {
-            controls: Vec::new(),
-            entries: Vec::new(),
-            upstreams: Vec::new(),
-            client: Client::start(socket(31, port)).unwrap(),
-            service: "198.18.0.1:443".parse().unwrap(),
-            port,
-            folder: tempfile::tempdir().unwrap(),
-            _guard: guard,
-        };
         let programs = build::programs().unwrap_or_else(|e| panic!("{e}"));
-        for number in 0..3 {
-            system.start_control(&programs, number);
-        }
-        for number in 0..2 {
-            system.start_entry(&programs, number);
-        }
-        for (number, domain) in [(1, "north"), (2, "north"), (3, "south")] {
-            system.start_upstream(number, domain);
-        }
-        system.put_plan(1);
-        system.wait_until_ready();
-        system
-    }
-
-    fn seeds(&self) -> String {
-        let quoted = (0..3).map(|number| format!("\"{}\"", self.desk(number)));
-        quoted.collect::<Vec<_>>().join(", ")
-    }
-
-    /// Where control VM `number` takes calls.
-    pub(crate) fn desk(&self, number: u8) -> SocketAddr {
-        socket(11 + number, self.port + 2)
-    }
-
-    fn health(&self, number: u8) -> SocketAddr {
-        socket(21 + number, self.port + 3)
-    }
-
-    /// Where entry VM `number` takes packets.
-    pub(crate) fn entry(&self, number: u8) -> SocketAddr {
-        socket(21 + number, self.port)
-    }
-
-    pub(crate) fn path(&self, name: &str) -> PathBuf {
-        self.folder.path().join(name)
-    }
-
-    fn start_control(&mut self, programs: &std::path::Path, number: u8) {
-        let name = format!("control-{number}");
-        let settings = format!(
-            "name: {name}\ndomain: north\ndata_folder: {}\ndesk_listen: \"{}\"\nfirst_port: {}\n\
-             seeds: [{}]\nfound: true\nannounce_ms: {}\ntolerated: 1\n",
-            self.path(&format!("{name}-data")).display(),
-            self.desk(number),
-            self.port + 10,
-            self.seeds(),
-            ANNOUNCE.as_millis(),
-        );
-        let process = self.start_process(programs, &name, "oriole-control", &settings);
-        self.controls.push(process);
-    }
-
-    fn start_entry(&mut self, programs: &std::path::Path, number: u8) {
-        let name = format!("entry-{number}");
-        let settings = format!(
-            "name: {name}\ndomain: north\nfabric_listen: \"{}\"\nhealth_listen: \"{}\"\n\
-             first_port: {}\nseeds: [{}]\nseed: {number}\n",
-            self.entry(number),
-            self.health(number),
-            self.port + 10,
-            self.seeds(),
-        );
-        let process = self.start_process(programs, &name, "oriole-entry", &settings);
-        self.entries.push(process);
-    }
-
-    fn start_process(
-        &self,
-        programs: &std::path::Path,
-        name: &str,
-        program: &str,
-        settings: &str,
-    ) -> Process {
-        let file = self.path(&format!("{name}.yaml"));
-        fs::write(&file, settings).unwrap();
-        let arguments = ["--gateway", "--settings"].map(ToOwned::to_owned);
-        let arguments = arguments.into_iter().chain([file.display().to_string()]);
-        let log = self.path(&format!("{name}.log"));
-        Process::start(name, &programs.join(program), arguments.collect(), log).unwrap()
-    }
-
-    fn start_upstream(&mut self, number: u8, domain: &str) {
-        let profile = Profile {
-            number: u64::from(number),
-            service: "booking".to_owned(),
-            domain: domain.to_owned(),
-            address: socket(40 + number, self.port + 1),
-            client_port: self.port,
-            controls: (0..3).map(|n| self.desk(n)).collect(),
+        let system = System::start(&programs, NET, Size::default()).unwrap();
+        let domains = [(1, "north"), (2, "north"), (3, "south")];
+        let upstreams = domains.map(|(number, domain)| {
+            let address = system.upstream(number, 1);
+            let number = u64::from(number);
+            system
+                .start_upstream(number, domain, address, address)
+                .unwrap()
+        });
+        let whole = Self {
+            client: Client::start(system.client(0)).unwrap(),
+            upstreams: upstreams.into(),
+            system,
+            _guard: guard,
         };
-        self.upstreams.push(Upstream::start(profile).unwrap());
+        whole.put_plan(1);
+        whole.wait_until_ready();
+        whole
     }
 
     /// Has a plan acknowledged by any control VM.
     pub(crate) fn put_plan(&self, version: u64) {
-        let text = plan(version, self.service);
+        let text = self.plan(version);
         eventually("the plan is acknowledged", || self.put(&text) == Some(200));
     }
 
-    /// Sends a plan to each control VM until one answers; returns its status.
+    /// Sends a plan to each control VM until one answers clearly; returns its status.
     pub(crate) fn put(&self, text: &str) -> Option<u16> {
-        let mut answers =
-            (0..3).filter_map(|n| call(self.desk(n), "PUT", "/api/config", text).ok());
-        answers.next().map(|(status, _)| status)
+        let is_clear = |status| status < 500;
+        let answer = self.call("PUT", "/api/config", text, is_clear);
+        answer.map(|(status, _)| status)
     }
 
     /// The plan that any control VM is sure of.
     pub(crate) fn read_plan(&self) -> Option<String> {
-        let answers = (0..3).filter_map(|n| call(self.desk(n), "GET", "/api/config", "").ok());
-        let mut good = answers.filter(|(status, _)| *status == 200);
-        good.next().map(|(_, body)| body)
+        let answer = self.call("GET", "/api/config", "", |status| status == 200);
+        answer.map(|(_, body)| body)
+    }
+
+    /// Takes a failure domain out.
+    pub(crate) fn domain_out(&self, domain: &str) {
+        let path = format!("/api/evacuations/{domain}");
+        eventually("the domain is out", || {
+            self.call("POST", &path, "", |status| status == 200).is_some()
+        });
     }
 
     pub(crate) fn wait_until_ready(&self) {
         for number in 0..2 {
-            eventually("the entry VM is ready", || {
-                matches!(
-                    call(self.health(number), "GET", "/health", ""),
-                    Ok((200, _))
-                )
-            });
-        }
-        // Each VM has heard of all upstreams.
-        for number in 0..2 {
-            eventually("the entry VM knows the upstreams", || {
-                let dump = call(self.health(number), "GET", "/dump", "");
-                dump.is_ok_and(|(_, text)| text.matches("\"takes_flows\":true").count() == 3)
-            });
+            let what = "the entry VM is ready and knows the upstreams";
+            eventually(what, || self.is_ready(number, 3));
         }
     }
 
-    /// The entry VM's own state.
-    pub(crate) fn dump(&self, number: u8) -> String {
-        let dump = call(self.health(number), "GET", "/dump", "");
-        dump.map(|(_, text)| text).unwrap_or_default()
-    }
-
     /// Opens a flow and has one answer on it.
     pub(crate) fn serve_one(&self, number: u8) -> Flow {
         let (mut flow, got) = self.client.open(self.entry(number), self.service);
-        assert_eq!(got, Got::Answer);
-        let got = self.client.ask(self.entry(number), &mut flow, DEADLINE);
-        assert_eq!(got, Got::Answer);
+        assert_eq!(got, Got::Answer(0));
+        self.ask(number, &mut flow);
         flow
     }
 
+    /// Has one answer on an open flow, through an entry VM; returns who gave it.
+    pub(crate) fn ask(&self, number: u8, flow: &mut Flow) -> u64 {
+        match self.client.ask(self.entry(number), flow, DEADLINE) {
+            Got::Answer(upstream) => upstream,
+            other => panic!("{other:?} on {}", flow.id()),
+        }
+    }
+
     /// All lines of the entry VMs' and control VMs' logs.
     pub(crate) fn lines(&self) -> Vec<Line> {
         let processes = self.controls.iter().chain(&self.entries);
@@ -238,14 +150,3 @@
         .collect()
     }
 }
-
-/// A plan with one route.
-pub(crate) fn plan(version: u64, service: SocketAddrV4) -> String {
-    format!(
-        r#"{{"version":{version},"routes":[{{"name":"r","host":"{}","prefix":"/{}/",
-        "timeoutMs":800,"service":"booking"}}],"services":[{{"name":"booking"}}],
-        "limits":{{"idleTimeoutMs":15000}}}}"#,
-        service.ip(),
-        service.port()
-    )
-}
