--- a/crates/standin/src/experiment/process.rs
+++ b/crates/standin/src/experiment/process.rs
@@ -21,6 +21,8 @@
     Stop,
     /// Go on.
     Continue,
+    /// Read the settings again.
+    HangUp,
 }
 
 impl Signal {
@@ -29,6 +31,7 @@
             Self::Terminate => "-TERM",
             Self::Stop => "-STOP",
             Self::Continue => "-CONT",
+            Self::HangUp => "-HUP",
         }
     }
 }
--- a/crates/standin/src/platform/system.rs
+++ b/crates/standin/src/platform/system.rs
@@ -1,8 +1,7 @@
 //! Control VMs, entry VMs and upstreams as real processes and threads on loopback addresses.
 
 use std::{
-    fs,
-    io,
+    fs, io,
     net::{Ipv4Addr, SocketAddr, SocketAddrV4, UdpSocket},
     path::{Path, PathBuf},
 };
@@ -227,7 +226,10 @@
     /// Whether entry VM `number` is ready and sends new flows to at least `upstreams`.
     #[must_use]
     pub fn is_ready(&self, number: u8, upstreams: usize) -> bool {
-        let is_ready = matches!(call(self.health(number), "GET", "/health", ""), Ok((200, _)));
+        let is_ready = matches!(
+            call(self.health(number), "GET", "/health", ""),
+            Ok((200, _))
+        );
         let known = self.dump(number).matches("\"takes_flows\":true").count();
         is_ready && known >= upstreams
     }
--- a/crates/standin/tests/gateway/system.rs
+++ b/crates/standin/tests/gateway/system.rs
@@ -111,7 +111,8 @@
     pub(crate) fn domain_out(&self, domain: &str) {
         let path = format!("/api/evacuations/{domain}");
         eventually("the domain is out", || {
-            self.call("POST", &path, "", |status| status == 200).is_some()
+            self.call("POST", &path, "", |status| status == 200)
+                .is_some()
         });
     }
 
