Wake the sender of paced packets also for those that were held

Packets that a fresh VM had held and released overfilled the link without waking the task that sends what waits; from then on nothing was sent but small luck. Ruled out: the rotation (all 89 placed flows), the plan and the upstreams (all known by 43.8 s).

--- a/crates/entry/src/gateway/shell.rs
+++ b/crates/entry/src/gateway/shell.rs
@@ -124,8 +124,14 @@
     /// Fails when the socket can't be read any longer.
     pub fn take_packets(&self, limit: usize) -> Result<(), String> {
         let mut state = self.state.borrow_mut();
+        self.waking(&mut state, |state| self.take_some(state, limit))
+    }
+
+    /// Does something that may send packets, and wakes the one that sends what waits for the link
+    /// where that leaves the first packet waiting.
+    fn waking<T>(&self, state: &mut State, act: impl FnOnce(&mut State) -> T) -> T {
         let was_waiting = state.paced.next_at().is_some();
-        let outcome = self.take_some(&mut state, limit);
+        let outcome = act(state);
         if !was_waiting && state.paced.next_at().is_some() {
             self.paced_changed.notify_one();
         }
@@ -260,7 +266,7 @@
     pub fn take(&self, source: SocketAddr, message: ToEntry) -> Option<u64> {
         let mut state = self.state.borrow_mut();
         let wanted = self.learn(&mut state, source, message);
-        state.release_held(&self.socket);
+        self.waking(&mut state, |state| state.release_held(&self.socket));
         wanted
     }
 
