--- a/crates/entry/src/gateway.rs
+++ b/crates/entry/src/gateway.rs
@@ -1,6 +1,7 @@
 //! An entry VM on the platform: a thin shell around [`policy::token::gateway::Gateway`].
 //!
 //! - [`shell`] owns the decisions and performs them.
+//! - `journal` counts and logs what it decides, within bounds.
 //! - [`sources`] keeps a stream to each control VM.
 //! - [`probes`] tries to connect to upstreams that seem silent.
 
@@ -17,6 +18,7 @@
 use tokio::{net::UdpSocket, sync::mpsc};
 use tokio_util::sync::CancellationToken;
 
+mod journal;
 pub mod probes;
 pub mod shell;
 pub mod sources;
--- a/crates/entry/src/gateway/probes.rs
+++ b/crates/entry/src/gateway/probes.rs
@@ -31,7 +31,6 @@
                 }
                 tokio::select! {
                     () = token.cancelled() => return Ok(()),
-                    () = shell.probes_changed.notified() => {}
                     () = sleep(LOOK_EVERY) => {}
                 }
             }
--- a/crates/entry/src/gateway/shell.rs
+++ b/crates/entry/src/gateway/shell.rs
@@ -9,31 +9,22 @@
     time::{Duration, Instant as Clock},
 };
 
-use daemon::logs::Budget;
 use log::{info, warn};
-use metrics::counter;
 use model::routing::{Agreed, ToEntry};
 use platform::packet;
 use policy::{
     time::Instant,
     token::{
-        gateway::{Action, Decision, Gateway, HOLD_MS, Settings, Why},
+        decision::{Action, HOLD_MS},
+        gateway::{Gateway, Settings},
         pace::Pacer,
-        segment::{Kind, Segment},
         sight::Probed,
     },
 };
 use settings::gateway::Entry;
 use tokio::{net::UdpSocket, sync::Notify};
 
-/// Lines about ordinary decisions in a second.
-const ORDINARY_LINES: u32 = 10;
-
-/// Lines about refusals, drops and changed beliefs in a second.
-const RARE_LINES: u32 = 20;
-
-/// Time from which on a client's wait is worth a line, in milliseconds: clients then send again.
-const LATE_MS: u64 = 200;
+use super::journal::Journal;
 
 /// Packets that are held at a time; the oldest gives way.
 const MAX_HELD: usize = 256;
@@ -41,14 +32,6 @@
 /// Time after which a plan that was asked for is asked for again.
 const PLAN_WAIT: Duration = Duration::from_millis(600);
 
-/// What was counted since the last tick, by what became of packets.
-#[derive(Debug, Clone, Copy, Default)]
-struct Counts {
-    by_why: [u64; Why::ALL.len()],
-    malformed: u64,
-    unsent: u64,
-}
-
 /// The shell; clones share it.
 #[derive(Debug, Clone)]
 pub struct Shell {
@@ -56,8 +39,6 @@
     socket: Rc<UdpSocket>,
     /// Told when the control VMs that are known have changed.
     pub controls_changed: Rc<Notify>,
-    /// Told when an upstream may have become suspect.
-    pub probes_changed: Rc<Notify>,
     /// Told when datagrams may have begun to wait for the link.
     pub paced_changed: Rc<Notify>,
 }
@@ -68,9 +49,7 @@
     started: Clock,
     buffer: Vec<u8>,
     packet_at: Clock,
-    counts: Counts,
-    ordinary: Budget,
-    rare: Budget,
+    journal: Journal,
     /// Version of the plan that was asked for last, and when.
     asked: Option<(u64, Clock)>,
     /// Port at which clients take packets.
@@ -94,9 +73,7 @@
             started,
             buffer: vec![0; packet::ENVELOPE + packet::MAX_LEN + 1],
             packet_at: started,
-            counts: Counts::default(),
-            ordinary: Budget::new("ordinary", ORDINARY_LINES),
-            rare: Budget::new("rare", RARE_LINES),
+            journal: Journal::default(),
             asked: None,
             client_port: settings.fabric_listen.port(),
             held: VecDeque::new(),
@@ -106,7 +83,6 @@
             state: Rc::new(RefCell::new(state)),
             socket: Rc::new(socket),
             controls_changed: Rc::default(),
-            probes_changed: Rc::default(),
             paced_changed: Rc::default(),
         }
     }
@@ -175,7 +151,7 @@
     pub fn probed(&self, id: u64, outcome: Probed) {
         let mut state = self.state.borrow_mut();
         let now = state.now();
-        if state.gateway.probed(now, id, outcome) && state.rare.take(now.0) {
+        if state.gateway.probed(now, id, outcome) && state.journal.may_log(now) {
             info!(target: "upstreams", "event=probe upstream={id:x} outcome={outcome:?}");
         }
     }
@@ -185,7 +161,8 @@
         let mut state = self.state.borrow_mut();
         let now = state.now();
         state.gateway.tick(now);
-        state.publish();
+        let flows = state.gateway.flows();
+        state.journal.publish(flows);
     }
 
     /// Whether the fabric should send packets here.
@@ -279,7 +256,7 @@
                 for (announced, age_ms) in all {
                     let shown = announced.clone();
                     if state.gateway.announce(now, source, announced, age_ms)
-                        && state.rare.take(now.0)
+                        && state.journal.may_log(now)
                     {
                         info!(
                             target: "upstreams",
@@ -302,7 +279,8 @@
             }
             ToEntry::Silent(all) => {
                 for incarnation in all {
-                    if state.gateway.silent(now, source, incarnation) && state.rare.take(now.0) {
+                    if state.gateway.silent(now, source, incarnation) && state.journal.may_log(now)
+                    {
                         info!(
                             target: "upstreams",
                             "event=upstream-silent id={:x} started={} control={source}",
@@ -394,7 +372,10 @@
         let end = packet::ENVELOPE + length;
         let segment = match packet::decode(&self.buffer[packet::ENVELOPE..end]) {
             Ok(segment) => segment,
-            Err(fault) => return self.malformed(fault),
+            Err(fault) => {
+                let now = self.now();
+                return self.journal.malformed(now, fault);
+            }
         };
         let now = self.now();
         let decision = self.gateway.decide(now, &segment);
@@ -416,7 +397,7 @@
             }
             Action::Drop => {}
         }
-        self.note(now, &segment, decision);
+        self.journal.decided(now, &segment, decision, &self.gateway);
     }
 
     /// Sends the first `length` bytes of the buffer as soon as the link carries them.
@@ -424,114 +405,23 @@
         let now = self.now();
         if self.paced.may_send(now, length) {
             let sent = socket.try_send_to(&self.buffer[..length], to);
-            self.note_sent(sent);
-            return;
+            return self.note_sent(to, sent);
         }
         let datagram = self.buffer[..length].to_vec();
         if self.paced.push(length, (datagram, to)).is_err() {
-            self.counts.unsent += 1;
-            if self.rare.take(now.0) {
-                warn!(target: "packet", "event=unsent to={to} reason=\"the link is full\"");
-            }
+            self.journal.unsent(now, to, &"the link is full");
         }
     }
 
     fn send_now(&mut self, datagram: &[u8], to: SocketAddr, socket: &UdpSocket) {
         let sent = socket.try_send_to(datagram, to);
-        self.note_sent(sent);
-    }
-
-    fn note_sent(&mut self, sent: std::io::Result<usize>) {
-        let Err(error) = sent else {
-            return;
-        };
-        self.counts.unsent += 1;
-        let now = self.now();
-        if self.rare.take(now.0) {
-            warn!(target: "packet", "event=unsent reason=\"{error}\"");
-        }
-    }
-
-    fn malformed(&mut self, fault: packet::Fault) {
-        self.counts.malformed += 1;
-        let now = self.now();
-        if self.rare.take(now.0) {
-            warn!(target: "packet", "event=malformed reason=\"{fault}\"");
-        }
+        self.note_sent(to, sent);
     }
 
-    /// Counts a decision, and logs it unless it only follows from the packet's token.
-    fn note(&mut self, now: Instant, segment: &Segment, decision: Decision) {
-        let Decision {
-            action,
-            why,
-            waited_ms,
-        } = decision;
-        if let Some(count) = self.counts.by_why.get_mut(why as usize) {
-            *count += 1;
+    fn note_sent(&mut self, to: SocketAddr, sent: std::io::Result<usize>) {
+        if let Err(error) = sent {
+            let now = self.now();
+            self.journal.unsent(now, to, &error);
         }
-        if let Some(waited_ms) = waited_ms {
-            self.note_wait(now, segment, waited_ms);
-        }
-        let budget = match why {
-            Why::Token => return,
-            Why::Placed | Why::Repeated => &mut self.ordinary,
-            _ => &mut self.rare,
-        };
-        if !budget.take(now.0) {
-            return;
-        }
-        let copy = match segment.kind {
-            Kind::Open { copy } => copy,
-            Kind::Data | Kind::Finish | Kind::Reset => 0,
-        };
-        let (outcome, upstream) = match action {
-            Action::Forward { id, .. } => ("forward", id),
-            Action::Reset => ("reset", 0),
-            Action::Hold => ("hold", 0),
-            Action::Drop => ("drop", 0),
-        };
-        info!(
-            target: "packet",
-            "event=decision flow={} kind={} copy={copy} token={:x} why={} outcome={outcome} \
-             upstream={upstream:x} plan={} index={}",
-            flow(segment), segment.kind.as_str(), segment.token, why.as_str(),
-            self.gateway.plan_version().unwrap_or_default(), self.gateway.agreed().index
-        );
-    }
-
-    /// Counts how long a client waited for its upstream, and logs what is late.
-    fn note_wait(&mut self, now: Instant, segment: &Segment, waited_ms: u64) {
-        // Waits are far below the precision of the type.
-        #[expect(clippy::cast_precision_loss)]
-        metrics::histogram!("oriole_answer_wait_seconds").record(waited_ms as f64 / 1_000.0);
-        if waited_ms >= LATE_MS && self.rare.take(now.0) {
-            let upstream = self.gateway.directory().by_token(segment.token);
-            let upstream = upstream.map_or(0, |u| u.announced.incarnation.id);
-            info!(
-                target: "packet",
-                "event=late flow={} waited_ms={waited_ms} upstream={upstream:x}", flow(segment)
-            );
-        }
-    }
-
-    /// Hands what was counted to the metrics.
-    fn publish(&mut self) {
-        let counts = std::mem::take(&mut self.counts);
-        for why in Why::ALL {
-            let count = counts.by_why[why as usize];
-            if count > 0 {
-                counter!("oriole_packets_total", "why" => why.as_str()).increment(count);
-            }
-        }
-        counter!("oriole_packets_malformed_total").increment(counts.malformed);
-        counter!("oriole_packets_unsent_total").increment(counts.unsent);
-        let flows = u32::try_from(self.gateway.flows()).unwrap_or(u32::MAX);
-        metrics::gauge!("oriole_flows").set(f64::from(flows));
     }
 }
-
-/// A flow's id in logs: the client's end and the service's.
-fn flow(segment: &Segment) -> String {
-    format!("{}>{}", segment.key.client, segment.key.service)
-}
--- a/crates/policy/src/token.rs
+++ b/crates/policy/src/token.rs
@@ -12,8 +12,9 @@
 //! - [`delay`]: how long upstreams take to answer.
 //! - [`place`]: which upstream takes a new flow.
 //! - [`pace`]: how much of it the link carries when.
-//! - [`gateway`]: what becomes of a packet, and why.
+//! - [`gateway`]: decides what becomes of each packet; a [`decision`] says it, and why.
 
+pub mod decision;
 pub mod delay;
 pub mod directory;
 mod flow;
--- a/crates/policy/tests/token_gateway.rs
+++ b/crates/policy/tests/token_gateway.rs
@@ -11,7 +11,8 @@
     routing::{Announced, Incarnation, Phase},
 };
 use policy::token::{
-    gateway::{Action, Gateway, Why},
+    decision::{Action, Why},
+    gateway::Gateway,
     segment::Kind,
     sight::Probed,
 };
--- a/crates/policy/tests/token_support/mod.rs
+++ b/crates/policy/tests/token_support/mod.rs
@@ -12,7 +12,8 @@
 use policy::{
     time::Instant,
     token::{
-        gateway::{Action, Decision, Gateway, Settings, Why},
+        decision::{Action, Decision, Why},
+        gateway::{Gateway, Settings},
         segment::{Key, Kind, Segment},
     },
 };
--- a/crates/standin/tests/gateway/main.rs
+++ b/crates/standin/tests/gateway/main.rs
@@ -118,6 +118,10 @@
         found = explain(flow, system.lines());
         found.iter().any(|line| line.text.contains(wanted))
     });
+    // docs/OPERATIONS.md shows these lines; `-- --nocapture` prints them.
+    for line in &found {
+        eprintln!("{} {} {}", line.time, line.log, line.text);
+    }
     found
 }
 
