Look at other upstreams only where a token or an address is shared; capacity on the platform

Cause: each announcement had all upstreams compared again, 6,500 x 6,500 steps for one list at the size of the plan. Found by reading. No behaviour changes; the tests of tokens and addresses that are shared stay.

--- a/crates/policy/src/token/directory.rs
+++ b/crates/policy/src/token/directory.rs
@@ -48,8 +48,6 @@
     pub token: u32,
     /// From when on it is warm.
     pub warm_at: Instant,
-    /// When it was last told of.
-    pub told_at: Instant,
     /// When it was first known to be gone.
     pub gone_at: Option<Instant>,
     /// Control VMs that hear it.
@@ -65,7 +63,6 @@
         Self {
             token: token_of(announced.incarnation.id),
             warm_at: warm_at(now, &announced, age_ms),
-            told_at: now,
             gone_at: (announced.phase == Phase::Gone).then_some(now),
             claims: BTreeSet::new(),
             presence: Presence::Heard,
@@ -116,7 +113,6 @@
             return;
         }
         self.warm_at = warm_at(now, &announced, age_ms);
-        self.told_at = now;
         self.announced = announced;
     }
 }
@@ -143,6 +139,8 @@
     upstreams: BTreeMap<u64, Upstream>,
     /// Which upstream each token stands for.
     tokens: BTreeMap<u32, u64>,
+    /// Which upstream each address belongs to.
+    addresses: BTreeMap<SocketAddrV4, u64>,
     /// Control VMs whose streams are open; true once all that they knew is told.
     sources: BTreeMap<SocketAddr, bool>,
 }
@@ -158,12 +156,6 @@
         self.sources.insert(source, true);
     }
 
-    /// Whether `source` has told all that it knew.
-    #[must_use]
-    pub fn is_complete(&self, source: SocketAddr) -> bool {
-        self.sources.get(&source).copied().unwrap_or_default()
-    }
-
     /// Number of control VMs whose streams are open, and of those that have told all they knew.
     #[must_use]
     pub fn sources(&self) -> (usize, usize) {
@@ -185,12 +177,12 @@
         let Some(known) = known else {
             // A stop of an upstream that is unknown says nothing about its address.
             if announced.phase != Phase::Gone || started_ms > 0 {
-                let upstream = Upstream::heard(now, source, announced, age_ms);
-                self.upstreams.insert(id, upstream);
-                self.settle();
+                self.insert(Upstream::heard(now, source, announced, age_ms));
             }
             return true;
         };
+        let place = |u: &Upstream| (u.announced.incarnation, u.announced.address);
+        let placed = place(known);
         let before = (known.announced.phase, known.announced.incarnation);
         let is_stop_of_any = announced.phase == Phase::Gone && started_ms == 0;
         let held_ms = known.announced.incarnation.started_ms;
@@ -200,10 +192,26 @@
             *known = Upstream::heard(now, source, announced, age_ms);
         }
         let is_new = before != (known.announced.phase, known.announced.incarnation);
-        self.settle();
+        if placed != place(known) {
+            self.settle();
+        }
         is_new
     }
 
+    /// Adds an upstream; all others are only looked at where it shares its token or address.
+    fn insert(&mut self, upstream: Upstream) {
+        let id = upstream.announced.incarnation.id;
+        let (token, address) = (upstream.token, upstream.announced.address);
+        let shares = self.tokens.contains_key(&token) || self.addresses.contains_key(&address);
+        self.upstreams.insert(id, upstream);
+        if shares {
+            self.settle();
+        } else {
+            self.tokens.insert(token, id);
+            self.addresses.insert(address, id);
+        }
+    }
+
     /// Takes an upstream that a control VM heard before it started anew. It gets no new flows until
     /// it announces itself: it may have started anew as well.
     pub fn recall(&mut self, now: Instant, announced: Announced) {
@@ -213,8 +221,7 @@
         }
         let mut upstream = Upstream::new(now, announced, 0);
         upstream.presence = Presence::Recalled(now);
-        self.upstreams.insert(id, upstream);
-        self.settle();
+        self.insert(upstream);
     }
 
     /// Whether fewer than half of the upstreams of `service` that were there before all control VMs
@@ -340,5 +347,6 @@
             upstream.is_barred = is_shared || is_replaced;
         }
         self.tokens = tokens.into_iter().map(|(t, i)| (t, i.id)).collect();
+        self.addresses = addresses.into_iter().map(|(a, i)| (a, i.id)).collect();
     }
 }
