--- a/crates/control/src/process.rs
+++ b/crates/control/src/process.rs
@@ -119,10 +119,11 @@
     .map_err(|e| Error::Listen(listen, e, "rpc_listen"))?;
     log::info!(
         target: "control",
-        "{} of {} takes operators at {listen} and entry VMs at {}",
+        "event=start vm={} domain={} operators={listen} entry_vms={}",
         settings.name, settings.domain, settings.delivery_listen
     );
     let outcome = root.wait().await;
+    log::info!(target: "control", "event=stop outcome={outcome:?}");
     rpc.stop(true).await;
     replica_token.cancel();
     if timeout(REPLICA_STOP, replica.stopped()).await.is_err() {
--- a/crates/standin/tests/gateway/main.rs
+++ b/crates/standin/tests/gateway/main.rs
@@ -7,9 +7,13 @@
 use std::{process::Command, time::Duration};
 
 use cli::explain::{Line, explain};
+use standin::experiment::process::Signal;
 use standin::platform::{client::Got, system::plan, upstream::Mood};
 use system::{DEADLINE, Whole, eventually};
 
+/// Longest wait for a process that was asked to stop.
+const STOP_WAIT: Duration = Duration::from_secs(30);
+
 #[test]
 fn flows_stay_whole_while_entry_vms_come_and_go() {
     let mut system = Whole::start();
@@ -111,6 +115,25 @@
     assert!(all.all(|p| p.is_running()));
 }
 
+#[test]
+fn each_process_says_when_it_starts_and_stops_and_stops_gracefully() {
+    let mut system = Whole::start();
+    let parts: &mut standin::platform::system::System = &mut system;
+    for process in parts.controls.iter_mut().chain(&mut parts.entries) {
+        process.signal(Signal::Terminate).unwrap();
+    }
+    for process in parts.controls.iter_mut().chain(&mut parts.entries) {
+        let status = process.wait(STOP_WAIT).unwrap();
+        assert!(status.success(), "{}: {status}", process.name());
+    }
+    let lines = system.lines();
+    let count = |event| {
+        let lines = lines.iter().filter(|l| l.value("event") == Some(event));
+        lines.count()
+    };
+    assert_eq!((count("start"), count("stop")), (5, 5));
+}
+
 /// The lines that explain a flow, once one of them has `wanted`.
 fn explained(system: &Whole, flow: &str, wanted: &str) -> Vec<Line> {
     let mut found = Vec::new();
