Listen for HTTP before serving anyone; the refused connection of a test is traced

Cause of the known red of control's test of malformed calls ("Connection refused" right after a connection): the daemon bound its HTTP address in a task after it had begun to serve operators. Where that address was taken, it served for a moment, then ended; the test saw accepted connections, then a refused one. Shown with the program as it landed and a taken `http_listen`: refused after 12 connections, process ended. The log of the one failed run wasn't kept, so that it was this address isn't shown; no other way to the same symptom was found (the delivery and the operators' address fail before the first connection). The error went to the standard output that the tests throw away.

Where a port could be taken from under a test: two processes of tests whose ids lie near each other drew from the same ports. Each now keeps a second port taken for each that it chose.

Test: a_taken_address_ends_the_process_before_it_serves, which failed for `http_listen`. The test of malformed calls runs again, and says on failure which address refused and whether the process ran.

--- a/crates/control/src/process.rs
+++ b/crates/control/src/process.rs
@@ -1,6 +1,6 @@
 //! Builds the parts of the daemon and runs them.
 
-use std::{path::PathBuf, time::Duration};
+use std::{net::TcpListener as StdListener, path::PathBuf, rc::Rc, time::Duration};
 
 use daemon::{
     http::{self, Question},
@@ -89,6 +89,7 @@
     token: CancellationToken,
 ) -> Result<(), Error> {
     let metrics = http::record_metrics().map_err(Error::Http)?;
+    let http = http::listen(settings.http_listen).map_err(Error::Http)?;
     // The replica outlives the rest, so that calls under way at a stop still get their answers.
     let replica_token = CancellationToken::new();
     let replica = Handle::start(replica, replica_token.clone())
@@ -109,7 +110,7 @@
     start_streams(&settings, &state, &root).await?;
     start_steps(&state, &root);
     watch_replica(&replica, &root);
-    start_http(&settings, metrics, &state, &root);
+    start_http(http, metrics, &state, &root);
 
     let listen = settings.rpc_listen;
     let service = state.clone();
@@ -244,13 +245,17 @@
     });
 }
 
-fn start_http(settings: &Settings, metrics: PrometheusHandle, state: &State, root: &Supervisor) {
+fn start_http(listener: StdListener, metrics: PrometheusHandle, state: &State, root: &Supervisor) {
     let (questions, asked) = mpsc::channel(QUESTIONS);
     ntex::rt::spawn(answer(asked, state.clone()));
-    let listen = settings.http_listen;
+    let listener = Rc::new(listener);
     root.child("http", Restart::Never, move |token| {
-        let serve = http::serve(listen, metrics.clone(), questions.clone(), token);
-        async move { serve.await.map_err(|e| e.to_string()) }
+        let (listener, metrics) = (Rc::clone(&listener), metrics.clone());
+        let questions = questions.clone();
+        async move {
+            let served = http::serve(&listener, metrics, questions, token).await;
+            served.map_err(|e| e.to_string())
+        }
     });
 }
 
--- a/crates/control/tests/common/mod.rs
+++ b/crates/control/tests/common/mod.rs
@@ -42,33 +42,43 @@
 impl Cluster {
     /// Starts `size` control VMs named control-1 and so on.
     pub fn start(size: usize) -> Self {
+        let mut cluster = Self::plan(size);
+        for number in 0..size {
+            cluster.run(number);
+        }
+        cluster
+    }
+
+    /// Settings for `size` control VMs, none of which runs yet.
+    pub fn plan(size: usize) -> Self {
         let folder = tempfile::tempdir().unwrap();
-        let mut cluster = Self {
+        Self {
             settings: settings(size, &folder),
             folder,
             children: (0..size).map(|_| None).collect(),
-        };
-        for number in 0..size {
-            cluster.run(number);
         }
-        cluster
     }
 
     /// Starts a control VM that doesn't run.
     pub fn run(&mut self, number: usize) {
+        let child = self.command(number).stdout(Stdio::null()).spawn();
+        self.children[number] = Some(child.unwrap());
+    }
+
+    /// The command that starts a control VM; its settings are on disk.
+    pub fn command(&self, number: usize) -> Command {
         let path = self.path(number);
-        fs::write(
-            &path,
-            serde_norway::to_string(&self.settings[number]).unwrap(),
-        )
-        .unwrap();
-        let child = Command::new(env!("CARGO_BIN_EXE_oriole-control"))
-            .arg("--settings")
-            .arg(path)
-            .stdout(Stdio::null())
-            .spawn()
-            .unwrap();
-        self.children[number] = Some(child);
+        let settings = serde_norway::to_string(&self.settings[number]).unwrap();
+        fs::write(&path, settings).unwrap();
+        let mut command = Command::new(env!("CARGO_BIN_EXE_oriole-control"));
+        command.arg("--settings").arg(path);
+        command
+    }
+
+    /// Whether a control VM's process still runs.
+    pub fn is_running(&mut self, number: usize) -> bool {
+        let child = self.children[number].as_mut();
+        child.is_some_and(|c| c.try_wait().unwrap().is_none())
     }
 
     pub fn path(&self, number: usize) -> PathBuf {
@@ -235,16 +245,28 @@
 
 /// Loopback addresses whose ports are free, all at the same time.
 ///
-/// The ports lie below the range that outgoing connections take theirs from.
+/// The ports lie below the range that outgoing connections take theirs from. For each, a second
+/// port stays taken as long as this process runs, so that another process of tests that runs at
+/// the same time chooses other ones.
 fn free_ports(count: usize) -> Vec<SocketAddr> {
-    use std::sync::atomic::{AtomicU16, Ordering};
+    use std::sync::{
+        Mutex,
+        atomic::{AtomicU16, Ordering},
+    };
+    const FIRST: u16 = 12_000;
+    const SPAN: u16 = 10_000;
     static NEXT: AtomicU16 = AtomicU16::new(0);
-    let base = 12_000 + u16::try_from(std::process::id() % 18_000).unwrap();
+    static HELD: Mutex<Vec<TcpListener>> = Mutex::new(Vec::new());
+    let start = u16::try_from(std::process::id() % u32::from(SPAN)).unwrap();
     let mut found = BTreeSet::new();
     while found.len() < count {
-        let port = base.wrapping_add(NEXT.fetch_add(1, Ordering::Relaxed) % 2_000);
-        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        let port = FIRST + (start + NEXT.fetch_add(1, Ordering::Relaxed) % SPAN) % SPAN;
+        let [address, mark] = [port, port + SPAN].map(|p| SocketAddr::from(([127, 0, 0, 1], p)));
+        let Ok(mark) = TcpListener::bind(mark) else {
+            continue;
+        };
         if TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok() {
+            HELD.lock().unwrap().push(mark);
             found.insert(address);
         }
     }
--- a/crates/control/tests/process.rs
+++ b/crates/control/tests/process.rs
@@ -4,7 +4,10 @@
 
 mod common;
 
-use std::process::Command;
+use std::{
+    net::{SocketAddr, TcpListener},
+    process::Command,
+};
 
 use common::upstream::{announcement, name};
 use common::{
@@ -132,7 +135,28 @@
 }
 
 #[test]
-#[ignore = "known red, flaky: see KNOWN-RED.txt"]
+fn a_taken_address_ends_the_process_before_it_serves() {
+    type Choose = fn(&settings::control::Settings) -> SocketAddr;
+    let listens: [(&str, Choose); 3] = [
+        ("rpc_listen", |s| s.rpc_listen),
+        ("delivery_listen", |s| s.delivery_listen),
+        ("http_listen", |s| s.http_listen),
+    ];
+    for (name, address) in listens {
+        let mut cluster = Cluster::plan(1);
+        cluster.settings[0].log = settings::log::Level::Info;
+        let taken = TcpListener::bind(address(&cluster.settings[0])).unwrap();
+        let ended = cluster.command(0).output().unwrap();
+        let said = String::from_utf8(ended.stdout).unwrap();
+        assert!(!ended.status.success(), "{name}");
+        assert!(said.contains(name), "{name}: {said}");
+        let address = taken.local_addr().unwrap().to_string();
+        assert!(said.contains(&address), "{name}: {said}");
+        assert!(!said.contains("event=start"), "{name}: {said}");
+    }
+}
+
+#[test]
 fn malformed_calls_do_not_end_the_process() {
     use std::io::Write;
     block_on(async {
@@ -147,7 +171,9 @@
                 &[0xff; 64],
                 b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n\x00\x00\x01",
             ] {
-                let mut stream = std::net::TcpStream::connect(address).unwrap();
+                let connected = std::net::TcpStream::connect(address);
+                let runs = cluster.is_running(0);
+                let mut stream = connected.unwrap_or_else(|e| panic!("{address}, {runs}: {e}"));
                 stream.write_all(bytes).unwrap();
             }
         }
--- a/crates/daemon/src/http.rs
+++ b/crates/daemon/src/http.rs
@@ -4,7 +4,10 @@
 //! - `GET /health`: 200 and `ok` once the process is in service, 503 with the reason before.
 //! - `GET /dump`: the process's whole state as JSON.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{
+    net::{SocketAddr, TcpListener},
+    time::Duration,
+};
 
 use displaydoc::Display;
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
@@ -35,6 +38,8 @@
 pub enum Error {
     /// HTTP can't listen at {0}: {1}; choose another `http_listen`
     Listen(SocketAddr, std::io::Error),
+    /// HTTP can't be served: {0}
+    Serve(std::io::Error),
     /// metrics can't be recorded: {0}
     Recorder(String),
 }
@@ -52,17 +57,28 @@
         .map_err(|e| Error::Recorder(e.to_string()))
 }
 
-/// Serves until `token` is cancelled.
+/// Listens at `address`, so that a process learns that it is taken before it serves anyone.
 ///
 /// # Errors
 ///
 /// Fails when the address can't be listened at.
+pub fn listen(address: SocketAddr) -> Result<TcpListener, Error> {
+    TcpListener::bind(address).map_err(|e| Error::Listen(address, e))
+}
+
+/// Serves what comes to `listener` until `token` is cancelled. The caller keeps the listener, and
+/// may serve it again.
+///
+/// # Errors
+///
+/// Fails when the listener can't be shared with the server.
 pub async fn serve(
-    listen: SocketAddr,
+    listener: &TcpListener,
     metrics: PrometheusHandle,
     questions: Questions,
     token: CancellationToken,
 ) -> Result<(), Error> {
+    let listener = listener.try_clone().map_err(Error::Serve)?;
     let server = web::server(async move || {
         App::new()
             .state(metrics.clone())
@@ -76,8 +92,8 @@
     .workers(1)
     .disable_signals()
     .shutdown_timeout(Seconds(1))
-    .bind(listen)
-    .map_err(|e| Error::Listen(listen, e))?
+    .listen(listener)
+    .map_err(Error::Serve)?
     .run();
     token.cancelled().await;
     server.stop(true).await;
--- a/crates/entry/src/gateway.rs
+++ b/crates/entry/src/gateway.rs
@@ -5,7 +5,7 @@
 //! - [`sources`] keeps a stream to each control VM.
 //! - [`probes`] tries to connect to upstreams that seem silent.
 
-use std::{path::PathBuf, time::Duration};
+use std::{net::TcpListener, path::PathBuf, rc::Rc, time::Duration};
 
 use daemon::{
     http::{self, Question},
@@ -67,6 +67,7 @@
     let socket = UdpSocket::bind(listen).await;
     let socket = socket.map_err(|e| Error::Bind(listen, e))?;
     let metrics = http::record_metrics().map_err(Error::Http)?;
+    let listener = http::listen(settings.health_listen).map_err(Error::Http)?;
     let shell = Shell::new(&settings, socket);
 
     // Tasks outlive the request to stop: they serve until the graceful stop is complete.
@@ -76,7 +77,7 @@
     start_paced(&supervisor, &shell);
     start_ticks(&supervisor, &shell);
     probes::start(&supervisor, &shell);
-    start_http(&supervisor, &settings, &shell, metrics);
+    start_http(&supervisor, listener, &shell, metrics);
     start_sources(&supervisor, &settings, source, &shell);
     info!(
         target: "entry",
@@ -155,15 +156,19 @@
 
 fn start_http(
     supervisor: &Supervisor,
-    settings: &Entry,
+    listener: TcpListener,
     shell: &Shell,
     metrics: metrics_exporter_prometheus::PrometheusHandle,
 ) {
     let (questions, mut asked) = mpsc::channel(QUESTIONS);
-    let listen = settings.health_listen;
+    let listener = Rc::new(listener);
     supervisor.child("http", Restart::OnFailure, move |token| {
-        let served = http::serve(listen, metrics.clone(), questions.clone(), token);
-        async move { served.await.map_err(|e| e.to_string()) }
+        let (listener, metrics) = (Rc::clone(&listener), metrics.clone());
+        let questions = questions.clone();
+        async move {
+            let served = http::serve(&listener, metrics, questions, token).await;
+            served.map_err(|e| e.to_string())
+        }
     });
     let shell = shell.clone();
     ntex::rt::spawn(async move {
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -1,6 +1,7 @@
 //! The tree of tasks of `oriole-entry`.
 
 use std::{
+    net::TcpListener,
     rc::Rc,
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
@@ -76,6 +77,7 @@
     })
     .map_err(Error::Socket)?;
     let metrics = http::record_metrics().map_err(Error::Http)?;
+    let listener = http::listen(settings.http_listen).map_err(Error::Http)?;
     let (to_control, outgoing) = mpsc::channel(CONTROL_QUEUE);
     let engine = Engine::new(
         node_settings(&settings),
@@ -96,7 +98,7 @@
         to_control.clone(),
         outgoing,
     );
-    start_http(&supervisor, &settings, &engine, metrics);
+    start_http(&supervisor, listener, &engine, metrics);
     let rpc = start_rpc(&supervisor, &settings, &engine).map_err(Error::Rpc)?;
     info!(target: "entry", "{} of domain {} serves", settings.name, settings.domain);
 
@@ -188,16 +190,17 @@
 
 fn start_http(
     supervisor: &Supervisor,
-    settings: &Settings,
+    listener: TcpListener,
     engine: &Engine,
     metrics: metrics_exporter_prometheus::PrometheusHandle,
 ) {
     let (questions, mut asked) = mpsc::channel(ENGINE_QUEUE);
-    let listen = settings.http_listen;
+    let listener = Rc::new(listener);
     supervisor.child("http", Restart::OnFailure, move |token| {
-        let (metrics, questions) = (metrics.clone(), questions.clone());
+        let (listener, metrics) = (Rc::clone(&listener), metrics.clone());
+        let questions = questions.clone();
         async move {
-            let served = http::serve(listen, metrics, questions, token).await;
+            let served = http::serve(&listener, metrics, questions, token).await;
             served.map_err(|e| e.to_string())
         }
     });
