--- a/crates/control/src/desk.rs
+++ b/crates/control/src/desk.rs
@@ -2,6 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
+use daemon::process::fresh_random;
 use model::{
     command::{self, Command},
     config::{Config, DomainState, Refusal},
@@ -12,7 +13,7 @@
 use platform::desk::{self, Unavailable};
 use tokio::time::timeout;
 
-use crate::{heard::Outcome, replica::driver::random as fresh, state::State};
+use crate::{heard::Outcome, state::State};
 
 /// Time in which a call is answered. Callers turn to another control VM after a second.
 const ANSWER_WAIT: Duration = Duration::from_millis(900);
@@ -129,7 +130,7 @@
         command: Command,
         expected: Option<u64>,
     ) -> Result<Option<Refusal>, Unavailable> {
-        let request = format!("{:016x}", fresh());
+        let request = format!("{:016x}", fresh_random());
         let entry = command::Entry::new(OPERATOR, request, expected, command);
         let applied = timeout(ANSWER_WAIT, self.replica.propose(entry)).await;
         match applied {
--- a/crates/control/src/replica/driver.rs
+++ b/crates/control/src/replica/driver.rs
@@ -5,7 +5,6 @@
 
 use std::{
     collections::BTreeMap,
-    hash::{BuildHasher, RandomState},
     net::SocketAddr,
     path::PathBuf,
     sync::{
@@ -16,6 +15,7 @@
     time::{Duration, Instant},
 };
 
+use daemon::process::fresh_random;
 use model::{
     command,
     config::{Applied, Config},
@@ -171,8 +171,8 @@
         peers: peers.map(|(n, a)| (n.clone(), a.to_string())).collect(),
         found: settings.found,
         keep_voters: settings.keep_voters,
-        fresh: (random(), random()),
-        seed: random(),
+        fresh: (fresh_random(), fresh_random()),
+        seed: fresh_random(),
         snapshot_every: settings.snapshot_every.max(1),
         consensus: consensus::Settings {
             election_ticks: 12,
@@ -183,11 +183,6 @@
     }
 }
 
-/// A random number other than 0, from the system's generator.
-pub(crate) fn random() -> u64 {
-    RandomState::new().hash_one(Instant::now()).max(1)
-}
-
 /// Who waits for which token.
 #[derive(Debug, Default)]
 struct Waiting {
--- a/crates/daemon/src/process.rs
+++ b/crates/daemon/src/process.rs
@@ -37,10 +37,10 @@
     code
 }
 
-/// A seed from the system's random generator.
+/// A random number other than 0, from the system's generator.
 #[must_use]
-pub fn fresh_seed() -> u64 {
-    RandomState::new().hash_one(Instant::now())
+pub fn fresh_random() -> u64 {
+    RandomState::new().hash_one(Instant::now()).max(1)
 }
 
 async fn watch_signals(token: CancellationToken) {
--- a/crates/entry/src/gateway/shell.rs
+++ b/crates/entry/src/gateway/shell.rs
@@ -68,7 +68,7 @@
         let state = State {
             gateway: Gateway::new(Settings {
                 domain: settings.domain.clone(),
-                seed: settings.seed.unwrap_or_else(daemon::process::fresh_seed),
+                seed: settings.seed.unwrap_or_else(daemon::process::fresh_random),
             }),
             started,
             buffer: vec![0; packet::ENVELOPE + packet::MAX_LEN + 1],
--- a/crates/policy/src/token/directory.rs
+++ b/crates/policy/src/token/directory.rs
@@ -86,12 +86,6 @@
         is_ready && is_heard && !self.is_barred && now >= self.warm_at
     }
 
-    /// Whether new flows could go to it if it were warm.
-    #[must_use]
-    pub fn is_cold(&self, now: Instant) -> bool {
-        self.takes_flows(self.warm_at) && now < self.warm_at
-    }
-
     /// When it stopped to matter for new flows, if it did.
     fn ended_at(&self) -> Option<Instant> {
         match self.presence {
--- a/crates/policy/tests/token_directory.rs
+++ b/crates/policy/tests/token_directory.rs
@@ -130,7 +130,9 @@
     };
     directory.announce(at(0), control(1), cold, 500);
     assert!(!takes_flows(&directory, 1_500, 1));
-    assert!(directory.get(1).unwrap().is_cold(at(1_500)));
+    let warm_at = directory.get(1).unwrap().warm_at;
+    assert!(at(1_500) < warm_at && warm_at <= at(1_700));
+    assert!(directory.get(1).unwrap().takes_flows(warm_at));
     assert!(takes_flows(&directory, 1_700, 1));
 }
 
--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -66,6 +66,20 @@
         )
     }
 
+    /// Whether daemons are down until its end.
+    #[must_use]
+    pub fn holds_daemons_down(self) -> bool {
+        matches!(
+            self,
+            Self::KillEntry(_)
+                | Self::StopEntry(_)
+                | Self::KillControl(_)
+                | Self::StopControl(_)
+                | Self::EmptyDisk(_)
+                | Self::KillAll
+        )
+    }
+
     /// The place of the upstream that it disturbs, if any.
     #[must_use]
     pub fn upstream(self) -> Option<u8> {
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -414,18 +414,7 @@
 
     /// Notes processes that have ended though no fault holds them down.
     fn note_exits(&mut self, active: &[Kind]) {
-        let is_held = |kind: &Kind| {
-            matches!(
-                kind,
-                Kind::KillEntry(_)
-                    | Kind::StopEntry(_)
-                    | Kind::KillControl(_)
-                    | Kind::StopControl(_)
-                    | Kind::EmptyDisk(_)
-                    | Kind::KillAll
-            )
-        };
-        if active.iter().any(is_held) {
+        if active.iter().any(|kind| kind.holds_daemons_down()) {
             return;
         }
         let ended = self.daemons().filter_map(|p| {
