Judge upstreams by how their requests end; overtaken packets are no repeats

An older acknowledgement that came late counted as an answer.

Change: `token::outcome`. The size of an answer is the client's acknowledgement at the end of a request less that at its beginning. A failure is an answer below half of the usual size of its route, or none until the client leaves or until the route's deadline has passed. Failures count only beyond those of the other upstreams of the service, with a prior, and fade within seconds. Being quicker than usual is no merit any more; slowness counts twice. Repeats count from 150 ms on, acknowledgements only forward.

Tests that failed first: the three of token_load on upstreams that fail, and packets_that_overtake_each_other_are_neither_repeats_nor_answers, a_flow_that_ends_and_begins_anew_is_placed_anew in token_gateway.

--- a/crates/entry/src/gateway.rs
+++ b/crates/entry/src/gateway.rs
@@ -29,7 +29,7 @@
 const BATCH: usize = 64;
 
 /// Time between two looks at what only time changes.
-const TICK: Duration = Duration::from_millis(1_000);
+const TICK: Duration = Duration::from_millis(500);
 
 /// Questions that may wait.
 const QUESTIONS: usize = 16;
--- a/crates/policy/src/token.rs
+++ b/crates/policy/src/token.rs
@@ -10,6 +10,7 @@
 //! - [`directory`]: the upstreams that are known, merged from what several control VMs tell.
 //! - [`sight`]: what this VM saw of each upstream: how much it bears, whether it answers.
 //! - [`delay`]: how long upstreams take to answer.
+//! - [`outcome`]: which upstreams fail more requests than others.
 //! - [`place`]: which upstream takes a new flow.
 //! - [`pace`]: how much of it the link carries when.
 //! - [`gateway`]: decides what becomes of each packet; a [`decision`] says it, and why.
@@ -19,6 +20,7 @@
 pub mod directory;
 mod flow;
 pub mod gateway;
+pub mod outcome;
 pub mod pace;
 pub mod place;
 pub mod segment;
--- a/crates/policy/src/token/directory.rs
+++ b/crates/policy/src/token/directory.rs
@@ -10,7 +10,10 @@
     sync::Arc,
 };
 
-use model::routing::{Announced, Incarnation, Phase};
+use model::{
+    name::Name,
+    routing::{Announced, Incarnation, Phase},
+};
 
 use crate::time::Instant;
 
@@ -127,10 +130,38 @@
     u32::try_from(folded).unwrap_or_default().max(1)
 }
 
+/// The upstreams of a service, by id.
+#[derive(Debug, Clone, Default)]
+pub struct Members {
+    all: Vec<u64>,
+    domains: BTreeMap<Name, Vec<u64>>,
+}
+
+impl Members {
+    fn add(&mut self, id: u64, domain: &Name) {
+        self.all.push(id);
+        self.domains.entry(domain.clone()).or_default().push(id);
+    }
+
+    /// All of them.
+    #[must_use]
+    pub fn all(&self) -> &[u64] {
+        &self.all
+    }
+
+    /// Those in a failure domain.
+    #[must_use]
+    pub fn in_domain(&self, domain: &Name) -> &[u64] {
+        self.domains.get(domain).map_or(&[], Vec::as_slice)
+    }
+}
+
 /// All upstreams that are known.
 #[derive(Debug, Default)]
 pub struct Directory {
     upstreams: BTreeMap<u64, Upstream>,
+    /// The upstreams of each service.
+    services: BTreeMap<Arc<str>, Members>,
     /// Which upstream each token stands for.
     tokens: BTreeMap<u32, u64>,
     /// Which upstream each address belongs to.
@@ -177,6 +208,10 @@
         };
         let place = |u: &Upstream| (u.announced.incarnation, u.announced.address);
         let placed = place(known);
+        let (service, domain) = (
+            Arc::clone(&known.announced.service),
+            known.announced.domain.clone(),
+        );
         let before = (known.announced.phase, known.announced.incarnation);
         let is_stop_of_any = announced.phase == Phase::Gone && started_ms == 0;
         let held_ms = known.announced.incarnation.started_ms;
@@ -186,7 +221,13 @@
             *known = Upstream::heard(now, source, announced, age_ms);
         }
         let is_new = before != (known.announced.phase, known.announced.incarnation);
-        if placed != place(known) {
+        let has_moved = service != known.announced.service || domain != known.announced.domain;
+        if has_moved {
+            self.group();
+        }
+        let known = self.upstreams.get(&id);
+        let placed_now = known.map(place);
+        if Some(placed) != placed_now {
             self.settle();
         }
         is_new
@@ -197,6 +238,11 @@
         let id = upstream.announced.incarnation.id;
         let (token, address) = (upstream.token, upstream.announced.address);
         let shares = self.tokens.contains_key(&token) || self.addresses.contains_key(&address);
+        let Announced {
+            service, domain, ..
+        } = &upstream.announced;
+        let members = self.services.entry(Arc::clone(service)).or_default();
+        members.add(id, domain);
         self.upstreams.insert(id, upstream);
         if shares {
             self.settle();
@@ -284,6 +330,7 @@
                 .is_none_or(|at| now.ms_since(at) < FORGET_MS)
         });
         if self.upstreams.len() != count {
+            self.group();
             self.settle();
         }
     }
@@ -300,12 +347,16 @@
         self.upstreams.get(self.tokens.get(&token)?)
     }
 
+    /// The ids of the upstreams of `service`.
+    #[must_use]
+    pub fn members(&self, service: &Arc<str>) -> Option<&Members> {
+        self.services.get(service)
+    }
+
     /// All upstreams of `service`.
     pub fn of_service(&self, service: &Arc<str>) -> impl Iterator<Item = &Upstream> {
-        let wanted = Arc::clone(service);
-        self.upstreams
-            .values()
-            .filter(move |u| u.announced.service == wanted)
+        let ids = self.members(service).map_or(&[][..], Members::all);
+        ids.iter().filter_map(|id| self.upstreams.get(id))
     }
 
     /// All upstreams.
@@ -313,6 +364,18 @@
         self.upstreams.values()
     }
 
+    /// Groups all upstreams by service and failure domain.
+    fn group(&mut self) {
+        self.services.clear();
+        for (id, upstream) in &self.upstreams {
+            let Announced {
+                service, domain, ..
+            } = &upstream.announced;
+            let members = self.services.entry(Arc::clone(service)).or_default();
+            members.add(*id, domain);
+        }
+    }
+
     /// Decides whom each token and each address belongs to, by what all VMs see alike: a token
     /// belongs to the upstream that started first, an address to the one that started last.
     fn settle(&mut self) {
--- a/crates/policy/src/token/flow.rs
+++ b/crates/policy/src/token/flow.rs
@@ -1,8 +1,15 @@
 //! A flow as one entry VM sees it: the client's half, from the packets that reach this VM.
 
-use super::segment::{Kind, Segment};
+use super::{
+    outcome::Ended,
+    segment::{Kind, Segment},
+};
 use crate::time::Instant;
 
+/// Time after which data that comes again was lost or is unanswered, in milliseconds: clients repeat
+/// after 200 ms, and what comes earlier was overtaken on its way.
+const REPEAT_MS: u64 = 150;
+
 /// A flow.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Flow {
@@ -22,6 +29,9 @@
     is_first: bool,
     /// When that request was first passed on.
     asked_at: Instant,
+    /// The client's acknowledgement when the last request began; none where its end was noted or
+    /// its beginning wasn't seen.
+    asked_from: Option<u32>,
     /// Number of the byte behind the last one that the client sent.
     sent: u32,
     /// Last acknowledgement of the client.
@@ -39,6 +49,8 @@
     pub(super) waits_since: Option<Instant>,
     /// A request begins.
     pub(super) is_request: bool,
+    /// How the request before has ended.
+    pub(super) ended: Option<Ended>,
 }
 
 impl Flow {
@@ -53,6 +65,7 @@
             is_asking: false,
             is_first: true,
             asked_at: now,
+            asked_from: None,
             sent: 0,
             acknowledged: 0,
         }
@@ -61,12 +74,13 @@
     /// Takes a packet other than an opening one.
     pub(super) fn take(&mut self, now: Instant, segment: &Segment) -> Signal {
         self.seen_at = now;
-        self.is_over = matches!(segment.kind, Kind::Finish | Kind::Reset);
+        self.is_over |= matches!(segment.kind, Kind::Finish | Kind::Reset);
         let end = segment.sequence.wrapping_add(u32::from(segment.length));
         if !self.is_open {
             self.is_open = true;
             self.is_asking = segment.length > 0;
             self.asked_at = now;
+            self.asked_from = self.is_asking.then_some(segment.acknowledged);
             self.acknowledged = segment.acknowledged;
             self.sent = end;
             return Signal {
@@ -75,7 +89,7 @@
             };
         }
         let mut signal = Signal::default();
-        if segment.acknowledged != self.acknowledged {
+        if is_after(segment.acknowledged, self.acknowledged) {
             self.acknowledged = segment.acknowledged;
             signal.is_answer = true;
             // Where more data goes with it, the client had the answer before.
@@ -84,23 +98,47 @@
             }
             self.is_asking = false;
         }
+        if self.is_over {
+            signal.ended = self.end();
+        }
         if segment.length == 0 {
             return signal;
         }
         if !is_after(end, self.sent) {
-            signal.waits_since = Some(self.asked_at);
-            signal.took_ms = Some(now.ms_since(self.asked_at));
+            let waited_ms = now.ms_since(self.asked_at);
+            if waited_ms >= REPEAT_MS {
+                signal.waits_since = Some(self.asked_at);
+                signal.took_ms = Some(waited_ms);
+            }
             return signal;
         }
         self.sent = end;
         if !self.is_asking {
+            signal.ended = signal.ended.or(self.end());
             self.is_asking = true;
             self.asked_at = now;
+            self.asked_from = Some(self.acknowledged);
             signal.is_request = !self.is_first;
             self.is_first = false;
         }
         signal
     }
+
+    /// Notes that the client has left without an answer, where it has waited for longer than
+    /// `deadline_ms` and sent nothing since.
+    pub(super) fn give_up(&mut self, now: Instant, deadline_ms: u64) -> Option<Ended> {
+        let has_left = self.is_asking && now.ms_since(self.asked_at) > deadline_ms;
+        has_left.then(|| self.end()).flatten()
+    }
+
+    /// How the last request has ended, once.
+    fn end(&mut self) -> Option<Ended> {
+        let from = self.asked_from.take()?;
+        match self.acknowledged.wrapping_sub(from) {
+            0 => Some(Ended::Unanswered),
+            bytes => Some(Ended::Answered(bytes)),
+        }
+    }
 }
 
 /// Whether byte number `a` comes after `b`; numbers wrap around.
--- a/crates/policy/src/token/gateway.rs
+++ b/crates/policy/src/token/gateway.rs
@@ -19,7 +19,8 @@
     delay::Delays,
     directory::{Directory, Upstream},
     flow::Flow,
-    place::{self, Question},
+    outcome::{Ended, Outcomes},
+    place::{Known, Placer, Question},
     segment::{Key, Kind, Segment},
     sight::{Probed, Sights},
 };
@@ -51,16 +52,27 @@
     pub seed: u64,
 }
 
+/// Where new flows to an address go.
+#[derive(Debug, Clone)]
+struct Route {
+    /// Services with a share. Invariant: no share is 0.
+    targets: Arc<[Target]>,
+    /// Deadline of its requests, in milliseconds.
+    deadline_ms: u64,
+}
+
 /// All that an entry VM knows and decides by.
 #[derive(Debug)]
 pub struct Gateway {
     settings: Settings,
     plan: Option<Arc<Plan>>,
-    routes: BTreeMap<SocketAddrV4, Arc<[Target]>>,
+    routes: BTreeMap<SocketAddrV4, Route>,
     agreed: Agreed,
     directory: Directory,
     sights: Sights,
     delays: Delays,
+    outcomes: Outcomes,
+    placer: Placer,
     flows: BTreeMap<Key, Flow>,
     random: Pcg64Mcg,
     /// When the first control VM had told all it knew.
@@ -81,6 +93,8 @@
             directory: Directory::default(),
             sights: Sights::default(),
             delays: Delays::default(),
+            outcomes: Outcomes::default(),
+            placer: Placer::default(),
             flows: BTreeMap::new(),
             first_complete: None,
             is_stopping: false,
@@ -110,9 +124,20 @@
         }
         let by_address = plan.routes.iter().map(|route| {
             let targets = route.targets.iter().filter(|t| t.weight > 0);
-            (route.address, targets.cloned().collect())
+            let targets = targets.cloned().collect();
+            let deadline_ms = route.deadline_ms;
+            (
+                route.address,
+                Route {
+                    targets,
+                    deadline_ms,
+                },
+            )
         });
         self.routes = by_address.collect();
+        self.placer = Placer::default();
+        let routes = &self.routes;
+        self.outcomes.retain_routes(|r| routes.contains_key(&r));
         self.plan = Some(plan);
         true
     }
@@ -171,6 +196,7 @@
         let after = self.directory.get(id).map(|u| u.announced.incarnation);
         if before != after {
             self.sights.renew(id);
+            self.outcomes.renew(id);
         }
         is_new
     }
@@ -212,6 +238,8 @@
         self.sights.retain(&self.directory);
         let directory = &self.directory;
         self.delays.retain(|id| directory.get(id).is_some());
+        self.outcomes.retain(|id| directory.get(id).is_some());
+        self.give_up(now);
         let idle_ms = self.plan.as_ref().map_or(DEFAULT_IDLE_MS, |p| p.idle_ms);
         self.flows
             .retain(|_, flow| !flow.is_over && now.ms_since(flow.seen_at) < idle_ms);
@@ -252,7 +280,7 @@
         let services: BTreeSet<&Arc<str>> = self
             .routes
             .values()
-            .flat_map(|targets| targets.iter().map(|t| &t.service))
+            .flat_map(|route| route.targets.iter().map(|t| &t.service))
             .collect();
         services.into_iter().any(|service| {
             let all = self.directory.of_service(service);
@@ -274,7 +302,11 @@
             // Its copies reach this VM or another once there is one.
             return Decision::new(Action::Hold, Why::NoPlan);
         }
-        let Some(targets) = self.routes.get(&key.service).cloned() else {
+        let Some(targets) = self
+            .routes
+            .get(&key.service)
+            .map(|r| Arc::clone(&r.targets))
+        else {
             return Decision::new(Action::Reset, Why::NoRoute);
         };
         let known = self.flows.get(&key).copied().filter(|flow| !flow.is_over);
@@ -339,21 +371,21 @@
                 out: &self.agreed.out,
                 tried,
             };
-            let chosen = place::choose(
-                now,
-                question,
-                &self.directory,
-                &self.sights,
-                &self.delays,
-                &mut self.random,
-            );
+            let known = Known {
+                directory: &self.directory,
+                sights: &self.sights,
+                delays: &self.delays,
+                outcomes: &self.outcomes,
+            };
+            let chosen = self.placer.choose(now, question, known, &mut self.random);
             if let Some(upstream) = chosen {
                 let id = upstream.announced.incarnation.id;
+                let action = forward(upstream);
                 self.sights.request(now, id);
                 if self.flows.len() < MAX_FLOWS {
                     self.flows.insert(key, Flow::new(now, id));
                 }
-                return Decision::new(forward(upstream), why);
+                return Decision::new(action, why);
             }
             left.remove(at);
         }
@@ -415,9 +447,33 @@
             self.sights.request(now, id);
         }
         self.note_delay(now, id, signal.took_ms);
+        if let Some(ended) = signal.ended {
+            self.note_end(now, segment.key, id, ended);
+        }
         signal.took_ms
     }
 
+    /// Counts requests whose clients have fallen silent until after their deadline.
+    fn give_up(&mut self, now: Instant) {
+        let mut ended = Vec::new();
+        for (key, flow) in &mut self.flows {
+            let route = self.routes.get(&key.service);
+            let end = route.and_then(|r| flow.give_up(now, r.deadline_ms));
+            ended.extend(end.map(|end| (*key, flow.upstream, end)));
+        }
+        for (key, id, end) in ended {
+            self.note_end(now, key, id, end);
+        }
+    }
+
+    /// Counts how a request ended.
+    fn note_end(&mut self, now: Instant, key: Key, id: u64, ended: Ended) {
+        if let Some(upstream) = self.directory.get(id) {
+            let service = &upstream.announced.service;
+            self.outcomes.ended(now, key.service, id, service, ended);
+        }
+    }
+
     /// Takes how long an answer took, or has taken so far.
     fn note_delay(&mut self, now: Instant, id: u64, took_ms: Option<u64>) {
         if let (Some(upstream), Some(ms)) = (self.directory.get(id), took_ms) {
--- /dev/null
+++ b/crates/policy/src/token/outcome.rs
@@ -0,0 +1,157 @@
+//! What came of requests, as clients' acknowledgements show, and which upstreams fail more of them
+//! than their service does otherwise.
+//!
+//! The load that it answers: an upstream that accepts connections and says that it is well, but
+//! answers part of its requests with a short error at once, or not at all. What it answers goes
+//! past entry VMs, so that a failure shows in the size of an answer only, or in its absence. Both
+//! are guesses: an upstream is held against the others of its service, so that a service whose
+//! answers are short by nature, or clients that leave, make none of them suspicious.
+
+use std::{collections::BTreeMap, net::SocketAddrV4, sync::Arc};
+
+use crate::time::Instant;
+
+/// An answer below this part of the usual size on its route counts as a failure.
+const SHORT: f32 = 0.5;
+
+/// Weight of an answer above the usual size of its route.
+const GROW_WEIGHT: f32 = 0.2;
+
+/// Weight of an answer below it: a few failures don't change what is usual.
+const SHRINK_WEIGHT: f32 = 0.002;
+
+/// Time in which a request's weight falls to 1/e, in milliseconds: an upstream that recovers gets
+/// its share back over a few times this.
+const MEMORY_MS: f32 = 6_000.0;
+
+/// Requests that an upstream is taken to have had beside those that were seen, with the failures
+/// that its service has otherwise: one failure is thin evidence.
+const PRIOR: f32 = 3.0;
+
+/// Failures above those of its service, as a part of its requests, that count for nothing.
+const MARGIN: f32 = 0.05;
+
+/// What a failed request costs, against one that is answered.
+const FAILURE_COST: f32 = 30.0;
+
+/// How a request ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Ended {
+    /// The client took so many bytes.
+    Answered(u32),
+    /// The client left, or fell silent until after the request's deadline, without any.
+    Unanswered,
+}
+
+/// Requests lately, each weighted by its age, as of `at`.
+#[derive(Debug, Clone, Copy, Default)]
+struct Count {
+    all: f32,
+    failed: f32,
+    at: Instant,
+}
+
+impl Count {
+    fn now(self, now: Instant) -> Self {
+        // Spans are milliseconds to minutes, so the loss of precision doesn't matter.
+        #[expect(clippy::cast_precision_loss)]
+        let age_ms = now.ms_since(self.at) as f32;
+        let left = (-age_ms / MEMORY_MS).exp();
+        Self {
+            all: self.all * left,
+            failed: self.failed * left,
+            at: now,
+        }
+    }
+
+    fn add(&mut self, now: Instant, is_failure: bool) {
+        *self = self.now(now);
+        self.all += 1.0;
+        if is_failure {
+            self.failed += 1.0;
+        }
+    }
+}
+
+/// What came of requests, by upstream, service and route.
+#[derive(Debug, Clone, Default)]
+pub struct Outcomes {
+    upstreams: BTreeMap<u64, Count>,
+    services: BTreeMap<Arc<str>, Count>,
+    /// Usual size of an answer on each route, in bytes.
+    sizes: BTreeMap<SocketAddrV4, f32>,
+}
+
+impl Outcomes {
+    /// Takes how a request on `route` ended at upstream `id` of `service`. Returns whether that
+    /// counts as a failure.
+    pub fn ended(
+        &mut self,
+        now: Instant,
+        route: SocketAddrV4,
+        id: u64,
+        service: &Arc<str>,
+        ended: Ended,
+    ) -> bool {
+        let is_failure = match ended {
+            Ended::Answered(bytes) => self.is_short(route, bytes),
+            Ended::Unanswered => true,
+        };
+        self.upstreams.entry(id).or_default().add(now, is_failure);
+        let service = self.services.entry(Arc::clone(service)).or_default();
+        service.add(now, is_failure);
+        is_failure
+    }
+
+    fn is_short(&mut self, route: SocketAddrV4, bytes: u32) -> bool {
+        // Answers are far below the precision of the type, or too long for it to matter.
+        #[expect(clippy::cast_precision_loss)]
+        let bytes = bytes as f32;
+        let usual = self.sizes.entry(route).or_insert(bytes);
+        let is_short = bytes < *usual * SHORT;
+        let weight = match bytes > *usual {
+            true => GROW_WEIGHT,
+            false => SHRINK_WEIGHT,
+        };
+        *usual += (bytes - *usual) * weight;
+        is_short
+    }
+
+    /// What a request costs at upstream `id` for the failures that are to be expected there beyond
+    /// those of `service`; 1 where there are none.
+    #[must_use]
+    pub fn cost(&self, now: Instant, id: u64, service: &Arc<str>) -> f32 {
+        let Some(own) = self.upstreams.get(&id).map(|c| c.now(now)) else {
+            return 1.0;
+        };
+        let Some(all) = self.services.get(service).map(|c| c.now(now)) else {
+            return 1.0;
+        };
+        let others = Count {
+            all: (all.all - own.all).max(0.0),
+            failed: (all.failed - own.failed).max(0.0),
+            at: now,
+        };
+        let usual = match others.all > 0.0 {
+            true => others.failed / others.all,
+            false => 0.0,
+        };
+        let expected = (own.failed + usual * PRIOR) / (own.all + PRIOR);
+        1.0 + (expected - usual - MARGIN).max(0.0) * FAILURE_COST
+    }
+
+    /// Forgets upstream `id`: it has started anew.
+    pub fn renew(&mut self, id: u64) {
+        self.upstreams.remove(&id);
+    }
+
+    /// Forgets routes for which `is_known` doesn't hold.
+    pub fn retain_routes(&mut self, is_known: impl Fn(SocketAddrV4) -> bool) {
+        self.sizes.retain(|route, _| is_known(*route));
+    }
+
+    /// Forgets upstreams for which `is_known` doesn't hold.
+    pub fn retain(&mut self, is_known: impl Fn(u64) -> bool) {
+        self.upstreams.retain(|id, _| is_known(*id));
+    }
+}
--- a/crates/policy/src/token/place.rs
+++ b/crates/policy/src/token/place.rs
@@ -4,18 +4,22 @@
 //! upstreams with two or three slots; long flows with a request each second, and flows of one
 //! request. A flow stays in this VM's failure domain, so that cuts between domains don't concern
 //! it, unless answers show that the domain is overloaded. There, a few upstreams are drawn, and the
-//! one with the least requests of this VM for each slot, weighed with how slow it is, takes it.
-//! Drawing keeps VMs that know little from choosing the same upstream at once, such as one that has
-//! just become ready.
+//! one with the least requests of this VM for each slot, weighed with how slow it is and how often
+//! it fails, takes it. Drawing keeps VMs that know little from choosing the same upstream at once,
+//! such as one that has just become ready.
 
-use std::{collections::BTreeSet, sync::Arc};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
 
 use model::name::Name;
 use rand::Rng;
 
 use super::{
     delay::Delays,
-    directory::{Directory, Upstream},
+    directory::{Directory, Members, Upstream},
+    outcome::Outcomes,
     sight::Sights,
 };
 use crate::time::Instant;
@@ -23,6 +27,9 @@
 /// Upstreams that are drawn for one flow.
 const DRAWN: usize = 3;
 
+/// Draws before all upstreams are looked at: most of those that are drawn may not take the flow.
+const TRIES: usize = 16;
+
 /// Requests, for each slot, that each upstream is taken to bear beside those of this VM.
 const BACKGROUND: f32 = 1.0;
 
@@ -30,6 +37,13 @@
 /// than that part of its share has to lend flows to the others from the start.
 const HEADROOM: f32 = 2.0;
 
+/// Time for which the slots of a service's failure domains aren't counted again, in milliseconds:
+/// to count them means to look at all upstreams.
+const COUNT_EVERY_MS: u64 = 100;
+
+/// Cost of failures from which on other failure domains are looked at too.
+const FAILING: f32 = 2.0;
+
 /// What a choice depends on.
 #[derive(Debug, Clone, Copy)]
 pub struct Question<'a> {
@@ -43,64 +57,187 @@
     pub tried: Option<u64>,
 }
 
-/// Chooses an upstream for a new flow; none where no upstream may take one.
-pub fn choose<'a>(
+impl Question<'_> {
+    fn admits(&self, now: Instant, upstream: &Upstream) -> bool {
+        upstream.takes_flows(now) && !self.out.contains(&upstream.announced.domain)
+    }
+
+    fn is_untried(&self, upstream: &Upstream) -> bool {
+        self.tried != Some(id(upstream))
+    }
+
+    fn is_own(&self, upstream: &Upstream) -> bool {
+        upstream.announced.domain == *self.domain
+    }
+}
+
+/// What a choice is made by.
+#[derive(Debug, Clone, Copy)]
+pub struct Known<'a> {
+    /// The upstreams that there are.
+    pub directory: &'a Directory,
+    /// How much each bears, and whether it answers.
+    pub sights: &'a Sights,
+    /// How long each takes.
+    pub delays: &'a Delays,
+    /// How often each fails.
+    pub outcomes: &'a Outcomes,
+}
+
+impl<'a> Known<'a> {
+    fn is_good(&self, now: Instant, question: Question<'_>, upstream: &Upstream) -> bool {
+        question.admits(now, upstream)
+            && question.is_untried(upstream)
+            && !self.sights.is_avoided(now, id(upstream))
+    }
+
+    fn failures(&self, now: Instant, upstream: &Upstream) -> f32 {
+        let service = &upstream.announced.service;
+        self.outcomes.cost(now, id(upstream), service)
+    }
+
+    /// What a flow costs at an upstream, against others.
+    fn cost(&self, now: Instant, upstream: &Upstream) -> f32 {
+        // Slots are far below the precision of the type.
+        #[expect(clippy::cast_precision_loss)]
+        let slots = upstream.announced.slots.max(1) as f32;
+        let service = &upstream.announced.service;
+        // An error may come at once: being quicker than usual is no merit.
+        let slowness = self.delays.slowness(now, id(upstream), service).max(1.0);
+        let load = self.sights.load(now, id(upstream)) / slots + BACKGROUND;
+        // A slow upstream misses deadlines long before it has as many requests as a quick one.
+        load * slowness * slowness * self.failures(now, upstream)
+    }
+
+    /// The cheapest of a few that are drawn from `ids` and fit; none where no draw hits.
+    fn draw(
+        &self,
+        now: Instant,
+        ids: &[u64],
+        fits: impl Fn(&Upstream) -> bool,
+        random: &mut impl Rng,
+    ) -> Option<&'a Upstream> {
+        if ids.is_empty() {
+            return None;
+        }
+        let drawn = (0..TRIES).filter_map(|_| {
+            let upstream = self.directory.get(ids[random.random_range(0..ids.len())])?;
+            fits(upstream).then_some(upstream)
+        });
+        self.cheapest(now, drawn.take(DRAWN))
+    }
+
+    fn cheapest(
+        &self,
+        now: Instant,
+        drawn: impl Iterator<Item = &'a Upstream>,
+    ) -> Option<&'a Upstream> {
+        let with_cost = drawn.map(|u| (self.cost(now, u), u));
+        let least = with_cost.min_by(|(a, _), (b, _)| a.total_cmp(b));
+        least.map(|(_, upstream)| upstream)
+    }
+}
+
+/// Chooses upstreams for new flows.
+#[derive(Debug, Default)]
+pub struct Placer {
+    /// The part of each service's flows that its own failure domain lacks slots for, and when that
+    /// was counted.
+    lacking: BTreeMap<Arc<str>, (Instant, f32)>,
+}
+
+impl Placer {
+    /// Chooses an upstream for a new flow; none where no upstream may take one.
+    pub fn choose<'a>(
+        &mut self,
+        now: Instant,
+        question: Question<'_>,
+        known: Known<'a>,
+        random: &mut impl Rng,
+    ) -> Option<&'a Upstream> {
+        let members = known.directory.members(question.service)?;
+        let lacking = self.lacking(now, question, known);
+        let slower = known.delays.leaving(now, question.service, question.domain);
+        let leaving = lacking.max(slower);
+        let leaves = leaving > 0.0 && random.random::<f32>() < leaving;
+        let ids = match leaves {
+            true => members.all(),
+            false => members.in_domain(question.domain),
+        };
+        let is_good = |u: &Upstream| known.is_good(now, question, u);
+        let is_near = |u: &Upstream| is_good(u) && question.is_own(u) != leaves;
+        let Some(near) = known.draw(now, ids, is_near, random) else {
+            return scan(now, question, known, members, leaves, random);
+        };
+        if known.failures(now, near) < FAILING {
+            return Some(near);
+        }
+        let far = known.draw(now, members.all(), is_good, random);
+        known.cheapest(now, [Some(near), far].into_iter().flatten())
+    }
+
+    /// The part of the new flows for which the own failure domain has too few slots, where each
+    /// domain gets as many.
+    fn lacking(&mut self, now: Instant, question: Question<'_>, known: Known<'_>) -> f32 {
+        if let Some((at, lacking)) = self.lacking.get(question.service)
+            && now.ms_since(*at) < COUNT_EVERY_MS
+        {
+            return *lacking;
+        }
+        let lacking = count_lacking(now, question, known);
+        self.lacking
+            .insert(Arc::clone(question.service), (now, lacking));
+        lacking
+    }
+}
+
+fn count_lacking(now: Instant, question: Question<'_>, known: Known<'_>) -> f32 {
+    let all = known.directory.of_service(question.service);
+    let (mut own, mut others) = (0.0, 0.0);
+    let mut domains: BTreeSet<&Name> = BTreeSet::from([question.domain]);
+    for upstream in all.filter(|u| known.is_good(now, question, u)) {
+        // Slots are far below the precision of the type.
+        #[expect(clippy::cast_precision_loss)]
+        let slots = upstream.announced.slots as f32;
+        match question.is_own(upstream) {
+            true => own += slots,
+            false => others += slots,
+        }
+        domains.insert(&upstream.announced.domain);
+    }
+    if own == 0.0 || others == 0.0 {
+        return 0.0;
+    }
+    #[expect(clippy::cast_precision_loss)]
+    let domains = domains.len() as f32;
+    (1.0 - HEADROOM * domains * own / (own + others)).max(0.0)
+}
+
+/// Looks at all upstreams for one that takes the flow: one that seems silent is better than none,
+/// and one that was tried better than a refusal.
+fn scan<'a>(
     now: Instant,
     question: Question<'_>,
-    directory: &'a Directory,
-    sights: &Sights,
-    delays: &Delays,
+    known: Known<'a>,
+    members: &Members,
+    leaves: bool,
     random: &mut impl Rng,
 ) -> Option<&'a Upstream> {
-    let takes = |u: &&Upstream| u.takes_flows(now) && !question.out.contains(&u.announced.domain);
-    let all: Vec<&Upstream> = directory
-        .of_service(question.service)
-        .filter(takes)
-        .collect();
-    let id = |u: &Upstream| u.announced.incarnation.id;
-    let is_untried = |u: &&&Upstream| question.tried != Some(id(u));
-    let good: Vec<&'a Upstream> = all
-        .iter()
-        .filter(|u| is_untried(u) && !sights.is_avoided(now, id(u)))
-        .copied()
-        .collect();
-    let is_own = |u: &&'a Upstream| u.announced.domain == *question.domain;
-    let (own, others): (Vec<&'a Upstream>, Vec<&'a Upstream>) =
-        good.iter().copied().partition(is_own);
-    let lacking = lacking(&own, &others);
-    let slower = delays.leaving(now, question.service, question.domain);
-    let leaving = lacking.max(slower);
-    let leaves = leaving > 0.0 && random.random::<f32>() < leaving;
-    let near = match leaves && !others.is_empty() {
-        true => others,
-        false => own,
-    };
-    // One that seems silent is better than none, and one that was tried better than a refusal.
-    let untried: Vec<&Upstream> = all.iter().filter(is_untried).copied().collect();
-    let pools = [near, good, untried, all];
+    let upstreams = members.all().iter().filter_map(|i| known.directory.get(*i));
+    let all: Vec<&Upstream> = upstreams.filter(|u| question.admits(now, u)).collect();
+    let is_good = |u: &Upstream| known.is_good(now, question, u);
+    let is_near = |u: &Upstream| is_good(u) && question.is_own(u) != leaves;
+    let ranks: [&dyn Fn(&Upstream) -> bool; 4] =
+        [&is_near, &is_good, &|u| question.is_untried(u), &|_| true];
+    let pools = ranks.into_iter().map(|fits| {
+        let pool = all.iter().copied().filter(|u| fits(u));
+        pool.collect::<Vec<&Upstream>>()
+    });
     let pool = pools.into_iter().find(|p| !p.is_empty())?;
-    let cost = |u: &Upstream| {
-        #[expect(clippy::cast_precision_loss)]
-        let slots = u.announced.slots.max(1) as f32;
-        let slowness = delays.slowness(now, id(u), question.service);
-        (sights.load(now, id(u)) / slots + BACKGROUND) * slowness
-    };
     let drawn = (0..DRAWN).map(|_| pool[random.random_range(0..pool.len())]);
-    drawn.min_by(|a, b| cost(a).total_cmp(&cost(b)))
+    known.cheapest(now, drawn)
 }
 
-/// The part of the new flows for which the own failure domain has too few slots, where each domain
-/// gets as many.
-fn lacking(own: &[&Upstream], others: &[&Upstream]) -> f32 {
-    // Slots are far below the precision of the type.
-    #[expect(clippy::cast_precision_loss)]
-    let slots = |all: &[&Upstream]| all.iter().map(|u| u.announced.slots as f32).sum::<f32>();
-    let other_domains: BTreeSet<&Name> = others.iter().map(|u| &u.announced.domain).collect();
-    #[expect(clippy::cast_precision_loss)]
-    let domains = (other_domains.len() + 1) as f32;
-    let (own, others) = (slots(own), slots(others));
-    if own == 0.0 || others == 0.0 {
-        return 0.0;
-    }
-    (1.0 - HEADROOM * domains * own / (own + others)).max(0.0)
+fn id(upstream: &Upstream) -> u64 {
+    upstream.announced.incarnation.id
 }
--- a/crates/policy/tests/token_directory.rs
+++ b/crates/policy/tests/token_directory.rs
@@ -2,7 +2,12 @@
 
 mod token_support;
 
-use model::routing::{Announced, Incarnation, Phase};
+use std::sync::Arc;
+
+use model::{
+    name::Name,
+    routing::{Announced, Incarnation, Phase},
+};
 use policy::token::directory::{Directory, token_of};
 use rand::{Rng, SeedableRng, seq::SliceRandom};
 use rand_pcg::Pcg64Mcg;
@@ -202,3 +207,32 @@
         }
     }
 }
+
+#[test]
+fn the_members_of_a_service_follow_each_upstream() {
+    let mut directory = Directory::default();
+    let [a, b]: [Name; 2] = ["a", "b"].map(|d| d.parse().unwrap());
+    let booking: Arc<str> = Arc::from("booking");
+    let members = |directory: &Directory, service: &Arc<str>, domain: &Name| {
+        let members = directory.members(service);
+        members.map_or(Vec::new(), |m| m.in_domain(domain).to_vec())
+    };
+    directory.announce(at(0), control(1), announced(1, "a"), 0);
+    directory.announce(at(0), control(1), announced(2, "b"), 0);
+    assert_eq!(members(&directory, &booking, &a), [1]);
+    assert_eq!(members(&directory, &booking, &b), [2]);
+    // It starts anew for another service, in another failure domain.
+    let planroom: Arc<str> = Arc::from("planroom");
+    let moved = Announced {
+        incarnation: Incarnation {
+            id: 1,
+            started_ms: 2_000,
+        },
+        service: Arc::clone(&planroom),
+        ..announced(1, "b")
+    };
+    directory.announce(at(10), control(1), moved, 0);
+    assert_eq!(members(&directory, &booking, &a), []);
+    assert_eq!(members(&directory, &planroom, &b), [1]);
+    assert_eq!(directory.of_service(&booking).count(), 1);
+}
--- a/crates/policy/tests/token_gateway.rs
+++ b/crates/policy/tests/token_gateway.rs
@@ -351,3 +351,36 @@
     gateway.tick(at(SETTLED + 30_000));
     assert_eq!(gateway.flows(), 0);
 }
+
+#[test]
+fn packets_that_overtake_each_other_are_neither_repeats_nor_answers() {
+    let mut gateway = gateway(&[(1, "a")]);
+    let id = open(&mut gateway, SETTLED, 1);
+    let ms = SETTLED + 20;
+    // Two packets of one request, the second of which comes first.
+    gateway.decide(at(ms), &data(1, token(id), 201, 50, 1));
+    let overtaken = gateway.decide(at(ms + 1), &data(1, token(id), 101, 100, 1));
+    assert_eq!(overtaken.waited_ms, None);
+    assert_eq!(gateway.due_probes(at(ms + 2)), []);
+    let answer = gateway.decide(at(ms + 40), &data(1, token(id), 251, 0, 800));
+    assert_eq!(answer.waited_ms, Some(40));
+    // The next request goes out, then an acknowledgement from before it comes.
+    gateway.decide(at(ms + 100), &data(1, token(id), 251, 50, 800));
+    let late = gateway.decide(at(ms + 101), &data(1, token(id), 251, 0, 1));
+    assert_eq!(late.waited_ms, None);
+    let answer = gateway.decide(at(ms + 130), &data(1, token(id), 301, 0, 1_600));
+    assert_eq!(answer.waited_ms, Some(30));
+}
+
+#[test]
+fn a_flow_that_ends_and_begins_anew_is_placed_anew() {
+    let mut gateway = gateway(&[(1, "a")]);
+    let id = open(&mut gateway, SETTLED, 1);
+    let mut end = data(1, token(id), 101, 0, 1);
+    end.kind = Kind::Finish;
+    gateway.decide(at(SETTLED + 10), &end);
+    // The acknowledgement of the upstream's end.
+    gateway.decide(at(SETTLED + 11), &data(1, token(id), 102, 0, 2));
+    let (_, why) = outcome(gateway.decide(at(SETTLED + 500), &opening(1, 0)));
+    assert_eq!(why, Why::Placed);
+}
--- a/crates/policy/tests/token_load.rs
+++ b/crates/policy/tests/token_load.rs
@@ -2,7 +2,7 @@
 //!
 //! Several entry VMs, each with a share of the clients of its failure domain, stand before upstreams
 //! with two slots and a queue of eight; beyond it requests are shed. Feeds ask once a second over
-//! one flow, bookings open a flow each. The table of docs/design/load.md comes from
+//! one flow, and open another after a failure; bookings open a flow each. The table of docs/design/load.md comes from
 //! `cargo test -p policy --test token_load -- --nocapture`.
 
 #![expect(clippy::unwrap_used, reason = "a test ends at the first error")]
@@ -27,6 +27,16 @@
 /// Time in which an answer counts as in time, in milliseconds.
 const AIM_MS: u64 = 120;
 
+/// Time after which a client without an answer leaves, in milliseconds.
+const DEADLINE_MS: u64 = 800;
+
+/// Sizes of an answer and of an error, in bytes.
+const ANSWER: u32 = 780;
+const ERROR: u32 = 150;
+
+/// Time between two looks of an entry VM at what only time changes, in milliseconds.
+const TICK_MS: u64 = 500;
+
 const SLOTS: usize = 2;
 const QUEUE: usize = 8;
 
@@ -43,6 +53,17 @@
     Gateway,
 }
 
+/// What becomes of every other request at an upstream that fails.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Fault {
+    /// It is answered with an error at once.
+    Error,
+    /// It is not answered; the client says when it leaves.
+    Mute,
+    /// It is not answered, and the client says nothing when it leaves.
+    Reset,
+}
+
 /// A load.
 #[derive(Debug, Clone, Copy)]
 struct Load {
@@ -53,6 +74,9 @@
     late: u64,
     /// Work of the first upstream, against the others.
     slow: u64,
+    /// Upstreams of the first failure domain that fail.
+    failing: u64,
+    fault: Fault,
     feeds: u64,
     bookings_per_s: u64,
 }
@@ -63,6 +87,7 @@
     asked: u64,
     in_time: u64,
     shed: u64,
+    failed: u64,
     /// Flows that left their failure domain.
     left: u64,
 }
@@ -75,6 +100,9 @@
 }
 
 const VMS: u64 = 9;
+
+/// More than the feeds of any load, and a multiple of the VMs.
+const FEEDS: u64 = 360;
 const DOMAINS: [&str; 3] = ["a", "b", "c"];
 
 fn domain_of(id: u64) -> usize {
@@ -91,6 +119,8 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Event {
     Ready,
+    /// Entry VMs let time pass.
+    Tick,
     Booking,
     /// A feed asks.
     Feed(u64),
@@ -103,7 +133,8 @@
     flow: u64,
     server: u64,
     began: u64,
-    is_feed: bool,
+    feed: Option<u64>,
+    fault: Option<Fault>,
 }
 
 struct World {
@@ -114,8 +145,12 @@
     /// Open flows of each VM at each upstream.
     own: Vec<BTreeMap<u64, u64>>,
     servers: BTreeMap<u64, Server>,
-    /// Upstream of each feed's flow.
-    feeds: BTreeMap<u64, u64>,
+    /// The flow of each feed that has one, and its upstream.
+    feeds: BTreeMap<u64, (u64, u64)>,
+    /// The last flow of each feed.
+    last: BTreeMap<u64, u64>,
+    /// Bytes that each client has acknowledged.
+    acknowledged: BTreeMap<u64, u32>,
     requests: BTreeMap<u64, Request>,
     events: BinaryHeap<Reverse<(u64, u64, Event)>>,
     count: u64,
@@ -132,6 +167,8 @@
             own: vec![BTreeMap::new(); usize::try_from(VMS).unwrap()],
             servers: BTreeMap::new(),
             feeds: BTreeMap::new(),
+            last: BTreeMap::new(),
+            acknowledged: BTreeMap::new(),
             requests: BTreeMap::new(),
             events: BinaryHeap::new(),
             count: 0,
@@ -162,6 +199,7 @@
         }
         world.push(SETTLED, Event::Booking);
         world.push(SETTLED + DAY_MS / 2, Event::Ready);
+        world.push(SETTLED, Event::Tick);
         world
     }
 
@@ -189,23 +227,28 @@
                         self.add(ms, 150 + number);
                     }
                 }
+                Event::Tick => {
+                    for gateway in &mut self.vms {
+                        gateway.tick(at(ms));
+                    }
+                    self.push(ms + TICK_MS, Event::Tick);
+                }
                 Event::Booking => {
                     let gap = 1_000 / self.load.bookings_per_s;
                     let next = ms + self.random.random_range(0..=2 * gap);
                     self.push(next, Event::Booking);
                     let flow = 10_000 + self.count;
                     let server = self.place(ms, flow);
-                    self.ask(ms, flow, server, false);
+                    self.ask(ms, flow, server, None);
                 }
                 Event::Feed(feed) => {
                     let next = ms + self.random.random_range(700..1_300);
                     self.push(next, Event::Feed(feed));
-                    let server = match self.feeds.get(&feed) {
-                        Some(server) => *server,
-                        None => self.place(ms, feed),
+                    let (flow, server) = match self.feeds.get(&feed) {
+                        Some(open) => *open,
+                        None => self.reopen(ms, feed),
                     };
-                    self.feeds.insert(feed, server);
-                    self.ask(ms, feed, server, true);
+                    self.ask(ms, flow, server, Some(feed));
                 }
                 Event::Done(request) => self.done(ms, request),
             }
@@ -213,6 +256,15 @@
         self.got
     }
 
+    /// Opens another flow of a feed, at the same VM.
+    fn reopen(&mut self, ms: u64, feed: u64) -> (u64, u64) {
+        let flow = self.last.get(&feed).map_or(feed, |last| last + FEEDS);
+        let server = self.place(ms, flow);
+        self.last.insert(feed, flow);
+        self.feeds.insert(feed, (flow, server));
+        (flow, server)
+    }
+
     fn vm_of(flow: u64) -> usize {
         usize::try_from(flow % VMS).unwrap()
     }
@@ -248,19 +300,32 @@
         server
     }
 
-    fn ask(&mut self, ms: u64, flow: u64, server: u64, is_feed: bool) {
+    fn ask(&mut self, ms: u64, flow: u64, server: u64, feed: Option<u64>) {
         self.got.asked += 1;
         self.count += 1;
         let number = u32::try_from(self.count).unwrap();
         let token = u32::try_from(server).unwrap();
-        let segment = data(Self::port(flow), token, number * 100, 50, number);
+        let acknowledged = *self.acknowledged.entry(flow).or_default();
+        let segment = data(Self::port(flow), token, number * 100, 50, acknowledged);
         self.vms[Self::vm_of(flow)].decide(at(ms), &segment);
+        let fails = server < 100 + self.load.failing && self.random.random_bool(0.5);
+        let fault = fails.then_some(self.load.fault);
         let request = Request {
             flow,
             server,
             began: ms,
-            is_feed,
+            feed,
+            fault,
         };
+        if let Some(fault) = fault {
+            let after = match fault {
+                Fault::Error => 1,
+                Fault::Mute | Fault::Reset => DEADLINE_MS,
+            };
+            self.requests.insert(self.count, request);
+            self.push(ms + after, Event::Done(self.count));
+            return;
+        }
         let state = self.servers.get_mut(&server).unwrap();
         if state.running < SLOTS {
             state.running += 1;
@@ -285,19 +350,37 @@
 
     fn done(&mut self, ms: u64, number: u64) {
         let request = self.requests.remove(&number).unwrap();
-        if ms - request.began <= AIM_MS {
-            self.got.in_time += 1;
+        match request.fault {
+            Some(_) => self.got.failed += 1,
+            None if ms - request.began <= AIM_MS => self.got.in_time += 1,
+            None => {}
         }
         let vm = Self::vm_of(request.flow);
         let token = u32::try_from(request.server).unwrap();
         let sequence = u32::try_from(number).unwrap() * 100 + 50;
-        let acknowledged = u32::try_from(self.count).unwrap() + 1_000_000;
-        let mut segment = data(Self::port(request.flow), token, sequence, 0, acknowledged);
-        if !request.is_feed {
+        let acknowledged = self.acknowledged.entry(request.flow).or_default();
+        *acknowledged += match request.fault {
+            None => ANSWER,
+            Some(Fault::Error) => ERROR,
+            Some(Fault::Mute | Fault::Reset) => 0,
+        };
+        let mut segment = data(Self::port(request.flow), token, sequence, 0, *acknowledged);
+        let flow_of = |feed| self.feeds.get(&feed).map(|(flow, _)| *flow);
+        let ends = match request.feed {
+            Some(feed) => request.fault.is_some() && flow_of(feed) == Some(request.flow),
+            None => true,
+        };
+        if ends {
             segment.kind = Kind::Finish;
             *self.own[vm].entry(request.server).or_default() -= 1;
+            self.feeds.retain(|_, (flow, _)| *flow != request.flow);
+        }
+        if request.fault != Some(Fault::Reset) {
+            self.vms[vm].decide(at(ms), &segment);
+        }
+        if request.fault.is_some() {
+            return;
         }
-        self.vms[vm].decide(at(ms), &segment);
         let state = self.servers.get_mut(&request.server).unwrap();
         match state.waiting.is_empty() {
             true => state.running -= 1,
@@ -317,13 +400,15 @@
         sum.asked += got.asked;
         sum.in_time += got.in_time;
         sum.shed += got.shed;
+        sum.failed += got.failed;
         sum.left += got.left;
     }
     eprintln!(
-        "| {} | {way:?} | {:.3} | {} | {} |",
+        "| {} | {way:?} | {:.3} | {} | {} | {} |",
         load.name,
         sum.share(),
         sum.shed,
+        sum.failed,
         sum.left
     );
     sum
@@ -334,6 +419,8 @@
     upstreams: [5, 5, 4],
     late: 0,
     slow: 1,
+    failing: 0,
+    fault: Fault::Error,
     feeds: 300,
     bookings_per_s: 100,
 };
@@ -392,3 +479,35 @@
     let (got, best) = compare(load);
     assert!(got.share() >= best - 0.005, "{got:?} against {best}");
 }
+
+/// Plays two upstreams of fourteen that fail every other request; returns the failures by the
+/// gateway and the fewest by the other ways.
+fn failures(name: &'static str, fault: Fault) -> (Got, u64) {
+    let load = Load {
+        name,
+        failing: 2,
+        fault,
+        ..CALM
+    };
+    let others = [Way::Hash, Way::LeastFlows, Way::TwoChoices];
+    let least = others.map(|way| play(load, way).failed).into_iter().min();
+    (play(load, Way::Gateway), least.unwrap())
+}
+
+#[test]
+fn upstreams_that_answer_with_errors_get_fewer_flows() {
+    let (got, least) = failures("two answer with errors", Fault::Error);
+    assert!(got.failed * 3 < least, "{got:?} against {least}");
+}
+
+#[test]
+fn upstreams_that_leave_clients_without_an_answer_get_fewer_flows() {
+    let (got, least) = failures("two don't answer", Fault::Mute);
+    assert!(got.failed * 3 < least, "{got:?} against {least}");
+}
+
+#[test]
+fn upstreams_that_reset_flows_get_fewer_flows() {
+    let (got, least) = failures("two reset flows", Fault::Reset);
+    assert!(got.failed * 3 < least, "{got:?} against {least}");
+}
