--- a/crates/policy/src/token/directory.rs
+++ b/crates/policy/src/token/directory.rs
@@ -5,7 +5,7 @@
 //! announcement with the higher sequence number counts; a stop is final.
 
 use std::{
-    collections::{BTreeMap, BTreeSet},
+    collections::{BTreeMap, BTreeSet, btree_map::Entry},
     net::{SocketAddr, SocketAddrV4},
     sync::Arc,
 };
@@ -121,6 +121,12 @@
     }
 }
 
+/// What orders upstreams by their start.
+fn by_start(upstream: &Upstream) -> (u64, u64) {
+    let Incarnation { id, started_ms } = upstream.announced.incarnation;
+    (started_ms, id)
+}
+
 /// The token of the upstream `id`; never 0, which stands for none.
 ///
 /// Ids of up to 32 bits are their own tokens; longer ones are folded, and two may then share one.
@@ -162,10 +168,10 @@
     upstreams: BTreeMap<u64, Upstream>,
     /// The upstreams of each service.
     services: BTreeMap<Arc<str>, Members>,
-    /// Which upstream each token stands for.
-    tokens: BTreeMap<u32, u64>,
-    /// Which upstream each address belongs to.
-    addresses: BTreeMap<SocketAddrV4, u64>,
+    /// The upstreams that have each token. Invariant: no set is empty.
+    tokens: BTreeMap<u32, BTreeSet<u64>>,
+    /// The upstreams that have each address. Invariant: no set is empty.
+    addresses: BTreeMap<SocketAddrV4, BTreeSet<u64>>,
     /// Control VMs whose streams are open; true once all that they knew is told.
     sources: BTreeMap<SocketAddr, bool>,
 }
@@ -207,7 +213,7 @@
             return true;
         };
         let place = |u: &Upstream| (u.announced.incarnation, u.announced.address);
-        let placed = place(known);
+        let (token, placed) = (known.token, place(known));
         let (service, domain) = (
             Arc::clone(&known.announced.service),
             known.announced.domain.clone(),
@@ -225,31 +231,24 @@
         if has_moved {
             self.group();
         }
-        let known = self.upstreams.get(&id);
-        let placed_now = known.map(place);
-        if Some(placed) != placed_now {
-            self.settle();
+        let placed_now = self.upstreams.get(&id).map_or(placed, place);
+        if placed != placed_now {
+            self.unlist(id, token, placed.1);
+            self.list(id, token, placed_now.1);
         }
         is_new
     }
 
-    /// Adds an upstream; all others are only looked at where it shares its token or address.
     fn insert(&mut self, upstream: Upstream) {
         let id = upstream.announced.incarnation.id;
         let (token, address) = (upstream.token, upstream.announced.address);
-        let shares = self.tokens.contains_key(&token) || self.addresses.contains_key(&address);
         let Announced {
             service, domain, ..
         } = &upstream.announced;
         let members = self.services.entry(Arc::clone(service)).or_default();
         members.add(id, domain);
         self.upstreams.insert(id, upstream);
-        if shares {
-            self.settle();
-        } else {
-            self.tokens.insert(token, id);
-            self.addresses.insert(address, id);
-        }
+        self.list(id, token, address);
     }
 
     /// Takes an upstream that a control VM heard before it started anew. It gets no new flows until
@@ -323,15 +322,21 @@
                 _ => {}
             }
         }
-        let count = self.upstreams.len();
-        self.upstreams.retain(|_, upstream| {
-            upstream
-                .ended_at()
-                .is_none_or(|at| now.ms_since(at) < FORGET_MS)
+        let mut forgotten = Vec::new();
+        self.upstreams.retain(|id, upstream| {
+            let ended_at = upstream.ended_at();
+            let is_kept = ended_at.is_none_or(|at| now.ms_since(at) < FORGET_MS);
+            if !is_kept {
+                forgotten.push((*id, upstream.token, upstream.announced.address));
+            }
+            is_kept
         });
-        if self.upstreams.len() != count {
-            self.group();
-            self.settle();
+        if forgotten.is_empty() {
+            return;
+        }
+        self.group();
+        for (id, token, address) in forgotten {
+            self.unlist(id, token, address);
         }
     }
 
@@ -341,10 +346,12 @@
         self.upstreams.get(&id)
     }
 
-    /// The upstream that `token` stands for.
+    /// The upstream that `token` stands for: of those that share it, the one that started first.
     #[must_use]
     pub fn by_token(&self, token: u32) -> Option<&Upstream> {
-        self.upstreams.get(self.tokens.get(&token)?)
+        let ids = self.tokens.get(&token)?.iter();
+        let upstreams = ids.filter_map(|id| self.upstreams.get(id));
+        upstreams.min_by_key(|u| by_start(u))
     }
 
     /// The ids of the upstreams of `service`.
@@ -376,34 +383,54 @@
         }
     }
 
-    /// Decides whom each token and each address belongs to, by what all VMs see alike: a token
-    /// belongs to the upstream that started first, an address to the one that started last.
-    fn settle(&mut self) {
-        let mut tokens: BTreeMap<u32, Incarnation> = BTreeMap::new();
-        let mut addresses: BTreeMap<SocketAddrV4, Incarnation> = BTreeMap::new();
-        let by_start = |i: Incarnation| (i.started_ms, i.id);
-        for upstream in self.upstreams.values() {
-            let own = upstream.announced.incarnation;
-            let holder = tokens.entry(upstream.token).or_insert(own);
-            if by_start(own) < by_start(*holder) {
-                *holder = own;
-            }
-            let holder = addresses.entry(upstream.announced.address).or_insert(own);
-            if by_start(own) > by_start(*holder) {
-                *holder = own;
+    /// Lists upstream `id` under its token and address.
+    fn list(&mut self, id: u64, token: u32, address: SocketAddrV4) {
+        self.tokens.entry(token).or_default().insert(id);
+        self.addresses.entry(address).or_default().insert(id);
+        self.judge(token, address);
+    }
+
+    /// Takes upstream `id` off the lists of a token and an address that it had.
+    fn unlist(&mut self, id: u64, token: u32, address: SocketAddrV4) {
+        remove(&mut self.tokens, token, id);
+        remove(&mut self.addresses, address, id);
+        self.judge(token, address);
+    }
+
+    /// Decides which of the upstreams that share a token or an address may get new flows, by what
+    /// all VMs see alike: none of those that share a token, and of those that share an address the
+    /// one that started last.
+    fn judge(&mut self, token: u32, address: SocketAddrV4) {
+        let by_token = self.tokens.get(&token).into_iter().flatten();
+        let by_address = self.addresses.get(&address).into_iter().flatten();
+        let ids: BTreeSet<u64> = by_token.chain(by_address).copied().collect();
+        for id in ids {
+            let is_barred = self.is_barred(id);
+            if let Some(upstream) = self.upstreams.get_mut(&id) {
+                upstream.is_barred = is_barred;
             }
         }
-        let mut shared: BTreeMap<u32, u32> = BTreeMap::new();
-        for upstream in self.upstreams.values() {
-            *shared.entry(upstream.token).or_default() += 1;
-        }
-        for upstream in self.upstreams.values_mut() {
-            let own = upstream.announced.incarnation;
-            let is_shared = shared.get(&upstream.token).is_some_and(|n| *n > 1);
-            let is_replaced = addresses.get(&upstream.announced.address) != Some(&own);
-            upstream.is_barred = is_shared || is_replaced;
-        }
-        self.tokens = tokens.into_iter().map(|(t, i)| (t, i.id)).collect();
-        self.addresses = addresses.into_iter().map(|(a, i)| (a, i.id)).collect();
+    }
+
+    fn is_barred(&self, id: u64) -> bool {
+        let Some(upstream) = self.upstreams.get(&id) else {
+            return true;
+        };
+        let sharing = self.tokens.get(&upstream.token).map_or(0, BTreeSet::len);
+        let there = self.addresses.get(&upstream.announced.address);
+        let there = there.into_iter().flatten().filter_map(|i| self.get(*i));
+        let last = there.max_by_key(|u| by_start(u));
+        sharing > 1 || last.is_some_and(|last| by_start(last) != by_start(upstream))
+    }
+}
+
+/// Removes `id` from the set under `key`, and the set where that leaves it empty.
+fn remove<K: Ord>(sets: &mut BTreeMap<K, BTreeSet<u64>>, key: K, id: u64) {
+    let Entry::Occupied(mut set) = sets.entry(key) else {
+        return;
+    };
+    set.get_mut().remove(&id);
+    if set.get().is_empty() {
+        set.remove();
     }
 }
--- a/crates/policy/src/token/gateway.rs
+++ b/crates/policy/src/token/gateway.rs
@@ -43,6 +43,10 @@
 /// Time that a fresh VM waits for further control VMs to tell what they heard, in milliseconds.
 const GATHER_MS: u64 = 1_000;
 
+/// Time for which it isn't looked at again whether most upstreams have announced themselves, in
+/// milliseconds.
+const GATHERING_MS: u64 = 20;
+
 /// Settings of a gateway.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Settings {
@@ -73,6 +77,8 @@
     delays: Delays,
     outcomes: Outcomes,
     placer: Placer,
+    /// Whether most upstreams of a service have still to announce themselves, as of a moment.
+    gathering: BTreeMap<Arc<str>, (Instant, bool)>,
     flows: BTreeMap<Key, Flow>,
     random: Pcg64Mcg,
     /// When the first control VM had told all it knew.
@@ -95,6 +101,7 @@
             delays: Delays::default(),
             outcomes: Outcomes::default(),
             placer: Placer::default(),
+            gathering: BTreeMap::new(),
             flows: BTreeMap::new(),
             first_complete: None,
             is_stopping: false,
@@ -136,6 +143,7 @@
         });
         self.routes = by_address.collect();
         self.placer = Placer::default();
+        self.gathering.clear();
         let routes = &self.routes;
         self.outcomes.retain_routes(|r| routes.contains_key(&r));
         self.plan = Some(plan);
@@ -345,6 +353,19 @@
         first.is_some_and(|at| now.ms_since(at) >= SETTLE_MS)
     }
 
+    /// See [`Directory::is_gathering`], which looks at all upstreams.
+    fn is_gathering(&mut self, now: Instant, service: &Arc<str>) -> bool {
+        if let Some((at, is_gathering)) = self.gathering.get(service)
+            && now.ms_since(*at) < GATHERING_MS
+        {
+            return *is_gathering;
+        }
+        let is_gathering = self.directory.is_gathering(now, service);
+        self.gathering
+            .insert(Arc::clone(service), (now, is_gathering));
+        is_gathering
+    }
+
     fn may_take(&self, now: Instant, upstream: &Upstream) -> bool {
         upstream.takes_flows(now) && !self.agreed.out.contains(&upstream.announced.domain)
     }
@@ -357,9 +378,7 @@
         tried: Option<u64>,
         why: Why,
     ) -> Decision {
-        let is_fresh = !self.is_settled(now);
-        let is_gathering = |t: &Target| self.directory.is_gathering(now, &t.service);
-        if is_fresh && targets.iter().any(is_gathering) {
+        if !self.is_settled(now) && targets.iter().any(|t| self.is_gathering(now, &t.service)) {
             // The few that are known already would get everything.
             return Decision::new(Action::Hold, Why::Gathering);
         }
--- a/crates/policy/src/token/outcome.rs
+++ b/crates/policy/src/token/outcome.rs
@@ -32,7 +32,7 @@
 const MARGIN: f32 = 0.05;
 
 /// What a failed request costs, against one that is answered.
-const FAILURE_COST: f32 = 30.0;
+const FAILURE_COST: f32 = 100.0;
 
 /// How a request ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
