--- a/crates/policy/src/token/outcome.rs
+++ b/crates/policy/src/token/outcome.rs
@@ -30,10 +30,10 @@
 
 /// Standard deviations by which failures must go beyond what chance brings: where flows move to
 /// other VMs, many seem to be left without an answer here.
-const DEVIATIONS: f32 = 1.0;
+const DEVIATIONS: f32 = 0.5;
 
 /// Failures above those of its service, as a part of its requests, that count for nothing.
-const MARGIN: f32 = 0.1;
+const MARGIN: f32 = 0.05;
 
 /// What a failed request costs, against one that is answered.
 const FAILURE_COST: f32 = 80.0;
