Log which upstreams are held to fail, as that changes

What an entry VM believes of an upstream must be in its log. `event=verdict` says the upstream, whether it is held to fail, and the requests and failures behind that, weighted by age. Test: each_change_of_a_verdict_is_told_once.

--- a/crates/entry/src/gateway/shell.rs
+++ b/crates/entry/src/gateway/shell.rs
@@ -161,6 +161,15 @@
         let mut state = self.state.borrow_mut();
         let now = state.now();
         state.gateway.tick(now);
+        for verdict in state.gateway.verdicts(now) {
+            if state.journal.may_log(now) {
+                info!(
+                    target: "upstreams",
+                    "event=verdict upstream={:x} failing={} requests={:.1} failed={:.1}",
+                    verdict.id, verdict.is_failing, verdict.requests, verdict.failed
+                );
+            }
+        }
         let flows = state.gateway.flows();
         state.journal.publish(flows);
     }
--- a/crates/policy/src/token/gateway.rs
+++ b/crates/policy/src/token/gateway.rs
@@ -19,7 +19,7 @@
     delay::Delays,
     directory::{Directory, Upstream},
     flow::Flow,
-    outcome::{Ended, Outcomes},
+    outcome::{Ended, Outcomes, Verdict},
     place::{Known, Placer, Question},
     segment::{Key, Kind, Segment},
     sight::{Probed, Sights},
@@ -253,6 +253,13 @@
             .retain(|_, flow| !flow.is_over && now.ms_since(flow.seen_at) < idle_ms);
     }
 
+    /// Upstreams that are held to fail more requests than others since the last look, or no longer.
+    pub fn verdicts(&mut self, now: Instant) -> Vec<Verdict> {
+        let directory = &self.directory;
+        let service_of = |id| directory.get(id).map(|u| &u.announced.service);
+        self.outcomes.verdicts(now, service_of)
+    }
+
     /// Notes that this VM is about to stop.
     pub fn stop(&mut self) {
         self.is_stopping = true;
--- a/crates/policy/src/token/outcome.rs
+++ b/crates/policy/src/token/outcome.rs
@@ -7,7 +7,11 @@
 //! are guesses: an upstream is held against the others of its service, so that a service whose
 //! answers are short by nature, or clients that leave, make none of them suspicious.
 
-use std::{collections::BTreeMap, net::SocketAddrV4, sync::Arc};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddrV4,
+    sync::Arc,
+};
 
 use crate::time::Instant;
 
@@ -38,6 +42,9 @@
 /// What a failed request costs, against one that is answered.
 const FAILURE_COST: f32 = 80.0;
 
+/// Cost from which on an upstream is held to fail.
+pub const FAILING: f32 = 2.0;
+
 /// How a request ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Ended {
@@ -77,6 +84,19 @@
     }
 }
 
+/// What is held of an upstream from now on, and by what.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Verdict {
+    /// The upstream.
+    pub id: u64,
+    /// Whether it is held to fail more requests than others.
+    pub is_failing: bool,
+    /// Requests lately, each weighted by its age.
+    pub requests: f32,
+    /// Those of them that failed.
+    pub failed: f32,
+}
+
 /// What came of requests, by upstream, service and route.
 #[derive(Debug, Clone, Default)]
 pub struct Outcomes {
@@ -84,6 +104,8 @@
     services: BTreeMap<Arc<str>, Count>,
     /// Usual size of an answer on each route, in bytes.
     sizes: BTreeMap<SocketAddrV4, f32>,
+    /// Upstreams that were held to fail at the last look.
+    failing: BTreeSet<u64>,
 }
 
 impl Outcomes {
@@ -146,9 +168,40 @@
         1.0 + (expected - usual - chance - MARGIN).max(0.0) * FAILURE_COST
     }
 
+    /// Looks which upstreams are held to fail now and were not at the last look, or the other way
+    /// round; `service_of` knows the service of each upstream that there is.
+    pub fn verdicts<'a>(
+        &mut self,
+        now: Instant,
+        service_of: impl Fn(u64) -> Option<&'a Arc<str>>,
+    ) -> Vec<Verdict> {
+        let mut verdicts = Vec::new();
+        for (id, count) in &self.upstreams {
+            let cost = service_of(*id).map_or(1.0, |service| self.cost(now, *id, service));
+            let is_failing = cost >= FAILING;
+            if is_failing != self.failing.contains(id) {
+                let Count { all, failed, .. } = count.now(now);
+                verdicts.push(Verdict {
+                    id: *id,
+                    is_failing,
+                    requests: all,
+                    failed,
+                });
+            }
+        }
+        for verdict in &verdicts {
+            match verdict.is_failing {
+                true => self.failing.insert(verdict.id),
+                false => self.failing.remove(&verdict.id),
+            };
+        }
+        verdicts
+    }
+
     /// Forgets upstream `id`: it has started anew.
     pub fn renew(&mut self, id: u64) {
         self.upstreams.remove(&id);
+        self.failing.remove(&id);
     }
 
     /// Forgets routes for which `is_known` doesn't hold.
@@ -159,5 +212,6 @@
     /// Forgets upstreams for which `is_known` doesn't hold.
     pub fn retain(&mut self, is_known: impl Fn(u64) -> bool) {
         self.upstreams.retain(|id, _| is_known(*id));
+        self.failing.retain(|id| is_known(*id));
     }
 }
--- a/crates/policy/src/token/place.rs
+++ b/crates/policy/src/token/place.rs
@@ -19,7 +19,7 @@
 use super::{
     delay::Delays,
     directory::{Directory, Members, Upstream},
-    outcome::Outcomes,
+    outcome::{FAILING, Outcomes},
     sight::Sights,
 };
 use crate::time::Instant;
@@ -41,9 +41,6 @@
 /// to count them means to look at all upstreams.
 const COUNT_EVERY_MS: u64 = 100;
 
-/// Cost of failures from which on other failure domains are looked at too.
-const FAILING: f32 = 2.0;
-
 /// What a choice depends on.
 #[derive(Debug, Clone, Copy)]
 pub struct Question<'a> {
--- a/crates/policy/tests/token_outcome.rs
+++ b/crates/policy/tests/token_outcome.rs
@@ -111,3 +111,22 @@
         .collect();
     assert_eq!(dear, [3]);
 }
+
+#[test]
+fn each_change_of_a_verdict_is_told_once() {
+    let mut outcomes = calm();
+    let service = service();
+    let look = |outcomes: &mut Outcomes, ms| {
+        let verdicts = outcomes.verdicts(at(ms), |_| Some(&service));
+        let told = verdicts.iter().map(|v| (v.id, v.is_failing));
+        told.collect::<Vec<(u64, bool)>>()
+    };
+    assert_eq!(look(&mut outcomes, 1_000), []);
+    for _ in 0..4 {
+        end(&mut outcomes, 1_000, 3, ERROR);
+    }
+    assert_eq!(look(&mut outcomes, 1_000), [(3, true)]);
+    assert_eq!(look(&mut outcomes, 1_500), []);
+    assert_eq!(look(&mut outcomes, 40_000), [(3, false)]);
+    assert_eq!(look(&mut outcomes, 41_000), []);
+}
