--- a/crates/control/tests/process.rs
+++ b/crates/control/tests/process.rs
@@ -7,12 +7,13 @@
 use std::{
     net::{SocketAddr, TcpListener},
     process::Command,
+    time::Duration,
 };
 
 use common::upstream::{announcement, name};
 use common::{
-    Cluster, accepted, block_on, entry::Entry, eventually, put_domain, put_service, refused,
-    request,
+    Cluster, PATIENCE, accepted, block_on, entry::Entry, eventually, put_domain, put_service,
+    refused, request,
 };
 use model::{config::Stage, delivery::ToControl};
 use rpc::schema::{self, RefusalKind, apply_request};
@@ -156,6 +157,42 @@
     }
 }
 
+#[test]
+fn a_process_that_was_frozen_says_so_when_it_wakes() {
+    use std::{
+        io::{BufRead, BufReader},
+        process::Stdio,
+        sync::mpsc,
+    };
+    block_on(async {
+        let cluster = Cluster::plan(1);
+        let started = cluster.command(0).stdout(Stdio::piped()).spawn();
+        let mut child = started.unwrap();
+        let (lines, said) = mpsc::channel();
+        let output = BufReader::new(child.stdout.take().unwrap());
+        std::thread::spawn(move || {
+            for line in output.lines() {
+                // The test may be over by then.
+                drop(lines.send(line.unwrap()));
+            }
+        });
+        drop(cluster.client(0).await);
+        let id = child.id().to_string();
+        let signal = |name: &str| {
+            let sent = Command::new("kill").args([name, &id]).status();
+            assert!(sent.unwrap().success());
+        };
+        signal("-STOP");
+        tokio::time::sleep(Duration::from_millis(1_600)).await;
+        signal("-CONT");
+        let mut said = std::iter::from_fn(|| said.recv_timeout(PATIENCE).ok());
+        let line = said.find(|line| line.contains("event=stalled for_ms="));
+        child.kill().unwrap();
+        child.wait().unwrap();
+        assert!(line.is_some());
+    });
+}
+
 #[test]
 fn malformed_calls_do_not_end_the_process() {
     use std::io::Write;
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -12,4 +12,5 @@
 pub mod logs;
 pub mod process;
 pub mod reload;
+pub mod stall;
 pub mod supervisor;
--- a/crates/daemon/src/process.rs
+++ b/crates/daemon/src/process.rs
@@ -23,6 +23,7 @@
         .name(name)
         .build(ntex::rt::DefaultRuntime);
     let result = system.block_on(async move {
+        ntex::rt::spawn(crate::stall::watch(token.clone()));
         ntex::rt::spawn(watch_signals(token));
         future.await.map_err(|e| e.to_string())
     });
