Wake for probes when one is due, in place of looking each 100 ms

A suspect upstream waited up to 100 ms for its probe, and each entry VM woke ten times a second for nothing. `Sights` knows when the next probe may be due; the shell wakes the prober when that changes and when a probe under way has its outcome.

Test: it_is_known_when_the_next_probe_is_due; the tests of real processes with crashed and silent upstreams (standin's gateway) pass.

--- a/crates/entry/src/gateway/probes.rs
+++ b/crates/entry/src/gateway/probes.rs
@@ -6,19 +6,13 @@
 
 use daemon::supervisor::{Restart, Supervisor};
 use policy::token::sight::Probed;
-use tokio::{
-    net::TcpStream,
-    time::{sleep, timeout},
-};
+use tokio::{net::TcpStream, time::timeout};
 
-use super::shell::Shell;
+use super::{shell::Shell, sleep_for};
 
 /// Time that a connection may take.
 const CONNECT_WAIT: Duration = Duration::from_millis(250);
 
-/// Time between two looks for what is due.
-const LOOK_EVERY: Duration = Duration::from_millis(100);
-
 /// Probes what is due until the supervisor ends.
 pub fn start(supervisor: &Supervisor, shell: &Shell) {
     let shell = shell.clone();
@@ -31,7 +25,8 @@
                 }
                 tokio::select! {
                     () = token.cancelled() => return Ok(()),
-                    () = sleep(LOOK_EVERY) => {}
+                    () = shell.probes_changed.notified() => {}
+                    () = sleep_for(shell.until_probe()) => {}
                 }
             }
         }
--- a/crates/entry/src/gateway/shell.rs
+++ b/crates/entry/src/gateway/shell.rs
@@ -41,6 +41,8 @@
     pub controls_changed: Rc<Notify>,
     /// Told when datagrams may have begun to wait for the link.
     pub paced_changed: Rc<Notify>,
+    /// Told when a probe may be due sooner than was known.
+    pub probes_changed: Rc<Notify>,
 }
 
 #[derive(Debug)]
@@ -84,6 +86,7 @@
             socket: Rc::new(socket),
             controls_changed: Rc::default(),
             paced_changed: Rc::default(),
+            probes_changed: Rc::default(),
         }
     }
 
@@ -103,14 +106,18 @@
         self.waking(&mut state, |state| self.take_some(state, limit))
     }
 
-    /// Does something that may send packets, and wakes the one that sends what waits for the link
-    /// where that leaves the first packet waiting.
+    /// Does something that may send packets. Wakes the one that sends what waits for the link where
+    /// that leaves the first packet waiting, and the one that probes where it makes a probe due.
     fn waking<T>(&self, state: &mut State, act: impl FnOnce(&mut State) -> T) -> T {
         let was_waiting = state.paced.next_at().is_some();
+        let probe_before = state.gateway.next_probe();
         let outcome = act(state);
         if !was_waiting && state.paced.next_at().is_some() {
             self.paced_changed.notify_one();
         }
+        if state.gateway.next_probe() != probe_before {
+            self.probes_changed.notify_one();
+        }
         outcome
     }
 
@@ -147,6 +154,14 @@
         state.gateway.due_probes(now)
     }
 
+    /// Time until the next probe may be due; none where none is.
+    #[must_use]
+    pub fn until_probe(&self) -> Option<Duration> {
+        let state = self.state.borrow();
+        let next = state.gateway.next_probe()?;
+        Some(next.since(state.now()))
+    }
+
     /// Takes the outcome of a probe.
     pub fn probed(&self, id: u64, outcome: Probed) {
         let mut state = self.state.borrow_mut();
@@ -154,6 +169,8 @@
         if state.gateway.probed(now, id, outcome) && state.journal.may_log(now) {
             info!(target: "upstreams", "event=probe upstream={id:x} outcome={outcome:?}");
         }
+        // There is room for another.
+        self.probes_changed.notify_one();
     }
 
     /// Lets time pass.
--- a/crates/policy/src/token/gateway.rs
+++ b/crates/policy/src/token/gateway.rs
@@ -224,6 +224,12 @@
         self.sights.due_probes(now, &self.directory)
     }
 
+    /// When the next probe may be due; none where none is.
+    #[must_use]
+    pub fn next_probe(&self) -> Option<Instant> {
+        self.sights.next_probe()
+    }
+
     /// Takes the outcome of a probe. Returns whether it changed what is believed of the upstream.
     ///
     /// Where an upstream says nothing its failure domain may be cut off, so the others in it are
--- a/crates/policy/src/token/sight.rs
+++ b/crates/policy/src/token/sight.rs
@@ -76,19 +76,23 @@
 
 /// What this VM saw of all upstreams, by id.
 #[derive(Debug, Clone, Default)]
-pub struct Sights(BTreeMap<u64, Sight>);
+pub struct Sights {
+    upstreams: BTreeMap<u64, Sight>,
+    /// No probe is due before this moment, or any before it has been asked for.
+    next_probe: Option<Instant>,
+}
 
 impl Sights {
     /// Notes a request that was passed on.
     pub fn request(&mut self, now: Instant, id: u64) {
-        let sight = self.0.entry(id).or_default();
+        let sight = self.upstreams.entry(id).or_default();
         sight.load = sight.load(now) + 1.0;
         sight.at = now;
     }
 
     /// Notes that the upstream has answered a client.
     pub fn answered(&mut self, now: Instant, id: u64) {
-        let sight = self.0.entry(id).or_default();
+        let sight = self.upstreams.entry(id).or_default();
         sight.answered_at = Some(now);
         sight.standing = Standing::Good;
         sight.probe_at = None;
@@ -100,7 +104,7 @@
         if self.has_answered_since(id, sent_at) {
             return false;
         }
-        let sight = self.0.entry(id).or_default();
+        let sight = self.upstreams.entry(id).or_default();
         match sight.standing {
             Standing::Suspect | Standing::Down(_) => return false,
             Standing::Busy(until) if now < until => return false,
@@ -108,20 +112,22 @@
         }
         sight.standing = Standing::Suspect;
         sight.probe_at = Some(now);
+        self.probe_by(now);
         true
     }
 
     /// Makes the upstream suspect because others of its failure domain are down.
     pub fn doubt(&mut self, now: Instant, id: u64) {
-        let sight = self.0.entry(id).or_default();
+        let sight = self.upstreams.entry(id).or_default();
         if sight.standing == Standing::Good {
             sight.probe_at.get_or_insert(now);
+            self.probe_by(now);
         }
     }
 
     /// Takes the outcome of a probe. Returns whether the upstream's standing has changed.
     pub fn probed(&mut self, now: Instant, id: u64, outcome: Probed) -> bool {
-        let sight = self.0.entry(id).or_default();
+        let sight = self.upstreams.entry(id).or_default();
         let before = sight.standing;
         let began = sight.probing_since.take().unwrap_or(now);
         // An answer to a client counts more than a probe that began before it.
@@ -136,7 +142,22 @@
                 (Standing::Down(outcome), Some(next))
             }
         };
-        sight.standing != before
+        let is_news = sight.standing != before;
+        if let Some(at) = sight.probe_at {
+            self.probe_by(at);
+        }
+        is_news
+    }
+
+    /// When the next probe may be due; none where none is.
+    #[must_use]
+    pub fn next_probe(&self) -> Option<Instant> {
+        self.next_probe
+    }
+
+    fn probe_by(&mut self, moment: Instant) {
+        let before = self.next_probe.unwrap_or(moment);
+        self.next_probe = Some(before.min(moment));
     }
 
     /// Upstreams that are to be probed now.
@@ -145,36 +166,39 @@
             let since = s.probing_since;
             since.is_some_and(|at| now.ms_since(at) < PROBE_WAIT_MS)
         };
-        let running = self.0.values().filter(|s| is_running(s)).count();
+        let running = self.upstreams.values().filter(|s| is_running(s)).count();
         let room = MAX_PROBES.saturating_sub(running);
         let due =
             |(_, s): &(&u64, &mut Sight)| s.probe_at.is_some_and(|at| now >= at) && !is_running(s);
         let mut probes = Vec::new();
-        for (id, sight) in self.0.iter_mut().filter(due).take(room) {
+        for (id, sight) in self.upstreams.iter_mut().filter(due).take(room) {
             sight.probe_at = None;
             if let Some(upstream) = directory.get(*id) {
                 sight.probing_since = Some(now);
                 probes.push((*id, upstream.announced.address));
             }
         }
+        // One that finds no room is looked for again when a probe under way has its outcome.
+        let waiting = self.upstreams.values().filter_map(|s| s.probe_at);
+        self.next_probe = waiting.filter(|at| *at > now).min();
         probes
     }
 
     /// Whether the upstream has answered any client after `moment`.
     #[must_use]
     pub fn has_answered_since(&self, id: u64, moment: Instant) -> bool {
-        let answered_at = self.0.get(&id).and_then(|s| s.answered_at);
+        let answered_at = self.upstreams.get(&id).and_then(|s| s.answered_at);
         answered_at.is_some_and(|at| at > moment)
     }
 
     /// Forgets upstreams that the directory has forgotten.
     pub fn retain(&mut self, directory: &Directory) {
-        self.0.retain(|id, _| directory.get(*id).is_some());
+        self.upstreams.retain(|id, _| directory.get(*id).is_some());
     }
 
     /// Forgets whether the upstream answers: it has started anew.
     pub fn renew(&mut self, id: u64) {
-        if let Some(sight) = self.0.get_mut(&id) {
+        if let Some(sight) = self.upstreams.get_mut(&id) {
             sight.standing = Standing::Good;
             sight.probe_at = None;
         }
@@ -183,7 +207,10 @@
     /// Whether the upstream answers.
     #[must_use]
     pub fn standing(&self, id: u64) -> Standing {
-        self.0.get(&id).map(|s| s.standing).unwrap_or_default()
+        self.upstreams
+            .get(&id)
+            .map(|s| s.standing)
+            .unwrap_or_default()
     }
 
     /// Whether new flows should rather go to another upstream.
@@ -205,6 +232,6 @@
     /// Requests passed on lately, each weighted by its age.
     #[must_use]
     pub fn load(&self, now: Instant, id: u64) -> f32 {
-        self.0.get(&id).map_or(0.0, |s| s.load(now))
+        self.upstreams.get(&id).map_or(0.0, |s| s.load(now))
     }
 }
--- a/crates/policy/tests/token_gateway.rs
+++ b/crates/policy/tests/token_gateway.rs
@@ -384,3 +384,19 @@
     let (_, why) = outcome(gateway.decide(at(SETTLED + 500), &opening(1, 0)));
     assert_eq!(why, Why::Placed);
 }
+
+#[test]
+fn it_is_known_when_the_next_probe_is_due() {
+    let mut gateway = gateway(&[(1, "a")]);
+    let id = open(&mut gateway, SETTLED, 1);
+    assert_eq!(gateway.next_probe(), None);
+    ask_in_vain(&mut gateway, SETTLED + 10, 1, id);
+    let suspect_at = at(SETTLED + 210);
+    assert_eq!(gateway.next_probe(), Some(suspect_at));
+    assert_eq!(gateway.due_probes(suspect_at).len(), 1);
+    assert_eq!(gateway.next_probe(), None);
+    gateway.probed(at(SETTLED + 300), id, Probed::Refused);
+    let again_at = at(SETTLED + 800);
+    assert_eq!(gateway.next_probe(), Some(again_at));
+    assert_eq!(gateway.due_probes(again_at).len(), 1);
+}
