Split the gateway: what it learns, and what becomes of packets

`gateway::packet` decides on packets; gateway.rs learns plans, announcements, probes and the passing of time.

--- a/crates/policy/src/token/gateway.rs
+++ b/crates/policy/src/token/gateway.rs
@@ -1,4 +1,6 @@
-//! What becomes of a packet from the fabric, and why.
+//! What an entry VM knows, and what it decides by that.
+//!
+//! This file learns: plans, announcements, probes, time. `packet` decides on packets.
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -9,44 +11,31 @@
 use model::{
     name::Name,
     plan::{Plan, Target},
-    routing::{Agreed, Announced, Incarnation, Phase},
+    routing::{Agreed, Announced, Incarnation},
 };
-use rand::{Rng, SeedableRng};
+use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 
 use super::{
-    decision::{Action, Decision, Why},
     delay::Delays,
-    directory::{Directory, Upstream},
+    directory::Directory,
     flow::Flow,
-    outcome::{Ended, Outcomes, Verdict},
-    place::{Known, Placer, Question},
-    segment::{Key, Kind, Segment},
+    outcome::{Outcomes, Verdict},
+    place::Placer,
+    segment::Key,
     sight::{Probed, Sights},
 };
 use crate::time::Instant;
 
-/// Flows that are counted at a time; further ones are passed on without being counted.
-const MAX_FLOWS: usize = 65_536;
-
-/// Time for which the flows of an upstream that has stopped are still passed on to it, in
-/// milliseconds: it says that it stops shortly before it does.
-const STOP_GRACE_MS: u64 = 500;
+mod packet;
 
 /// Time without a packet after which a flow is no longer counted where the plan names none, in
 /// milliseconds.
 const DEFAULT_IDLE_MS: u64 = 15_000;
 
-/// Time after which a fresh VM takes what it knows for all there is, in milliseconds.
-const SETTLE_MS: u64 = 1_000;
-
 /// Time that a fresh VM waits for further control VMs to tell what they heard, in milliseconds.
 const GATHER_MS: u64 = 1_000;
 
-/// Time for which it isn't looked at again whether most upstreams have announced themselves, in
-/// milliseconds.
-const GATHERING_MS: u64 = 20;
-
 /// Settings of a gateway.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Settings {
@@ -309,233 +298,4 @@
             able.peek().is_some() && able.all(|u| self.sights.is_down(u.announced.incarnation.id))
         })
     }
-
-    /// Decides what becomes of a packet.
-    pub fn decide(&mut self, now: Instant, segment: &Segment) -> Decision {
-        match segment.kind {
-            Kind::Open { .. } => self.open(now, segment.key),
-            Kind::Data | Kind::Finish | Kind::Reset => self.follow(now, segment),
-        }
-    }
-
-    fn open(&mut self, now: Instant, key: Key) -> Decision {
-        if self.plan.is_none() {
-            // Its copies reach this VM or another once there is one.
-            return Decision::new(Action::Hold, Why::NoPlan);
-        }
-        let Some(targets) = self
-            .routes
-            .get(&key.service)
-            .map(|r| Arc::clone(&r.targets))
-        else {
-            return Decision::new(Action::Reset, Why::NoRoute);
-        };
-        let known = self.flows.get(&key).copied().filter(|flow| !flow.is_over);
-        if let Some(flow) = known {
-            return self.open_again(now, key, &targets, flow);
-        }
-        self.place(now, key, &targets, None, Why::Placed)
-    }
-
-    /// Decides on a copy of an opening packet.
-    ///
-    /// Where the upstream has answered others meanwhile, a packet was lost, and the same upstream
-    /// gets the copy: two upstreams that answer would leave the client with the token of the wrong
-    /// one. Where it has answered nobody, another gets it.
-    fn open_again(&mut self, now: Instant, key: Key, targets: &[Target], flow: Flow) -> Decision {
-        let id = flow.upstream;
-        let upstream = self.directory.get(id);
-        let can_take = upstream.is_some_and(|u| self.may_take(now, u));
-        let has_answered = flow.is_open || self.sights.has_answered_since(id, flow.opened_at);
-        match upstream {
-            Some(upstream) if can_take && has_answered => {
-                Decision::new(forward(upstream), Why::Repeated)
-            }
-            _ => {
-                self.sights.unanswered(now, id, flow.opened_at);
-                let waited_ms = now.ms_since(flow.opened_at);
-                self.note_delay(now, id, Some(waited_ms));
-                self.place(now, key, targets, Some(id), Why::MovedOn)
-            }
-        }
-    }
-
-    /// Whether what this VM knows is all there is: it started long enough ago.
-    fn is_settled(&self, now: Instant) -> bool {
-        let first = self.first_complete;
-        first.is_some_and(|at| now.ms_since(at) >= SETTLE_MS)
-    }
-
-    /// See [`Directory::is_gathering`], which looks at all upstreams.
-    fn is_gathering(&mut self, now: Instant, service: &Arc<str>) -> bool {
-        if let Some((at, is_gathering)) = self.gathering.get(service)
-            && now.ms_since(*at) < GATHERING_MS
-        {
-            return *is_gathering;
-        }
-        let is_gathering = self.directory.is_gathering(now, service);
-        self.gathering
-            .insert(Arc::clone(service), (now, is_gathering));
-        is_gathering
-    }
-
-    fn may_take(&self, now: Instant, upstream: &Upstream) -> bool {
-        upstream.takes_flows(now) && !self.agreed.out.contains(&upstream.announced.domain)
-    }
-
-    fn place(
-        &mut self,
-        now: Instant,
-        key: Key,
-        targets: &[Target],
-        tried: Option<u64>,
-        why: Why,
-    ) -> Decision {
-        if !self.is_settled(now) && targets.iter().any(|t| self.is_gathering(now, &t.service)) {
-            // The few that are known already would get everything.
-            return Decision::new(Action::Hold, Why::Gathering);
-        }
-        let mut left: Vec<&Target> = targets.iter().collect();
-        while let Some(at) = draw(&left, &mut self.random) {
-            let question = Question {
-                service: &left[at].service,
-                domain: &self.settings.domain,
-                out: &self.agreed.out,
-                tried,
-            };
-            let known = Known {
-                directory: &self.directory,
-                sights: &self.sights,
-                delays: &self.delays,
-                outcomes: &self.outcomes,
-            };
-            let chosen = self.placer.choose(now, question, known, &mut self.random);
-            if let Some(upstream) = chosen {
-                let id = upstream.announced.incarnation.id;
-                let action = forward(upstream);
-                self.sights.request(now, id);
-                if self.flows.len() < MAX_FLOWS {
-                    self.flows.insert(key, Flow::new(now, id));
-                }
-                return Decision::new(action, why);
-            }
-            left.remove(at);
-        }
-        self.flows.remove(&key);
-        Decision::new(Action::Reset, Why::NoUpstream)
-    }
-
-    /// Decides on a packet of a flow that has an upstream.
-    fn follow(&mut self, now: Instant, segment: &Segment) -> Decision {
-        let Some(upstream) = self.directory.by_token(segment.token) else {
-            let action = match self.is_settled(now) {
-                true => Action::Drop,
-                false => Action::Hold,
-            };
-            return Decision::new(action, Why::UnknownToken);
-        };
-        let is_stopped = upstream.announced.phase == Phase::Gone
-            && upstream
-                .gone_at
-                .is_some_and(|at| now.ms_since(at) >= STOP_GRACE_MS);
-        if is_stopped {
-            self.flows.remove(&segment.key);
-            let action = match segment.kind {
-                Kind::Reset => Action::Drop,
-                _ => Action::Reset,
-            };
-            return Decision::new(action, Why::Stopped);
-        }
-        let mut decision = Decision::new(forward(upstream), Why::Token);
-        let id = upstream.announced.incarnation.id;
-        decision.waited_ms = self.note(now, segment, id);
-        if segment.length > 0 && self.sights.is_down(id) {
-            // The client may ask again elsewhere before its deadline.
-            self.flows.remove(&segment.key);
-            (decision.action, decision.why) = (Action::Reset, Why::Down);
-        }
-        decision
-    }
-
-    /// Counts what a packet says of its flow and upstream. Returns how long the client has waited
-    /// for the upstream, where the packet tells.
-    fn note(&mut self, now: Instant, segment: &Segment, id: u64) -> Option<u64> {
-        if !self.flows.contains_key(&segment.key) && self.flows.len() >= MAX_FLOWS {
-            return None;
-        }
-        let flow = self
-            .flows
-            .entry(segment.key)
-            .or_insert_with(|| Flow::new(now, id));
-        flow.upstream = id;
-        let signal = flow.take(now, segment);
-        if signal.is_answer {
-            self.sights.answered(now, id);
-        }
-        if let Some(since) = signal.waits_since {
-            self.sights.unanswered(now, id, since);
-        }
-        if signal.is_request {
-            self.sights.request(now, id);
-        }
-        self.note_delay(now, id, signal.took_ms);
-        if let Some(ended) = signal.ended {
-            self.note_end(now, segment.key, id, ended);
-        }
-        signal.took_ms
-    }
-
-    /// Counts requests whose clients have fallen silent until after their deadline.
-    fn give_up(&mut self, now: Instant) {
-        let mut ended = Vec::new();
-        for (key, flow) in &mut self.flows {
-            let route = self.routes.get(&key.service);
-            let end = route.and_then(|r| flow.give_up(now, r.deadline_ms));
-            ended.extend(end.map(|end| (*key, flow.upstream, end)));
-        }
-        for (key, id, end) in ended {
-            self.note_end(now, key, id, end);
-        }
-    }
-
-    /// Counts how a request ended.
-    fn note_end(&mut self, now: Instant, key: Key, id: u64, ended: Ended) {
-        if let Some(upstream) = self.directory.get(id) {
-            let service = &upstream.announced.service;
-            self.outcomes.ended(now, key.service, id, service, ended);
-        }
-    }
-
-    /// Takes how long an answer took, or has taken so far.
-    fn note_delay(&mut self, now: Instant, id: u64, took_ms: Option<u64>) {
-        if let (Some(upstream), Some(ms)) = (self.directory.get(id), took_ms) {
-            let Announced {
-                service, domain, ..
-            } = &upstream.announced;
-            self.delays.answered(now, id, service, domain, ms);
-        }
-    }
-}
-
-fn forward(upstream: &Upstream) -> Action {
-    Action::Forward {
-        id: upstream.announced.incarnation.id,
-        to: upstream.announced.address,
-        token: upstream.token,
-    }
-}
-
-/// Draws a target by weight; none where no weight is left.
-fn draw(targets: &[&Target], random: &mut impl Rng) -> Option<usize> {
-    let total: u64 = targets.iter().map(|t| u64::from(t.weight)).sum();
-    if total == 0 {
-        return None;
-    }
-    let mut at = random.random_range(0..total);
-    targets.iter().position(|target| {
-        let weight = u64::from(target.weight);
-        let is_drawn = at < weight;
-        at = at.saturating_sub(weight);
-        is_drawn
-    })
 }
