--- a/crates/policy/src/token/delay.rs
+++ b/crates/policy/src/token/delay.rs
@@ -49,10 +49,7 @@
 impl Mean {
     /// The mean now, which falls back to `usual`.
     fn now(self, now: Instant, usual: f32) -> f32 {
-        // Spans are milliseconds to minutes, so the loss of precision doesn't matter.
-        #[expect(clippy::cast_precision_loss)]
-        let age_ms = now.ms_since(self.at) as f32;
-        usual + (self.ms - usual) * (-age_ms / MEMORY_MS).exp()
+        usual + (self.ms - usual) * now.left_of(self.at, MEMORY_MS)
     }
 
     fn add(&mut self, now: Instant, usual: f32, ms: f32, weight: f32) {
--- a/crates/policy/src/token/outcome.rs
+++ b/crates/policy/src/token/outcome.rs
@@ -64,10 +64,7 @@
 
 impl Count {
     fn now(self, now: Instant) -> Self {
-        // Spans are milliseconds to minutes, so the loss of precision doesn't matter.
-        #[expect(clippy::cast_precision_loss)]
-        let age_ms = now.ms_since(self.at) as f32;
-        let left = (-age_ms / MEMORY_MS).exp();
+        let left = now.left_of(self.at, MEMORY_MS);
         Self {
             all: self.all * left,
             failed: self.failed * left,
--- a/crates/policy/src/token/sight.rs
+++ b/crates/policy/src/token/sight.rs
@@ -67,10 +67,7 @@
 
 impl Sight {
     fn load(&self, now: Instant) -> f32 {
-        // Spans are milliseconds to minutes, so the loss of precision doesn't matter.
-        #[expect(clippy::cast_precision_loss)]
-        let age_ms = now.ms_since(self.at) as f32;
-        self.load * (-age_ms / MEMORY_MS).exp()
+        self.load * now.left_of(self.at, MEMORY_MS)
     }
 }
 
