--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -132,7 +132,16 @@
     world.finish();
     let numbers = world.numbers;
     let place_of = |number| numbers.get(&number).copied().unwrap_or(u8::MAX);
-    Ok(check::check(&world.record, place_of))
+    let broken = check::check(&world.record, place_of);
+    if !broken.is_empty() {
+        let kept = world.system.keep();
+        println!(
+            "seed {}: logs are kept in {}",
+            settings.seed,
+            kept.display()
+        );
+    }
+    Ok(broken)
 }
 
 impl World {
--- a/crates/standin/src/platform/system.rs
+++ b/crates/standin/src/platform/system.rs
@@ -120,6 +120,12 @@
         self.address(151 + number, port)
     }
 
+    /// Leaves the settings, data and logs of all processes on disk after this. Returns where.
+    pub fn keep(&mut self) -> PathBuf {
+        self.folder.disable_cleanup(true);
+        self.folder.path().to_owned()
+    }
+
     /// A file or folder of the system.
     #[must_use]
     pub fn path(&self, name: &str) -> PathBuf {
