--- a/crates/control/src/process.rs
+++ b/crates/control/src/process.rs
@@ -1,6 +1,6 @@
 //! Builds the parts of the daemon and runs them.
 
-use std::{net::TcpListener as StdListener, path::PathBuf, rc::Rc, time::Duration};
+use std::{net::TcpListener as StdListener, path::PathBuf, time::Duration};
 
 use daemon::{
     http::{self, Question},
@@ -248,15 +248,7 @@
 fn start_http(listener: StdListener, metrics: PrometheusHandle, state: &State, root: &Supervisor) {
     let (questions, asked) = mpsc::channel(QUESTIONS);
     ntex::rt::spawn(answer(asked, state.clone()));
-    let listener = Rc::new(listener);
-    root.child("http", Restart::Never, move |token| {
-        let (listener, metrics) = (Rc::clone(&listener), metrics.clone());
-        let questions = questions.clone();
-        async move {
-            let served = http::serve(&listener, metrics, questions, token).await;
-            served.map_err(|e| e.to_string())
-        }
-    });
+    http::start(root, Restart::Never, listener, metrics, questions);
 }
 
 /// Answers questions about the process until there are no askers.
--- a/crates/daemon/src/http.rs
+++ b/crates/daemon/src/http.rs
@@ -6,6 +6,7 @@
 
 use std::{
     net::{SocketAddr, TcpListener},
+    rc::Rc,
     time::Duration,
 };
 
@@ -18,6 +19,8 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio_util::sync::CancellationToken;
 
+use crate::supervisor::{Restart, Supervisor};
+
 /// Longest wait for the process to answer a question about itself.
 const ANSWER_WAIT: Duration = Duration::from_secs(2);
 
@@ -66,13 +69,27 @@
     TcpListener::bind(address).map_err(|e| Error::Listen(address, e))
 }
 
-/// Serves what comes to `listener` until `token` is cancelled. The caller keeps the listener, and
-/// may serve it again.
-///
-/// # Errors
-///
-/// Fails when the listener can't be shared with the server.
-pub async fn serve(
+/// Serves what comes to `listener` as a child of `supervisor`.
+pub fn start(
+    supervisor: &Supervisor,
+    restart: Restart,
+    listener: TcpListener,
+    metrics: PrometheusHandle,
+    questions: Questions,
+) {
+    let listener = Rc::new(listener);
+    supervisor.child("http", restart, move |token| {
+        let (listener, metrics) = (Rc::clone(&listener), metrics.clone());
+        let questions = questions.clone();
+        async move {
+            let served = serve(&listener, metrics, questions, token).await;
+            served.map_err(|e| e.to_string())
+        }
+    });
+}
+
+/// Serves until `token` is cancelled; the listener stays open for another time.
+async fn serve(
     listener: &TcpListener,
     metrics: PrometheusHandle,
     questions: Questions,
--- a/crates/entry/src/gateway.rs
+++ b/crates/entry/src/gateway.rs
@@ -5,7 +5,7 @@
 //! - [`sources`] keeps a stream to each control VM.
 //! - [`probes`] tries to connect to upstreams that seem silent.
 
-use std::{net::TcpListener, path::PathBuf, rc::Rc, time::Duration};
+use std::{net::TcpListener, path::PathBuf, time::Duration};
 
 use daemon::{
     http::{self, Question},
@@ -161,15 +161,7 @@
     metrics: metrics_exporter_prometheus::PrometheusHandle,
 ) {
     let (questions, mut asked) = mpsc::channel(QUESTIONS);
-    let listener = Rc::new(listener);
-    supervisor.child("http", Restart::OnFailure, move |token| {
-        let (listener, metrics) = (Rc::clone(&listener), metrics.clone());
-        let questions = questions.clone();
-        async move {
-            let served = http::serve(&listener, metrics, questions, token).await;
-            served.map_err(|e| e.to_string())
-        }
-    });
+    http::start(supervisor, Restart::OnFailure, listener, metrics, questions);
     let shell = shell.clone();
     ntex::rt::spawn(async move {
         while let Some(question) = asked.recv().await {
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -195,15 +195,7 @@
     metrics: metrics_exporter_prometheus::PrometheusHandle,
 ) {
     let (questions, mut asked) = mpsc::channel(ENGINE_QUEUE);
-    let listener = Rc::new(listener);
-    supervisor.child("http", Restart::OnFailure, move |token| {
-        let (listener, metrics) = (Rc::clone(&listener), metrics.clone());
-        let questions = questions.clone();
-        async move {
-            let served = http::serve(&listener, metrics, questions, token).await;
-            served.map_err(|e| e.to_string())
-        }
-    });
+    http::start(supervisor, Restart::OnFailure, listener, metrics, questions);
     let engine = engine.clone();
     ntex::rt::spawn(async move {
         while let Some(question) = asked.recv().await {
--- a/crates/policy/src/token.rs
+++ b/crates/policy/src/token.rs
@@ -20,6 +20,7 @@
 pub mod directory;
 mod flow;
 pub mod gateway;
+mod memo;
 pub mod outcome;
 pub mod pace;
 pub mod place;
--- a/crates/policy/src/token/directory.rs
+++ b/crates/policy/src/token/directory.rs
@@ -89,6 +89,12 @@
         is_ready && is_heard && !self.is_barred && now >= self.warm_at
     }
 
+    /// Whether new flows may go to it where the failure domains `out` get none.
+    #[must_use]
+    pub fn takes_flows_beside(&self, now: Instant, out: &[Name]) -> bool {
+        self.takes_flows(now) && !out.contains(&self.announced.domain)
+    }
+
     /// When it stopped to matter for new flows, if it did.
     fn ended_at(&self) -> Option<Instant> {
         match self.presence {
@@ -242,11 +248,7 @@
     fn insert(&mut self, upstream: Upstream) {
         let id = upstream.announced.incarnation.id;
         let (token, address) = (upstream.token, upstream.announced.address);
-        let Announced {
-            service, domain, ..
-        } = &upstream.announced;
-        let members = self.services.entry(Arc::clone(service)).or_default();
-        members.add(id, domain);
+        enlist(&mut self.services, &upstream.announced);
         self.upstreams.insert(id, upstream);
         self.list(id, token, address);
     }
@@ -374,12 +376,8 @@
     /// Groups all upstreams by service and failure domain.
     fn group(&mut self) {
         self.services.clear();
-        for (id, upstream) in &self.upstreams {
-            let Announced {
-                service, domain, ..
-            } = &upstream.announced;
-            let members = self.services.entry(Arc::clone(service)).or_default();
-            members.add(*id, domain);
+        for upstream in self.upstreams.values() {
+            enlist(&mut self.services, &upstream.announced);
         }
     }
 
@@ -424,6 +422,13 @@
     }
 }
 
+/// Lists an upstream under its service and failure domain.
+fn enlist(services: &mut BTreeMap<Arc<str>, Members>, announced: &Announced) {
+    let service = Arc::clone(&announced.service);
+    let members = services.entry(service).or_default();
+    members.add(announced.incarnation.id, &announced.domain);
+}
+
 /// Removes `id` from the set under `key`, and the set where that leaves it empty.
 fn remove<K: Ord>(sets: &mut BTreeMap<K, BTreeSet<u64>>, key: K, id: u64) {
     let Entry::Occupied(mut set) = sets.entry(key) else {
--- a/crates/policy/src/token/gateway.rs
+++ b/crates/policy/src/token/gateway.rs
@@ -20,6 +20,7 @@
     delay::Delays,
     directory::Directory,
     flow::Flow,
+    memo::Memo,
     outcome::{Outcomes, Verdict},
     place::Placer,
     segment::Key,
@@ -66,8 +67,8 @@
     delays: Delays,
     outcomes: Outcomes,
     placer: Placer,
-    /// Whether most upstreams of a service have still to announce themselves, as of a moment.
-    gathering: BTreeMap<Arc<str>, (Instant, bool)>,
+    /// Whether most upstreams of a service have still to announce themselves.
+    gathering: Memo<bool>,
     flows: BTreeMap<Key, Flow>,
     random: Pcg64Mcg,
     /// When the first control VM had told all it knew.
@@ -90,7 +91,7 @@
             delays: Delays::default(),
             outcomes: Outcomes::default(),
             placer: Placer::default(),
-            gathering: BTreeMap::new(),
+            gathering: Memo::default(),
             flows: BTreeMap::new(),
             first_complete: None,
             is_stopping: false,
@@ -132,7 +133,7 @@
         });
         self.routes = by_address.collect();
         self.placer = Placer::default();
-        self.gathering.clear();
+        self.gathering = Memo::default();
         let routes = &self.routes;
         self.outcomes.retain_routes(|r| routes.contains_key(&r));
         self.plan = Some(plan);
--- a/crates/policy/src/token/gateway/packet.rs
+++ b/crates/policy/src/token/gateway/packet.rs
@@ -94,19 +94,12 @@
 
     /// See [`Directory::is_gathering`], which looks at all upstreams.
     fn is_gathering(&mut self, now: Instant, service: &Arc<str>) -> bool {
-        if let Some((at, is_gathering)) = self.gathering.get(service)
-            && now.ms_since(*at) < GATHERING_MS
-        {
-            return *is_gathering;
-        }
-        let is_gathering = self.directory.is_gathering(now, service);
-        self.gathering
-            .insert(Arc::clone(service), (now, is_gathering));
-        is_gathering
+        let look = || self.directory.is_gathering(now, service);
+        self.gathering.get(now, GATHERING_MS, service, look)
     }
 
     pub(super) fn may_take(&self, now: Instant, upstream: &Upstream) -> bool {
-        upstream.takes_flows(now) && !self.agreed.out.contains(&upstream.announced.domain)
+        upstream.takes_flows_beside(now, &self.agreed.out)
     }
 
     fn place(
--- a/crates/policy/src/token/place.rs
+++ b/crates/policy/src/token/place.rs
@@ -8,10 +8,7 @@
 //! it fails, takes it. Drawing keeps VMs that know little from choosing the same upstream at once,
 //! such as one that has just become ready.
 
-use std::{
-    collections::{BTreeMap, BTreeSet},
-    sync::Arc,
-};
+use std::{collections::BTreeSet, sync::Arc};
 
 use model::name::Name;
 use rand::Rng;
@@ -19,6 +16,7 @@
 use super::{
     delay::Delays,
     directory::{Directory, Members, Upstream},
+    memo::Memo,
     outcome::{FAILING, Outcomes},
     sight::Sights,
 };
@@ -56,7 +54,7 @@
 
 impl Question<'_> {
     fn admits(&self, now: Instant, upstream: &Upstream) -> bool {
-        upstream.takes_flows(now) && !self.out.contains(&upstream.announced.domain)
+        upstream.takes_flows_beside(now, self.out)
     }
 
     fn is_untried(&self, upstream: &Upstream) -> bool {
@@ -138,9 +136,8 @@
 /// Chooses upstreams for new flows.
 #[derive(Debug, Default)]
 pub struct Placer {
-    /// The part of each service's flows that its own failure domain lacks slots for, and when that
-    /// was counted.
-    lacking: BTreeMap<Arc<str>, (Instant, f32)>,
+    /// The part of each service's flows that the own failure domain has too few slots for.
+    lacking: Memo<f32>,
 }
 
 impl Placer {
@@ -153,7 +150,10 @@
         random: &mut impl Rng,
     ) -> Option<&'a Upstream> {
         let members = known.directory.members(question.service)?;
-        let lacking = self.lacking(now, question, known);
+        let count = || count_lacking(now, question, known);
+        let lacking = self
+            .lacking
+            .get(now, COUNT_EVERY_MS, question.service, count);
         let slower = known.delays.leaving(now, question.service, question.domain);
         let leaving = lacking.max(slower);
         let leaves = leaving > 0.0 && random.random::<f32>() < leaving;
@@ -172,22 +172,10 @@
         let far = known.draw(now, members.all(), is_good, random);
         known.cheapest(now, [Some(near), far].into_iter().flatten())
     }
-
-    /// The part of the new flows for which the own failure domain has too few slots, where each
-    /// domain gets as many.
-    fn lacking(&mut self, now: Instant, question: Question<'_>, known: Known<'_>) -> f32 {
-        if let Some((at, lacking)) = self.lacking.get(question.service)
-            && now.ms_since(*at) < COUNT_EVERY_MS
-        {
-            return *lacking;
-        }
-        let lacking = count_lacking(now, question, known);
-        self.lacking
-            .insert(Arc::clone(question.service), (now, lacking));
-        lacking
-    }
 }
 
+/// The part of the new flows for which the own failure domain has too few slots, where each domain
+/// gets as many.
 fn count_lacking(now: Instant, question: Question<'_>, known: Known<'_>) -> f32 {
     let all = known.directory.of_service(question.service);
     let (mut own, mut others) = (0.0, 0.0);
