Count the first look for standing still from the start of the process

The daemon listens before its main task first yields, and only then did the watch take its first time. A process that is frozen in between stands still before the watch begins, and says nothing. Ruled out: the clock (steady time counts a stopped process) and the bound (0.6 s at least are told of).

The first look now counts from the start of the process.

--- a/crates/daemon/src/process.rs
+++ b/crates/daemon/src/process.rs
@@ -10,6 +10,8 @@
 use tokio::signal::unix::{SignalKind, signal};
 use tokio_util::sync::CancellationToken;
 
+use crate::{logs, stall};
+
 /// Runs `main` on a runtime of one thread until it ends. SIGTERM and SIGINT cancel the token that
 /// it gets; the exit code is 1 when it fails.
 pub fn run<F, E>(name: &'static str, main: impl FnOnce(CancellationToken) -> F) -> ExitCode
@@ -17,13 +19,14 @@
     F: Future<Output = Result<(), E>> + 'static,
     E: std::fmt::Display,
 {
+    let looks = stall::Looks::new(stall::now());
     let token = CancellationToken::new();
     let future = main(token.clone());
     let system = ntex::rt::System::build()
         .name(name)
         .build(ntex::rt::DefaultRuntime);
     let result = system.block_on(async move {
-        ntex::rt::spawn(crate::stall::watch(token.clone()));
+        ntex::rt::spawn(stall::watch(looks, token.clone()));
         ntex::rt::spawn(watch_signals(token));
         future.await.map_err(|e| e.to_string())
     });
@@ -34,7 +37,7 @@
             ExitCode::FAILURE
         }
     };
-    crate::logs::finish();
+    logs::finish();
     code
 }
 
