Let one of two voters that ask at the same moment step back before the vote

Cause: after all VMs have lost power and one of three control VMs its disk, two voters are left. Ruled out: syncs of the disk, and the roster.

Of two with equal logs that ask in the same tick the one with the lower id goes on, the other grants and waits. One that has asked for longer gives way, as it may reach no quorum (a test of five voters, three up).

--- a/crates/consensus/src/replica/election.rs
+++ b/crates/consensus/src/replica/election.rs
@@ -5,6 +5,9 @@
 use super::{Leader, Read, Replica, Role};
 use crate::{Body, Entry, Id, Message, Payload, progress::Progress};
 
+/// Ticks after its start in which a pre-vote counts as one of about the same time.
+const TIE_TICKS: u32 = 1;
+
 impl Replica {
     /// Asks all voters whether they would elect this replica.
     ///
@@ -50,12 +53,29 @@
         if self.hears_leader() {
             return;
         }
-        let granted = term > self.term && self.log.is_covered_by(last_index, last_term);
+        let granted = term > self.term
+            && self.log.is_covered_by(last_index, last_term)
+            && !self.goes_before(from, last_index, last_term);
+        if granted && matches!(self.role, Role::PreCandidate(_)) {
+            // Two that go on to ask for votes would each keep their own.
+            self.role = Role::Follower;
+        }
         let body = Body::PreVoteReply { granted };
         let term = if granted { term } else { self.term };
         self.ready.messages.push((from, Message { term, body }));
     }
 
+    /// Whether this replica and `from`, whose log ends as given, have begun to ask at about the same
+    /// time, and this one is to be elected.
+    ///
+    /// One that has asked for longer lets the others ask: it may reach no quorum.
+    fn goes_before(&self, from: Id, last_index: u64, last_term: u64) -> bool {
+        matches!(self.role, Role::PreCandidate(_))
+            && self.elapsed < TIE_TICKS
+            && (last_index, last_term) == (self.log.last_index(), self.log.last_term())
+            && self.settings.id < from
+    }
+
     pub(super) fn on_pre_vote_reply(&mut self, from: Id, term: u64) {
         if let Role::PreCandidate(votes) = &mut self.role
             && term == self.term + 1
--- a/crates/consensus/tests/replica.rs
+++ b/crates/consensus/tests/replica.rs
@@ -441,3 +441,65 @@
     assert!(ticks_until_asking(3) < Some(6));
     assert!(ticks_until_asking(12) >= Some(12));
 }
+
+/// Ticks until one of two voters leads after both have started at the same moment, without the
+/// third one.
+fn ticks_until_led(seed: u64) -> u32 {
+    let first_election_ticks = 3;
+    let stored = Stored::founded(membership(&[1, 2, 3]));
+    let replica = |id: Id| {
+        let settings = Settings {
+            id,
+            seed,
+            first_election_ticks,
+            ..Settings::default()
+        };
+        (id, Replica::new(settings, stored.clone()).unwrap())
+    };
+    let mut group = Group {
+        replicas: [1, 2].map(replica).into(),
+        queue: Vec::new(),
+    };
+    for ticks in 1.. {
+        // Both clocks tick before any message is under way.
+        group.replicas.values_mut().for_each(Replica::tick);
+        group.run(|_, to| to != 3);
+        if group.replicas.values().any(Replica::is_leader) {
+            return ticks;
+        }
+    }
+    unreachable!("one of two voters that reach each other is elected")
+}
+
+#[test]
+fn two_voters_whose_timeouts_end_together_elect_one_at_once() {
+    let late: Vec<(u64, u32)> = (0..200)
+        .map(|seed| (seed, ticks_until_led(seed)))
+        .filter(|(_, ticks)| *ticks > 5)
+        .collect();
+    assert_eq!(late, []);
+}
+
+#[test]
+fn a_voter_that_can_reach_no_quorum_does_not_keep_another_from_being_elected() {
+    // Of five voters three are up; only 2 reaches both others, and 1 goes first in a tie.
+    let stored = Stored::founded(membership(&[1, 2, 3, 4, 5]));
+    let replica = |id: Id| {
+        let settings = Settings {
+            id,
+            seed: 7,
+            first_election_ticks: 3,
+            ..Settings::default()
+        };
+        (id, Replica::new(settings, stored.clone()).unwrap())
+    };
+    let mut group = Group {
+        replicas: [1, 2, 3].map(replica).into(),
+        queue: Vec::new(),
+    };
+    for _ in 0..100 {
+        group.replicas.values_mut().for_each(Replica::tick);
+        group.run(|from, to| to <= 3 && (from == 2 || to == 2));
+    }
+    assert!(group.replicas[&2].is_leader());
+}
