Outlive SIGHUP from the start of a daemon, and take a file that changed before its watch

Ruled out: ports in the range of outgoing connections (the soak's lie below it).

Beside it: the watch compared with the file as it was when the watch began, so that a change between the start and the watch was never taken. It now compares settings with those in force.

--- a/crates/control/src/process.rs
+++ b/crates/control/src/process.rs
@@ -183,11 +183,12 @@
         }
     });
     let replica = state.replica.clone();
+    let gateway = gateway.clone();
     root.child("reload", Restart::OnFailure, move |token| {
-        let mut file = reload::File::new(source.clone());
+        let mut file = reload::File::new(source.clone(), gateway.clone());
         let replica = replica.clone();
         async move {
-            while let Some(changed) = file.changed::<Gateway>(&token).await {
+            while let Some(changed) = file.changed(&token).await {
                 replica.set_peers(changed.replicas());
             }
             Ok(())
--- a/crates/daemon/src/args.rs
+++ b/crates/daemon/src/args.rs
@@ -70,8 +70,12 @@
 }
 
 /// Reads the settings and hands them to `run`, or says what is wrong with them; only checks them
-/// where that is all that was asked for.
+/// where that is all that was asked for. From here on SIGHUP doesn't end the process.
 pub fn load<T: settings::Load>(matches: &ArgMatches, run: impl FnOnce(T) -> ExitCode) -> ExitCode {
+    if let Err(error) = crate::reload::outlive_hang_up() {
+        eprintln!("SIGHUP can't be caught: {error}");
+        return ExitCode::FAILURE;
+    }
     let settings = match settings::load(settings_path(matches)) {
         Ok(settings) => settings,
         Err(error) => {
--- a/crates/entry/src/gateway.rs
+++ b/crates/entry/src/gateway.rs
@@ -179,13 +179,13 @@
     let shell = shell.clone();
     supervisor.child("sources", Restart::OnFailure, move |token| {
         let sources = sources::Sources::new(settings.clone(), shell.clone(), token.clone());
-        let mut file = reload::File::new(source.clone());
+        let mut file = reload::File::new(source.clone(), settings.clone());
         async move {
             loop {
                 sources.start_missing();
                 tokio::select! {
                     () = sources.changed() => {}
-                    changed = file.changed::<Entry>(&token) => match changed {
+                    changed = file.changed(&token) => match changed {
                         Some(changed) => sources.set_seeds(&changed),
                         None => return Ok(()),
                     },
--- a/crates/standin/tests/gateway/main.rs
+++ b/crates/standin/tests/gateway/main.rs
@@ -7,7 +7,10 @@
 use std::{process::Command, time::Duration};
 
 use cli::explain::{Line, explain};
-use standin::experiment::process::Signal;
+use standin::experiment::{
+    build,
+    process::{Process, Signal},
+};
 use standin::platform::{client::Got, system::plan, upstream::Mood};
 use system::{DEADLINE, Whole, eventually};
 
@@ -241,3 +244,47 @@
     assert!(left_out > 0, "{logged} lines and none left out");
     system.serve_one(0);
 }
+
+/// Starts a daemon whose settings come through a pipe, sends it SIGHUP before it has them, and
+/// returns whether it still runs and has them.
+fn outlives_an_early_hang_up(program: &str, settings: &str) -> bool {
+    use std::{fs, io::Write};
+    let folder = tempfile::tempdir().unwrap();
+    let path = folder.path().join("settings.yaml");
+    let made = Command::new("mkfifo").arg(&path).status();
+    assert!(made.unwrap().success());
+    let shown = path.display().to_string();
+    let arguments = ["--gateway", "--settings", &shown].map(str::to_owned);
+    let program = build::programs().unwrap().join(program);
+    let log = folder.path().join("log");
+    let mut process = Process::start("early", &program, arguments.into(), log.clone()).unwrap();
+    // This end opens once the process reads; what it reads later is an ordinary file.
+    let mut pipe = fs::File::options().write(true).open(&path).unwrap();
+    process.signal(Signal::HangUp).unwrap();
+    let data = folder.path().join("data");
+    let text = settings.replace("DATA", &data.display().to_string());
+    let file = folder.path().join("file.yaml");
+    fs::write(&file, &text).unwrap();
+    fs::rename(&file, &path).unwrap();
+    // A process that has ended reads nothing.
+    drop(pipe.write_all(text.as_bytes()));
+    drop(pipe);
+    let has_started = || {
+        let said = fs::read_to_string(&log).unwrap();
+        said.contains("event=start") || !process.is_running()
+    };
+    eventually("the process starts or ends", has_started);
+    process.is_running()
+}
+
+#[test]
+fn sighup_before_the_settings_are_read_ends_no_daemon() {
+    let control = "name: control-1\ndomain: north\ndata_folder: DATA\n\
+                   desk_listen: \"127.0.77.1:11002\"\nfirst_port: 11008\n\
+                   seeds: [\"127.0.77.1:11002\"]\nfound: true\nannounce_ms: 200\ntolerated: 1\n";
+    assert!(outlives_an_early_hang_up("oriole-control", control));
+    let entry = "name: entry-1\ndomain: north\nfabric_listen: \"127.0.77.2:11000\"\n\
+                 health_listen: \"127.0.77.2:11003\"\nfirst_port: 11008\n\
+                 seeds: [\"127.0.77.1:11002\"]\n";
+    assert!(outlives_an_early_hang_up("oriole-entry", entry));
+}
