Let an upstream that has ended bar no successor at its address

Ruled out: the id before each packet (a wrong server refuses it), so that only service was lost, no rule.

Those that have ended (stopped, silent, recalled) no longer count. A late announcement of the former one makes it count again until it falls silent.

--- a/crates/policy/src/token/directory.rs
+++ b/crates/policy/src/token/directory.rs
@@ -225,6 +225,7 @@
             known.announced.domain.clone(),
         );
         let before = (known.announced.phase, known.announced.incarnation);
+        let was_over = known.ended_at().is_some();
         let is_stop_of_any = announced.phase == Phase::Gone && started_ms == 0;
         let held_ms = known.announced.incarnation.started_ms;
         if started_ms == held_ms || is_stop_of_any {
@@ -233,6 +234,7 @@
             *known = Upstream::heard(now, source, announced, age_ms);
         }
         let is_new = before != (known.announced.phase, known.announced.incarnation);
+        let is_over = known.ended_at().is_some();
         let has_moved = service != known.announced.service || domain != known.announced.domain;
         if has_moved {
             self.group();
@@ -241,6 +243,8 @@
         if placed != placed_now {
             self.unlist(id, token, placed.1);
             self.list(id, token, placed_now.1);
+        } else if was_over != is_over {
+            self.judge(token, placed.1);
         }
         is_new
     }
@@ -293,6 +297,8 @@
         let is_lost = known.claims.is_empty() && !matches!(known.presence, Presence::Silent(_));
         if is_lost {
             known.presence = Presence::Silent(now);
+            let (token, address) = (known.token, known.announced.address);
+            self.judge(token, address);
         }
         is_lost
     }
@@ -312,6 +318,7 @@
     /// Lets time pass: gives up orphaned claims, and forgets what ended long ago.
     pub fn tick(&mut self, now: Instant) {
         let is_blind = !self.sources.values().any(|c| *c);
+        let mut silent = Vec::new();
         for upstream in self.upstreams.values_mut() {
             match upstream.presence {
                 // Nobody could say that it has ended.
@@ -320,10 +327,14 @@
                 }
                 Presence::Orphaned(until) if now >= until => {
                     upstream.presence = Presence::Silent(now);
+                    silent.push((upstream.token, upstream.announced.address));
                 }
                 _ => {}
             }
         }
+        for (token, address) in silent {
+            self.judge(token, address);
+        }
         let mut forgotten = Vec::new();
         self.upstreams.retain(|id, upstream| {
             let ended_at = upstream.ended_at();
@@ -395,9 +406,9 @@
         self.judge(token, address);
     }
 
-    /// Decides which of the upstreams that share a token or an address may get new flows, by what
-    /// all VMs see alike: none of those that share a token, and of those that share an address the
-    /// one that started last.
+    /// Decides which of the upstreams that share a token or an address may get new flows: none of
+    /// those that share a token, and of those that share an address and haven't ended the one that
+    /// started last. One that has ended bars none: its clock may have been ahead.
     fn judge(&mut self, token: u32, address: SocketAddrV4) {
         let by_token = self.tokens.get(&token).into_iter().flatten();
         let by_address = self.addresses.get(&address).into_iter().flatten();
@@ -417,6 +428,7 @@
         let sharing = self.tokens.get(&upstream.token).map_or(0, BTreeSet::len);
         let there = self.addresses.get(&upstream.announced.address);
         let there = there.into_iter().flatten().filter_map(|i| self.get(*i));
+        let there = there.filter(|u| u.ended_at().is_none());
         let last = there.max_by_key(|u| by_start(u));
         sharing > 1 || last.is_some_and(|last| by_start(last) != by_start(upstream))
     }
--- a/crates/policy/tests/token_directory.rs
+++ b/crates/policy/tests/token_directory.rs
@@ -126,6 +126,56 @@
     assert!(takes_flows(&directory, 2, 2));
 }
 
+/// An upstream that took over the address of 1, which started at 1,000 ms by a clock that was ahead.
+fn successor() -> Announced {
+    let incarnation = started(2, 400).incarnation;
+    Announced {
+        incarnation,
+        ..started(1, 1_000)
+    }
+}
+
+#[test]
+fn an_upstream_whose_clock_is_behind_takes_over_the_address_of_one_that_stopped() {
+    let mut directory = Directory::default();
+    directory.announce(at(0), control(1), started(1, 1_000), 0);
+    directory.announce(at(1), control(1), successor(), 0);
+    assert!(!takes_flows(&directory, 1, 2));
+    let stop = Announced {
+        phase: Phase::Gone,
+        ..started(1, 1_000)
+    };
+    directory.announce(at(2), control(1), stop, 0);
+    assert!(takes_flows(&directory, 2, 2));
+}
+
+#[test]
+fn an_upstream_whose_clock_is_behind_takes_over_the_address_of_one_that_fell_silent() {
+    let mut directory = Directory::default();
+    directory.announce(at(0), control(1), started(1, 1_000), 0);
+    directory.announce(at(1), control(1), successor(), 0);
+    let before = started(1, 1_000).incarnation;
+    assert!(directory.silent(at(5_000), control(1), before));
+    assert!(takes_flows(&directory, 5_000, 2));
+    // An announcement of before that comes late doesn't prove it gone.
+    directory.announce(at(5_001), control(2), started(1, 1_000), 0);
+    assert!(!takes_flows(&directory, 5_001, 2));
+}
+
+#[test]
+fn an_upstream_whose_clock_is_behind_takes_over_the_address_of_one_whose_control_vm_is_lost() {
+    let mut directory = Directory::default();
+    for number in [1, 2] {
+        directory.opened(control(number));
+        directory.complete(control(number));
+    }
+    directory.announce(at(0), control(1), started(1, 1_000), 0);
+    directory.announce(at(1), control(2), successor(), 0);
+    directory.lost(at(100), control(1));
+    directory.tick(at(6_000));
+    assert!(takes_flows(&directory, 6_000, 2));
+}
+
 #[test]
 fn a_cold_upstream_takes_flows_when_it_is_warm() {
     let mut directory = Directory::default();
