Soak the links between daemons, torn writes and clocks that differ

A proxy stands before each control VM (soak::link). For that a control VM on the platform may bind other ports than those at which it is reached (bind_port), as behind a port forwarder. A control VM that is killed may leave a torn write in its log, and each upstream has a clock of its own.

--- a/crates/control/src/process.rs
+++ b/crates/control/src/process.rs
@@ -72,8 +72,11 @@
     token: CancellationToken,
 ) -> Result<(), Error> {
     let settings = gateway.daemon();
+    let address = gateway.peer_address();
     let replica = replica::Settings {
-        name: settings.peer_listen.to_string(),
+        name: address.to_string(),
+        address,
+        listen: Some(settings.peer_listen),
         peers: gateway.replicas(),
         keep_voters: Some(gateway.voters()),
         outlives_disk: true,
@@ -101,7 +104,7 @@
     if let Some((gateway, source)) = gateway {
         let recalled = hints::read(&settings.data_folder);
         let heard = heard::Table::new(gateway.announce_ms).recall(recalled);
-        state = state.with_announcements(heard, settings.delivery_listen.port());
+        state = state.with_announcements(heard, gateway.delivery_port());
         start_hints(&settings, &state, &root)?;
         start_desk(&gateway, source, &state, &root);
     }
--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -45,8 +45,10 @@
     pub name: String,
     /// Data folder, which holds this replica's state and nothing else.
     pub folder: PathBuf,
-    /// Where this replica takes messages of the others.
+    /// Where the others reach this replica.
     pub address: SocketAddr,
+    /// Where it takes their messages, if that is elsewhere.
+    pub listen: Option<SocketAddr>,
     /// Replicas that found the cluster, this one included, with their addresses. Later it is
     /// whom a replica asks that takes no part yet.
     pub peers: BTreeMap<String, SocketAddr>,
@@ -67,6 +69,7 @@
             name: String::new(),
             folder: PathBuf::new(),
             address: SocketAddr::from(([127, 0, 0, 1], 0)),
+            listen: None,
             peers: BTreeMap::new(),
             found: true,
             keep_voters: None,
--- a/crates/control/src/replica/driver.rs
+++ b/crates/control/src/replica/driver.rs
@@ -103,10 +103,9 @@
         return Err(Error::Stopped(reason.to_owned()));
     }
     let stopped = |e: &dyn std::fmt::Display| Error::Stopped(e.to_string());
-    let listener = TcpListener::bind(settings.address).await.map_err(|e| {
-        let address = settings.address;
-        stopped(&format!("listening on {address} failed: {e}"))
-    })?;
+    let listen = settings.listen.unwrap_or(settings.address);
+    let listener = TcpListener::bind(listen).await;
+    let listener = listener.map_err(|e| stopped(&format!("listening on {listen} failed: {e}")))?;
     let folder = Folder::open(&settings.folder).map_err(|e| stopped(&e))?;
     let machine_settings = machine_settings(&settings);
     let machine = Machine::open(folder, machine_settings.clone()).map_err(|e| stopped(&e))?;
--- a/crates/settings/src/gateway.rs
+++ b/crates/settings/src/gateway.rs
@@ -66,8 +66,11 @@
     pub data_folder: PathBuf,
     /// Where operators and upstreams call: TCP, HTTP.
     pub desk_listen: SocketAddr,
-    /// First port of the traffic between VMs.
+    /// First port at which others reach this VM for the traffic between VMs.
     pub first_port: u16,
+    /// First port that this process binds for it, where a port forwarder stands before it.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub bind_port: Option<u16>,
     /// Addresses of some control VMs; their ports don't matter. Those that found the cluster, at
     /// its first start.
     pub seeds: Vec<SocketAddr>,
@@ -139,6 +142,7 @@
         "data_folder",
         "desk_listen",
         "first_port",
+        "bind_port",
         "seeds",
         "found",
         "announce_ms",
@@ -153,6 +157,7 @@
             data_folder: fields.required("data_folder", "name a folder on this VM's disk")?,
             desk_listen: fields.listen("desk_listen")?,
             first_port: first_port(fields)?,
+            bind_port: bind_port(fields)?,
             seeds: seeds(fields)?,
             found: fields.required("found", "write true at the very first start only")?,
             announce_ms: fields.required("announce_ms", "write a number of milliseconds")?,
@@ -167,10 +172,11 @@
 }
 
 impl Control {
-    /// The settings of the daemon, with all addresses.
+    /// The settings of the daemon, with all addresses that it binds.
     #[must_use]
     pub fn daemon(&self) -> control::Settings {
-        let own = |which| SocketAddr::new(self.desk_listen.ip(), port(self.first_port, which));
+        let first = self.bind_port.unwrap_or(self.first_port);
+        let own = |which| SocketAddr::new(self.desk_listen.ip(), port(first, which));
         let peer_listen = own(Port::Peer);
         control::Settings {
             name: self.member(),
@@ -189,6 +195,18 @@
         }
     }
 
+    /// Where other control VMs reach the replica of this one.
+    #[must_use]
+    pub fn peer_address(&self) -> SocketAddr {
+        SocketAddr::new(self.desk_listen.ip(), port(self.first_port, Port::Peer))
+    }
+
+    /// Port at which entry VMs reach any control VM.
+    #[must_use]
+    pub fn delivery_port(&self) -> u16 {
+        port(self.first_port, Port::Delivery)
+    }
+
     /// The replicas behind the seeds: name and address. Replicas are named by their addresses,
     /// since that is all that is known of the others.
     #[must_use]
@@ -217,10 +235,21 @@
 
 fn first_port(fields: &mut Fields) -> Result<u16, Fault> {
     let advice = "write the first of 4 free ports in a row, the same on all VMs";
-    let first: u16 = fields.required("first_port", advice)?;
+    let first = fields.required("first_port", advice)?;
+    check_ports("first_port", first, advice)
+}
+
+fn bind_port(fields: &mut Fields) -> Result<Option<u16>, Fault> {
+    let advice = "write the first of 4 free ports in a row, or leave it out";
+    let first: Option<u16> = fields.optional("bind_port", advice)?;
+    let checked = first.map(|first| check_ports("bind_port", first, advice));
+    checked.transpose()
+}
+
+fn check_ports(key: &'static str, first: u16, advice: &'static str) -> Result<u16, Fault> {
     if first == 0 || first > u16::MAX - PORTS {
         let reason = "no 4 ports follow";
-        return Err(Fault::new("first_port", first.to_string(), reason, advice));
+        return Err(Fault::new(key, first.to_string(), reason, advice));
     }
     Ok(first)
 }
--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -1,7 +1,5 @@
 //! Faults, and schedules of them that follow from a seed.
 
-use std::collections::BTreeMap;
-
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use standin::platform::system::Size;
@@ -29,6 +27,16 @@
     FreezeControl(u8),
     /// A control VM is killed and loses its disk; it starts again at the end.
     EmptyDisk(u8),
+    /// A control VM is killed in the middle of a write; it starts again at the end.
+    TornWrite(u8),
+    /// What others send to a control VM, and its answers, come late.
+    DelayLinks(u8),
+    /// Nothing passes on the connections that others have or open to a control VM.
+    SilenceLinks(u8),
+    /// Nothing that others send reaches a control VM, while what it says reaches them.
+    OneWayLinks(u8),
+    /// The connections that others have or open to a control VM are reset.
+    ResetLinks(u8),
     /// All daemons are killed at once, and start again at the end.
     KillAll,
     /// All processes get SIGHUP.
@@ -76,6 +84,7 @@
                 | Self::KillControl(_)
                 | Self::StopControl(_)
                 | Self::EmptyDisk(_)
+                | Self::TornWrite(_)
                 | Self::KillAll
         )
     }
@@ -101,7 +110,12 @@
             Self::KillControl(_)
             | Self::StopControl(_)
             | Self::FreezeControl(_)
-            | Self::EmptyDisk(_) => (1, 0),
+            | Self::EmptyDisk(_)
+            | Self::TornWrite(_)
+            | Self::DelayLinks(_)
+            | Self::SilenceLinks(_)
+            | Self::OneWayLinks(_)
+            | Self::ResetLinks(_) => (1, 0),
             Self::KillAll => (2, 0),
             Self::HangUp => (3, 0),
             Self::DomainOut => (4, 0),
@@ -130,36 +144,60 @@
 /// counts as lost until it has caught up.
 const REST_MS: u64 = 4_500;
 
+/// Sets the draws of links and disks apart from those of processes and upstreams, so that either
+/// can be changed without a change to the other's.
+const LINKS: u64 = 0x6c69_6e6b;
+
 /// The schedule of a seed: faults that overlap, but for those on the same target.
 #[must_use]
 pub fn schedule(seed: u64, size: Size, upstreams: u8, length_ms: u64) -> Vec<Planned> {
-    let mut random = Pcg64Mcg::seed_from_u64(seed);
     let mut planned = Vec::new();
-    let mut busy: BTreeMap<(u8, u8), u64> = BTreeMap::new();
+    let mut random = Pcg64Mcg::seed_from_u64(seed);
+    fill(&mut planned, &mut random, length_ms, |random| {
+        draw(random, size, upstreams)
+    });
+    let mut random = Pcg64Mcg::seed_from_u64(seed ^ LINKS);
+    fill(&mut planned, &mut random, length_ms, |random| {
+        draw_link(random, size)
+    });
+    planned.sort_by_key(|p| p.at_ms);
+    planned
+}
+
+/// Adds faults where what they are done to is left alone by those that are planned.
+fn fill<R: Rng>(
+    planned: &mut Vec<Planned>,
+    random: &mut R,
+    length_ms: u64,
+    draw: impl Fn(&mut R) -> Kind,
+) {
     let mut at_ms = 500;
     while at_ms < length_ms {
-        let kind = draw(&mut random, size, upstreams);
+        let kind = draw(random);
         let until_ms = (at_ms + random.random_range(SPAN_MS)).min(length_ms);
-        let is_free = |target| busy.get(&target).is_none_or(|until| at_ms >= *until);
-        let mut targets = vec![kind.target()];
-        if kind == Kind::KillAll {
-            // Everything else must stand before.
-            targets.extend((0..size.entries).map(|n| (0, n)));
-            targets.push((1, 0));
-        }
-        if targets.iter().all(|t| is_free(*t)) && is_free((2, 0)) {
-            for target in targets {
-                busy.insert(target, until_ms + REST_MS);
-            }
-            planned.push(Planned {
-                kind,
-                at_ms,
-                until_ms,
-            });
+        let new = Planned {
+            kind,
+            at_ms,
+            until_ms,
+        };
+        if !planned.iter().any(|p| p.clashes(&new)) {
+            planned.push(new);
         }
         at_ms += random.random_range(GAP_MS);
     }
-    planned
+}
+
+impl Planned {
+    /// Whether `new` would disturb what this one disturbs, or has disturbed shortly before.
+    fn clashes(&self, new: &Self) -> bool {
+        let shares = match (self.kind, new.kind) {
+            (Kind::KillAll, _) => true,
+            // All daemons must stand before all are killed.
+            (kind, Kind::KillAll) => kind.target().0 <= Kind::KillAll.target().0,
+            (kind, new) => kind.target() == new.target(),
+        };
+        shares && self.at_ms < new.until_ms + REST_MS && new.at_ms < self.until_ms + REST_MS
+    }
 }
 
 fn draw(random: &mut impl Rng, size: Size, upstreams: u8) -> Kind {
@@ -185,3 +223,14 @@
         _ => Kind::Plan,
     }
 }
+
+fn draw_link(random: &mut impl Rng, size: Size) -> Kind {
+    let control = random.random_range(0..size.controls);
+    match random.random_range(0..6) {
+        0 => Kind::TornWrite(control),
+        1 => Kind::DelayLinks(control),
+        2 => Kind::ResetLinks(control),
+        3 => Kind::OneWayLinks(control),
+        _ => Kind::SilenceLinks(control),
+    }
+}
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -2,7 +2,8 @@
 
 use std::{
     collections::BTreeMap,
-    fs, io,
+    fs,
+    io::{self, Write},
     path::Path,
     sync::{Arc, Mutex, PoisonError, atomic::AtomicBool, atomic::Ordering},
     thread,
@@ -13,8 +14,8 @@
     experiment::process::{Process, Signal},
     platform::{
         client::{Client, Got},
-        system::{Size, System},
-        upstream::Upstream,
+        system::{Ports, Size, System},
+        upstream::{Profile, Upstream},
         wire::call,
     },
 };
@@ -23,6 +24,7 @@
     callers::{self, Shared},
     check::{self, Broken},
     fault::{self, Kind, Planned},
+    link,
     proxy::{Mode, Proxy},
     record::{Acknowledged, Closed, Disturbance, Opened, Read, Record},
 };
@@ -42,6 +44,15 @@
 /// Time between two steps of the run.
 const STEP: Duration = Duration::from_millis(20);
 
+/// Time that bytes on a slow link to a control VM take longer.
+const LINK_DELAY: Duration = Duration::from_millis(60);
+
+/// What is left of a write that was cut off: less than the header of a record.
+const TORN: [u8; 11] = [40, 0, 0, 0, 7, 7, 7, 7, 1, 2, 3];
+
+/// How far the clocks of upstreams are ahead, by turns, in milliseconds.
+const CLOCKS_MS: [i64; 4] = [0, 4_000, -9_000, 1_000];
+
 /// Time between two looks of the fabric at the entry VMs.
 const LOOK_EVERY_MS: u64 = 500;
 
@@ -81,6 +92,8 @@
 /// A run in progress.
 struct World {
     system: System,
+    /// Before each control VM.
+    links: Vec<link::Proxy>,
     places: Vec<Place>,
     shared: Arc<Shared>,
     record: Record,
@@ -99,7 +112,8 @@
 ///
 /// Fails when the system can't be started.
 pub fn run(settings: Settings, programs: &Path) -> io::Result<Vec<Broken>> {
-    let system = System::start(programs, settings.net, settings.size)?;
+    let system = System::start(programs, settings.net, settings.size, Ports::Forwarded)?;
+    let links = start_links(&system, settings.size)?;
     let shared = Arc::new(Shared {
         rotation: Mutex::default(),
         is_over: AtomicBool::new(false),
@@ -107,6 +121,7 @@
     });
     let mut world = World {
         system,
+        links,
         places: Vec::new(),
         shared,
         record: Record::default(),
@@ -144,6 +159,14 @@
     Ok(broken)
 }
 
+fn start_links(system: &System, size: Size) -> io::Result<Vec<link::Proxy>> {
+    let start = |number| {
+        let routes = system.forwarded(number).into_iter();
+        link::Proxy::start(routes.map(|(reached, bound)| link::Route { reached, bound }))
+    };
+    (0..size.controls).map(start).collect()
+}
+
 impl World {
     fn now_ms(&self) -> u64 {
         self.shared.now_ms()
@@ -174,7 +197,12 @@
         };
         let own = self.system.upstream(place, 4);
         let announced = self.system.upstream(place, 1);
-        let upstream = self.system.start_upstream(number, domain, own, announced)?;
+        let turn = usize::try_from(number).unwrap_or_default() % CLOCKS_MS.len();
+        let upstream = Upstream::start(Profile {
+            announced,
+            clock_ms: CLOCKS_MS[turn],
+            ..self.system.profile(number, domain, own)
+        })?;
         self.numbers.insert(number, place);
         let place = &mut self.places[usize::from(place)];
         place.upstream = Some(upstream);
@@ -280,6 +308,14 @@
                 fs::remove_dir_all(self.system.data_folder(n))?;
                 self.system.write_control(n, false)?;
             }
+            Kind::TornWrite(n) => {
+                self.system.controls[usize::from(n)].kill();
+                tear_log(&self.system.data_folder(n))?;
+            }
+            Kind::DelayLinks(n) => self.set_links(n, link::Mode::Delay(LINK_DELAY)),
+            Kind::SilenceLinks(n) => self.set_links(n, link::Mode::Silence),
+            Kind::OneWayLinks(n) => self.set_links(n, link::Mode::OneWay),
+            Kind::ResetLinks(n) => self.set_links(n, link::Mode::Reset),
             Kind::KillAll => self.daemons().for_each(Process::kill),
             Kind::HangUp => {
                 for process in self.daemons() {
@@ -313,12 +349,19 @@
             Kind::FreezeEntry(n) => {
                 self.system.entries[usize::from(n)].signal(Signal::Continue)?;
             }
-            Kind::KillControl(n) | Kind::StopControl(n) | Kind::EmptyDisk(n) => {
+            Kind::KillControl(n)
+            | Kind::StopControl(n)
+            | Kind::EmptyDisk(n)
+            | Kind::TornWrite(n) => {
                 restart(&mut self.system.controls[usize::from(n)])?;
             }
             Kind::FreezeControl(n) => {
                 self.system.controls[usize::from(n)].signal(Signal::Continue)?;
             }
+            Kind::DelayLinks(n)
+            | Kind::SilenceLinks(n)
+            | Kind::OneWayLinks(n)
+            | Kind::ResetLinks(n) => self.set_links(n, link::Mode::Pass),
             Kind::KillAll => {
                 for process in self.daemons() {
                     restart(process)?;
@@ -340,6 +383,10 @@
         Ok(())
     }
 
+    fn set_links(&self, control: u8, mode: link::Mode) {
+        self.links[usize::from(control)].set(mode);
+    }
+
     fn daemons(&mut self) -> impl Iterator<Item = &mut Process> {
         let system = &mut self.system;
         system.controls.iter_mut().chain(&mut system.entries)
@@ -487,6 +534,23 @@
     }
 }
 
+/// Adds to the newest log in `folder` what a write leaves that was cut off.
+fn tear_log(folder: &Path) -> io::Result<()> {
+    let mut logs = Vec::new();
+    for file in fs::read_dir(folder)? {
+        let path = file?.path();
+        let name = path.file_name().and_then(|name| name.to_str());
+        let number = name.and_then(|name| name.strip_prefix("log-")?.parse::<u64>().ok());
+        logs.extend(number.map(|number| (number, path)));
+    }
+    // One that was killed before its first write has none.
+    let Some((_, newest)) = logs.into_iter().max() else {
+        return Ok(());
+    };
+    let mut log = fs::File::options().append(true).open(newest)?;
+    log.write_all(&TORN)
+}
+
 /// Starts a process again that was killed, or asked to stop, and has to be over by now.
 fn restart(process: &mut Process) -> io::Result<()> {
     // One that is asked to stop gets 6 s, as on the platform.
--- a/crates/soak/tests/planted.rs
+++ b/crates/soak/tests/planted.rs
@@ -155,6 +155,11 @@
                 | Kind::StopControl(_)
                 | Kind::FreezeControl(_)
                 | Kind::EmptyDisk(_)
+                | Kind::TornWrite(_)
+                | Kind::DelayLinks(_)
+                | Kind::SilenceLinks(_)
+                | Kind::OneWayLinks(_)
+                | Kind::ResetLinks(_)
         )
     };
     for seed in 0..200 {
--- a/crates/standin/src/platform/system.rs
+++ b/crates/standin/src/platform/system.rs
@@ -9,7 +9,7 @@
 use tempfile::TempDir;
 
 use super::{
-    upstream::{ANNOUNCE, Profile, Upstream},
+    upstream::{ANNOUNCE, Profile},
     wire::call,
 };
 use crate::experiment::process::Process;
@@ -17,6 +17,12 @@
 /// Ports that one system uses on each of its addresses.
 const PORTS: u16 = 16;
 
+/// First port of the traffic between daemons, from the first of the system.
+const FIRST_PORT: u16 = 8;
+
+/// The same where control VMs bind others than the daemons reach.
+const BIND_PORT: u16 = 12;
+
 /// How large a system is.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Size {
@@ -35,6 +41,15 @@
     }
 }
 
+/// Where control VMs take the connections of other daemons.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Ports {
+    /// Where the others reach them.
+    Own,
+    /// Elsewhere, so that something can stand between; see [`System::forwarded`].
+    Forwarded,
+}
+
 /// The processes, and where everything is.
 #[derive(Debug)]
 pub struct System {
@@ -45,6 +60,7 @@
     /// Address that clients open flows to.
     pub service: SocketAddrV4,
     size: Size,
+    ports: Ports,
     /// Third byte of all addresses of the system.
     net: u8,
     port: u16,
@@ -58,12 +74,13 @@
     /// # Errors
     ///
     /// Fails when a file can't be written or a program can't be started.
-    pub fn start(programs: &Path, net: u8, size: Size) -> io::Result<Self> {
+    pub fn start(programs: &Path, net: u8, size: Size, ports: Ports) -> io::Result<Self> {
         let mut system = Self {
             controls: Vec::new(),
             entries: Vec::new(),
             service: SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), 443),
             size,
+            ports,
             net,
             port: free_port(net)?,
             programs: programs.to_owned(),
@@ -90,6 +107,14 @@
         self.address(11 + number, 2)
     }
 
+    /// Where other daemons reach control VM `number`, each with where it then takes them, if the
+    /// ports are forwarded: streams of entry VMs, and messages of other control VMs.
+    #[must_use]
+    pub fn forwarded(&self, number: u8) -> [(SocketAddr, SocketAddr); 2] {
+        let address = |port| self.address(11 + number, port);
+        [0, 1].map(|step| (address(FIRST_PORT + step), address(BIND_PORT + step)))
+    }
+
     /// Where all control VMs take calls.
     #[must_use]
     pub fn desks(&self) -> Vec<SocketAddr> {
@@ -149,12 +174,16 @@
     ///
     /// As the file system says.
     pub fn write_control(&self, number: u8, found: bool) -> io::Result<()> {
+        let bind = match self.ports {
+            Ports::Own => String::new(),
+            Ports::Forwarded => format!("bind_port: {}\n", self.port + BIND_PORT),
+        };
         let settings = format!(
             "name: control-{number}\ndomain: north\ndata_folder: {}\ndesk_listen: \"{}\"\n\
-             first_port: {}\nseeds: [{}]\nfound: {found}\nannounce_ms: {}\ntolerated: 1\n",
+             first_port: {}\n{bind}seeds: [{}]\nfound: {found}\nannounce_ms: {}\ntolerated: 1\n",
             self.data_folder(number).display(),
             self.desk(number),
-            self.port + 8,
+            self.port + FIRST_PORT,
             self.seeds(),
             ANNOUNCE.as_millis(),
         );
@@ -172,7 +201,7 @@
              first_port: {}\nseeds: [{}]\nseed: {number}\n",
             self.entry(number),
             self.health(number),
-            self.port + 8,
+            self.port + FIRST_PORT,
             self.seeds(),
         );
         fs::write(self.path(&format!("entry-{number}.yaml")), settings)?;
@@ -186,28 +215,19 @@
         Process::start(name, &self.programs.join(program), arguments.into(), log)
     }
 
-    /// Starts an upstream of service `booking` at `address`, which announces `announced` as its
-    /// address.
-    ///
-    /// # Errors
-    ///
-    /// Fails when the address is taken.
-    pub fn start_upstream(
-        &self,
-        number: u64,
-        domain: &str,
-        address: SocketAddr,
-        announced: SocketAddr,
-    ) -> io::Result<Upstream> {
-        Upstream::start(Profile {
+    /// An upstream of service `booking` that takes packets at `address`, and announces that.
+    #[must_use]
+    pub fn profile(&self, number: u64, domain: &str, address: SocketAddr) -> Profile {
+        Profile {
             number,
             service: "booking".to_owned(),
             domain: domain.to_owned(),
             address,
-            announced,
+            announced: address,
             client_port: self.port,
             controls: self.desks(),
-        })
+            clock_ms: 0,
+        }
     }
 
     /// Sends a call to each control VM until one answers with a status for which `is_clear` holds.
--- a/crates/standin/src/platform/upstream.rs
+++ b/crates/standin/src/platform/upstream.rs
@@ -69,6 +69,8 @@
     pub client_port: u16,
     /// Control VMs to which it announces itself.
     pub controls: Vec<SocketAddr>,
+    /// How far its clock is ahead, in milliseconds.
+    pub clock_ms: i64,
 }
 
 impl Upstream {
@@ -144,7 +146,8 @@
 
 fn announce(profile: &Profile, path: &str, shared: &Shared) {
     let started = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
-    let born = started.map_or(1, |d| d.as_millis());
+    let by_true_clock = started.map_or(1, |d| i64::try_from(d.as_millis()).unwrap_or(i64::MAX));
+    let born = by_true_clock.saturating_add(profile.clock_ms).max(1);
     let mut sequence = 0_usize;
     while !shared.is_over.load(Ordering::SeqCst) {
         sequence += 1;
--- a/crates/standin/tests/gateway/system.rs
+++ b/crates/standin/tests/gateway/system.rs
@@ -13,7 +13,7 @@
     experiment::build,
     platform::{
         client::{Client, Flow, Got},
-        system::{Size, System},
+        system::{Ports, Size, System},
         upstream::Upstream,
     },
 };
@@ -68,14 +68,11 @@
     pub(crate) fn start() -> Self {
         let guard = ONE_AT_A_TIME.lock().unwrap_or_else(PoisonError::into_inner);
         let programs = build::programs().unwrap_or_else(|e| panic!("{e}"));
-        let system = System::start(&programs, NET, Size::default()).unwrap();
+        let system = System::start(&programs, NET, Size::default(), Ports::Own).unwrap();
         let domains = [(1, "north"), (2, "north"), (3, "south")];
         let upstreams = domains.map(|(number, domain)| {
             let address = system.upstream(number, 1);
-            let number = u64::from(number);
-            system
-                .start_upstream(number, domain, address, address)
-                .unwrap()
+            Upstream::start(system.profile(number.into(), domain, address)).unwrap()
         });
         let whole = Self {
             client: Client::start(system.client(0)).unwrap(),
