--- a/crates/policy/src/membership.rs
+++ b/crates/policy/src/membership.rs
@@ -18,7 +18,7 @@
 };
 
 use model::{key::hash, name::Name};
-use rand::{Rng, SeedableRng, seq::SliceRandom};
+use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use serde::{Deserialize, Serialize};
 
@@ -28,6 +28,7 @@
     view::{View, Vm},
 };
 
+mod probing;
 mod table;
 
 pub use table::{Member, State};
@@ -430,78 +431,6 @@
         }
     }
 
-    fn ask_helpers(&mut self, now: Instant, view: &View, out: &mut Vec<Action>) {
-        let Some(pending) = &mut self.probe else {
-            return;
-        };
-        if pending.asked_helpers || now.ms_since(pending.sent) < ACK_WAIT_MS {
-            return;
-        }
-        pending.asked_helpers = true;
-        let (target, sequence) = (pending.target.clone(), pending.sequence);
-        let Some(address) = view.get(&target).map(|vm| vm.address) else {
-            return;
-        };
-        let mut helpers: Vec<SocketAddr> = view
-            .others()
-            .filter(|vm| vm.name != target)
-            .map(|vm| vm.address)
-            .collect();
-        helpers.shuffle(&mut self.rng);
-        for helper in helpers.into_iter().take(HELPERS) {
-            let message = Message::PingFor {
-                target: address,
-                probe: self.make_probe(sequence),
-            };
-            push(out, helper, message);
-        }
-    }
-
-    /// Suspects the VM whose probe was not acknowledged.
-    fn end_probe(&mut self, now: Instant, view: &mut View) {
-        let Some(pending) = self.probe.take() else {
-            return;
-        };
-        if let Some(suspicion) = self.table.suspect(now, &pending.target) {
-            show(view, &suspicion);
-        }
-    }
-
-    fn start_probe(&mut self, now: Instant, view: &View, out: &mut Vec<Action>) {
-        let Some(target) = self.next_target(view) else {
-            return;
-        };
-        let sequence = self.draw_sequence();
-        let ping = self.make_probe(sequence);
-        push(out, target.address, Message::Ping(ping));
-        self.probe = Some(Pending {
-            target: target.name,
-            sequence,
-            sent: now,
-            asked_helpers: false,
-        });
-    }
-
-    fn next_target(&mut self, view: &View) -> Option<Vm> {
-        loop {
-            match self.order.pop_front() {
-                Some(name) => {
-                    if let Some(vm) = view.get(&name) {
-                        return Some(vm.clone());
-                    }
-                }
-                None => {
-                    let mut names: Vec<Name> = view.others().map(|vm| vm.name.clone()).collect();
-                    if names.is_empty() {
-                        return None;
-                    }
-                    names.shuffle(&mut self.rng);
-                    self.order = names.into();
-                }
-            }
-        }
-    }
-
     /// Turns suspicions that have stood long enough into deaths.
     fn bury(&mut self, now: Instant, view: &mut View) {
         for dead in self.table.bury(now, SUSPICION_MS) {
--- /dev/null
+++ b/crates/policy/tests/token_allocations.rs
@@ -0,0 +1,84 @@
+//! What a packet costs in allocations.
+
+#![expect(clippy::unwrap_used, reason = "a test ends at the first error")]
+
+mod token_support;
+
+use std::{
+    alloc::{GlobalAlloc, Layout, System},
+    cell::Cell,
+};
+
+use policy::token::{gateway::Gateway, segment::Segment};
+use token_support::{
+    SETTLED, agreed, announced, at, control, data, fresh, opening, plan, upstream,
+};
+
+/// The system's allocator, which counts the allocations of each thread.
+struct Counting;
+
+thread_local! {
+    static COUNT: Cell<u64> = const { Cell::new(0) };
+}
+
+// SAFETY: All calls go to the system's allocator as they come.
+unsafe impl GlobalAlloc for Counting {
+    unsafe fn alloc(&self, layout: Layout) -> *mut u8 {
+        COUNT.with(|count| count.set(count.get() + 1));
+        // SAFETY: The caller keeps the contract of `alloc`.
+        unsafe { System.alloc(layout) }
+    }
+
+    unsafe fn dealloc(&self, place: *mut u8, layout: Layout) {
+        // SAFETY: `place` came from `alloc` with this layout.
+        unsafe { System.dealloc(place, layout) }
+    }
+}
+
+#[global_allocator]
+static ALLOCATOR: Counting = Counting;
+
+/// Allocations of `gateway` while it decides on `packets`, a packet each 10 ms.
+fn allocations(gateway: &mut Gateway, packets: &[Segment]) -> u64 {
+    let before = COUNT.with(Cell::get);
+    for (ms, packet) in (SETTLED..).step_by(10).zip(packets) {
+        gateway.decide(at(ms), packet);
+    }
+    COUNT.with(Cell::get) - before
+}
+
+fn settled(upstreams: u64) -> Gateway {
+    let mut gateway = fresh();
+    gateway.take_plan(plan(1));
+    gateway.agree(agreed(1, &[]));
+    gateway.source_opened(control(1));
+    for id in 1..=upstreams {
+        let domain = ["a", "b"][usize::try_from(id % 2).unwrap()];
+        gateway.announce(at(0), control(1), announced(id, domain), 0);
+    }
+    gateway.source_complete(at(0), control(1));
+    gateway
+}
+
+#[test]
+fn a_data_packet_of_an_open_flow_allocates_nothing() {
+    let mut gateway = settled(18);
+    let id = upstream(gateway.decide(at(SETTLED), &opening(1, 0))).unwrap();
+    let token = u32::try_from(id).unwrap();
+    // Requests of 50 bytes, of which each second one is answered when it is sent.
+    let packets: Vec<Segment> = (0..1_000)
+        .map(|n| data(1, token, 101 + 50 * n, 50, 1 + 100 * (n / 2)))
+        .collect();
+    // The first answer makes room for what is known of its upstream.
+    let (first, rest) = packets.split_at(10);
+    allocations(&mut gateway, first);
+    assert_eq!(allocations(&mut gateway, rest), 0);
+}
+
+#[test]
+fn an_opening_packet_allocates_at_most_twice() {
+    let mut gateway = settled(18);
+    let packets: Vec<Segment> = (0..1_000).map(|port| opening(port, 0)).collect();
+    let count = allocations(&mut gateway, &packets);
+    assert!(count <= 2_000, "{count}");
+}
