Tell the other entry VMs what one has found down; a flow placed elsewhere clears no belief

Each of 67 entry VMs sees an upstream once in seconds, so each found out for itself at the cost of a client's wait. And the first packet of a flow that another VM had placed counted as an answer of its upstream, which cleared the belief that it was down (flows move between VMs whenever the fabric's choice changes).

An entry VM now tells one control VM what its clients and a probe showed, which tells all entry VMs; each goes by a probe of its own. Upstreams that no control VM hears are probed at once, then each 4 s, and when they are heard again. Only what a VM's own clients showed is told on, or has the whole failure domain probed.

Two tests used a flow that was never opened as a sign of life; they now open it first and ask for the same.

--- a/crates/control/src/routing.rs
+++ b/crates/control/src/routing.rs
@@ -9,7 +9,10 @@
     name::Name,
     routing::{ALIVE_MS, Agreed, SILENCE_MS, ToControl, ToEntry},
 };
-use tokio::time::{sleep, timeout};
+use tokio::{
+    sync::broadcast::{Receiver, error::RecvError},
+    time::{sleep, timeout},
+};
 
 use crate::state::State;
 
@@ -71,6 +74,7 @@
     let mut revisions = state.revisions();
     let mut config = state.replica.watch();
     let mut status = state.replica.watch_status();
+    let mut doubts = state.doubts();
     let recalled = state.soft().heard.recalled();
     if !recalled.is_empty() {
         stream.sender.send(&ToEntry::Recalled(recalled)).await?;
@@ -89,6 +93,11 @@
                 heard_at = tokio::time::Instant::now();
                 take(stream, state, received?).await?;
             }
+            doubted = doubts.recv() => {
+                sleep(GATHER).await;
+                tell_doubted(stream, doubted, &mut doubts).await?;
+                continue;
+            }
             changed = revisions.changed() => changed.map_err(|_| End::Stops)?,
             changed = config.changed() => changed.map_err(|_| End::Stops)?,
             changed = status.changed() => changed.map_err(|_| End::Stops)?,
@@ -122,6 +131,13 @@
                 stream.sender.send(&ToEntry::Plan(plan)).await?;
             }
         }
+        ToControl::Down { id } => {
+            let is_told = state.doubt(id);
+            log::info!(
+                target: "routing",
+                "event=found-down upstream={id:x} peer={} told={is_told}", stream.peer
+            );
+        }
         ToControl::Hello { .. } | ToControl::Alive => {}
     }
     Ok(())
@@ -149,6 +165,23 @@
     Ok(())
 }
 
+/// Tells of the upstreams that entry VMs have found down lately.
+async fn tell_doubted(
+    stream: &mut Stream,
+    first: Result<u64, RecvError>,
+    doubts: &mut Receiver<u64>,
+) -> Result<(), End> {
+    // Where this stream has lagged behind, its entry VM finds the missed ones by itself.
+    let mut ids: Vec<u64> = first.into_iter().collect();
+    while let Ok(id) = doubts.try_recv() {
+        ids.push(id);
+    }
+    if !ids.is_empty() {
+        stream.sender.send(&ToEntry::Doubted(ids)).await?;
+    }
+    Ok(())
+}
+
 fn agreed(config: &Config, controls: Vec<SocketAddr>) -> Agreed {
     let out = config.domains.iter();
     let out = out.filter(|(_, domain)| domain.state == DomainState::Out);
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -1,6 +1,7 @@
 //! What the parts of the daemon share.
 
 use std::{
+    collections::BTreeMap,
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Instant,
@@ -8,7 +9,7 @@
 
 use delivery::delta::History;
 use model::{config::Config, name::Name};
-use tokio::sync::{Notify, watch};
+use tokio::sync::{Notify, broadcast, watch};
 
 use crate::{announced, heard, lease, replica::Handle};
 
@@ -28,6 +29,8 @@
     started: Instant,
     /// Revision of what upstreams announced here.
     revisions: watch::Sender<u64>,
+    /// Upstreams that entry VMs have found down, for the others.
+    doubts: broadcast::Sender<u64>,
     /// Port at which control VMs take streams of entry VMs; the same on all.
     delivery_port: u16,
 }
@@ -43,6 +46,8 @@
     pub heard: heard::Table,
     /// When this control VM last knew a leader.
     pub in_touch_ms: Option<u64>,
+    /// Upstreams that entry VMs have found down, with when that was told last.
+    doubted: BTreeMap<u64, u64>,
 }
 
 /// Time without a leader after which upstreams are sent to another control VM, in milliseconds.
@@ -51,6 +56,13 @@
 /// Time between two announcements of an upstream where the settings name none, in milliseconds.
 const DEFAULT_ANNOUNCE_MS: u64 = 1_000;
 
+/// Time in which an upstream that was found down isn't told of again, in milliseconds: many entry
+/// VMs find the same.
+const DOUBT_MS: u64 = 2_000;
+
+/// Upstreams found down that a stream may have waiting; one that lags behind misses the oldest.
+const MAX_DOUBTS: usize = 256;
+
 impl State {
     /// Starts with no soft state.
     #[must_use]
@@ -65,9 +77,11 @@
                 upstreams: announced::Table::default(),
                 heard: heard::Table::new(DEFAULT_ANNOUNCE_MS),
                 in_touch_ms: None,
+                doubted: BTreeMap::new(),
             })),
             started: Instant::now(),
             revisions: watch::Sender::new(0),
+            doubts: broadcast::Sender::new(MAX_DOUBTS),
             delivery_port: 0,
         }
     }
@@ -96,6 +110,24 @@
         outcome
     }
 
+    /// Takes that an entry VM found upstream `id` down. Returns whether the others are told.
+    pub fn doubt(&self, id: u64) -> bool {
+        let now_ms = self.now_ms();
+        let mut soft = self.soft();
+        soft.doubted
+            .retain(|_, told_ms| now_ms < *told_ms + DOUBT_MS);
+        let is_news = soft.doubted.insert(id, now_ms).is_none();
+        drop(soft);
+        // Without a stream there is nobody to tell.
+        is_news && self.doubts.send(id).is_ok()
+    }
+
+    /// Watches which upstreams entry VMs find down.
+    #[must_use]
+    pub fn doubts(&self) -> broadcast::Receiver<u64> {
+        self.doubts.subscribe()
+    }
+
     /// Watches the revision of what is heard of upstreams.
     #[must_use]
     pub fn revisions(&self) -> watch::Receiver<u64> {
--- a/crates/entry/src/gateway/shell.rs
+++ b/crates/entry/src/gateway/shell.rs
@@ -22,13 +22,19 @@
     },
 };
 use settings::gateway::Entry;
-use tokio::{net::UdpSocket, sync::Notify};
+use tokio::{
+    net::UdpSocket,
+    sync::{Notify, broadcast},
+};
 
 use super::journal::Journal;
 
 /// Packets that are held at a time; the oldest gives way.
 const MAX_HELD: usize = 256;
 
+/// Upstreams found down that a stream to a control VM may have waiting.
+const MAX_FOUND: usize = 64;
+
 /// Time after which a plan that was asked for is asked for again.
 const PLAN_WAIT: Duration = Duration::from_millis(600);
 
@@ -43,6 +49,8 @@
     pub paced_changed: Rc<Notify>,
     /// Told when a probe may be due sooner than was known.
     pub probes_changed: Rc<Notify>,
+    /// Upstreams that were found down, for the streams to control VMs.
+    found_down: broadcast::Sender<u64>,
 }
 
 #[derive(Debug)]
@@ -87,6 +95,7 @@
             controls_changed: Rc::default(),
             paced_changed: Rc::default(),
             probes_changed: Rc::default(),
+            found_down: broadcast::Sender::new(MAX_FOUND),
         }
     }
 
@@ -169,6 +178,10 @@
         if state.gateway.probed(now, id, outcome) && state.journal.may_log(now) {
             info!(target: "upstreams", "event=probe upstream={id:x} outcome={outcome:?}");
         }
+        for id in state.gateway.take_found_down() {
+            // Without a stream there is nobody to tell.
+            drop(self.found_down.send(id));
+        }
         // There is room for another.
         self.probes_changed.notify_one();
     }
@@ -245,6 +258,18 @@
         self.state.borrow().packet_at.elapsed()
     }
 
+    /// Watches which upstreams this VM finds down.
+    #[must_use]
+    pub fn found_down(&self) -> broadcast::Receiver<u64> {
+        self.found_down.subscribe()
+    }
+
+    /// Whether `source` is the control VM that is told which upstreams this VM finds down.
+    #[must_use]
+    pub fn reports_to(&self, source: SocketAddr) -> bool {
+        self.state.borrow().gateway.reports_to(source)
+    }
+
     /// Where control VMs are known to take streams.
     #[must_use]
     pub fn controls(&self) -> Vec<SocketAddr> {
@@ -268,9 +293,11 @@
     /// Takes a message of `source`. Returns the version of a plan that it is to be asked for.
     pub fn take(&self, source: SocketAddr, message: ToEntry) -> Option<u64> {
         let mut state = self.state.borrow_mut();
-        let wanted = self.learn(&mut state, source, message);
-        self.waking(&mut state, |state| state.release_held(&self.socket));
-        wanted
+        self.waking(&mut state, |state| {
+            let wanted = self.learn(state, source, message);
+            state.release_held(&self.socket);
+            wanted
+        })
     }
 
     fn learn(&self, state: &mut State, source: SocketAddr, message: ToEntry) -> Option<u64> {
@@ -315,6 +342,17 @@
                     }
                 }
             }
+            ToEntry::Doubted(ids) => {
+                for id in ids {
+                    state.gateway.doubt(now, id);
+                    if state.journal.may_log(now) {
+                        info!(
+                            target: "upstreams",
+                            "event=doubted upstream={id:x} control={source}"
+                        );
+                    }
+                }
+            }
             ToEntry::Complete => state.gateway.source_complete(now, source),
             ToEntry::Alive => {
                 let told = state.gateway.agreed().plan;
--- a/crates/entry/src/gateway/sources.rs
+++ b/crates/entry/src/gateway/sources.rs
@@ -13,7 +13,7 @@
 use displaydoc::Display;
 use model::routing::{ALIVE_MS, SILENCE_MS, ToControl, ToEntry};
 use settings::gateway::Entry;
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{Instant, sleep, timeout, timeout_at};
 use tokio_util::sync::CancellationToken;
 
 use super::shell::Shell;
@@ -147,11 +147,23 @@
         stream.sender.send(&ToControl::Hello { vm }).await?;
         self.shell.source_opened(control);
         *is_open = true;
+        let mut found_down = self.shell.found_down();
         let mut said_at = Instant::now();
+        let mut heard_at = Instant::now();
         loop {
-            let silence = Duration::from_millis(SILENCE_MS);
-            let received = timeout(silence, stream.receiver.receive()).await;
+            let silent_at = heard_at + Duration::from_millis(SILENCE_MS);
+            let received = tokio::select! {
+                received = timeout_at(silent_at, stream.receiver.receive()) => received,
+                found = found_down.recv() => {
+                    // What a stream misses that lags behind, other VMs find by themselves.
+                    if let (Ok(id), true) = (found, self.shell.reports_to(control)) {
+                        stream.sender.send(&ToControl::Down { id }).await?;
+                    }
+                    continue;
+                }
+            };
             let message: ToEntry = received.map_err(|_| End::Silent)??;
+            heard_at = Instant::now();
             if let Some(version) = self.shell.take(control, message) {
                 stream.sender.send(&ToControl::Want { version }).await?;
                 said_at = Instant::now();
--- a/crates/model/src/routing.rs
+++ b/crates/model/src/routing.rs
@@ -77,6 +77,11 @@
     },
     /// The entry VM still listens.
     Alive,
+    /// Clients of the entry VM got no answer of an upstream, and a probe found it down.
+    Down {
+        /// Identity of the upstream.
+        id: u64,
+    },
 }
 
 /// What the cluster has agreed on, as one control VM knows it.
@@ -112,4 +117,6 @@
     Complete,
     /// Nothing has changed.
     Alive,
+    /// Upstreams that other entry VMs have found down.
+    Doubted(Vec<u64>),
 }
--- a/crates/policy/src/token/directory.rs
+++ b/crates/policy/src/token/directory.rs
@@ -95,6 +95,12 @@
         self.takes_flows(now) && !out.contains(&self.announced.domain)
     }
 
+    /// Whether it has stopped, or no control VM has heard it lately.
+    #[must_use]
+    pub fn has_ended(&self) -> bool {
+        self.ended_at().is_some()
+    }
+
     /// When it stopped to matter for new flows, if it did.
     fn ended_at(&self) -> Option<Instant> {
         match self.presence {
@@ -200,6 +206,13 @@
         (self.sources.len(), complete)
     }
 
+    /// The first control VM, by address, that has told all it knew.
+    #[must_use]
+    pub fn first_source(&self) -> Option<SocketAddr> {
+        let mut complete = self.sources.iter().filter(|(_, complete)| **complete);
+        complete.next().map(|(source, _)| *source)
+    }
+
     /// Takes an announcement that `source` heard `age_ms` ago. Returns whether it changed what is
     /// believed of the upstream.
     pub fn announce(
@@ -225,7 +238,7 @@
             known.announced.domain.clone(),
         );
         let before = (known.announced.phase, known.announced.incarnation);
-        let was_over = known.ended_at().is_some();
+        let was_over = known.has_ended();
         let is_stop_of_any = announced.phase == Phase::Gone && started_ms == 0;
         let held_ms = known.announced.incarnation.started_ms;
         if started_ms == held_ms || is_stop_of_any {
@@ -234,7 +247,7 @@
             *known = Upstream::heard(now, source, announced, age_ms);
         }
         let is_new = before != (known.announced.phase, known.announced.incarnation);
-        let is_over = known.ended_at().is_some();
+        let is_over = known.has_ended();
         let has_moved = service != known.announced.service || domain != known.announced.domain;
         if has_moved {
             self.group();
@@ -428,7 +441,7 @@
         let sharing = self.tokens.get(&upstream.token).map_or(0, BTreeSet::len);
         let there = self.addresses.get(&upstream.announced.address);
         let there = there.into_iter().flatten().filter_map(|i| self.get(*i));
-        let there = there.filter(|u| u.ended_at().is_none());
+        let there = there.filter(|u| !u.has_ended());
         let last = there.max_by_key(|u| by_start(u));
         sharing > 1 || last.is_some_and(|last| by_start(last) != by_start(upstream))
     }
--- a/crates/policy/src/token/flow.rs
+++ b/crates/policy/src/token/flow.rs
@@ -17,6 +17,9 @@
     pub(super) upstream: u64,
     /// When its first packet came.
     pub(super) opened_at: Instant,
+    /// Whether this VM has placed it. The first packet of another flow may come long after its
+    /// upstream answered, so that it tells nothing of that.
+    is_placed: bool,
     /// When its last packet came.
     pub(super) seen_at: Instant,
     /// Whether the client has taken it up with an upstream.
@@ -54,11 +57,20 @@
 }
 
 impl Flow {
-    /// A flow that begins now, at `upstream`.
-    pub(super) fn new(now: Instant, upstream: u64) -> Self {
+    /// A flow that this VM has placed now, at `upstream`.
+    pub(super) fn placed(now: Instant, upstream: u64) -> Self {
+        Self {
+            is_placed: true,
+            ..Self::found(now, upstream)
+        }
+    }
+
+    /// A flow that another VM has placed, at `upstream`, and that comes through this one now.
+    pub(super) fn found(now: Instant, upstream: u64) -> Self {
         Self {
             upstream,
             opened_at: now,
+            is_placed: false,
             seen_at: now,
             is_open: false,
             is_over: false,
@@ -84,7 +96,7 @@
             self.acknowledged = segment.acknowledged;
             self.sent = end;
             return Signal {
-                is_answer: true,
+                is_answer: self.is_placed,
                 ..Signal::default()
             };
         }
--- a/crates/policy/src/token/gateway.rs
+++ b/crates/policy/src/token/gateway.rs
@@ -18,13 +18,13 @@
 
 use super::{
     delay::Delays,
-    directory::Directory,
+    directory::{Directory, Upstream},
     flow::Flow,
     memo::Memo,
     outcome::{Outcomes, Verdict},
     place::Placer,
     segment::Key,
-    sight::{Probed, Sights},
+    sight::{Probed, Sights, Standing},
 };
 use crate::time::Instant;
 
@@ -70,6 +70,8 @@
     /// Whether most upstreams of a service have still to announce themselves.
     gathering: Memo<bool>,
     flows: BTreeMap<Key, Flow>,
+    /// Upstreams that were found down and not yet told of.
+    found_down: Vec<u64>,
     random: Pcg64Mcg,
     /// When the first control VM had told all it knew.
     first_complete: Option<Instant>,
@@ -93,6 +95,7 @@
             placer: Placer::default(),
             gathering: Memo::default(),
             flows: BTreeMap::new(),
+            found_down: Vec::new(),
             first_complete: None,
             is_stopping: false,
         }
@@ -189,12 +192,15 @@
         age_ms: u64,
     ) -> bool {
         let id = announced.incarnation.id;
-        let before = self.directory.get(id).map(|u| u.announced.incarnation);
+        let state = |upstream: &Upstream| (upstream.announced.incarnation, upstream.has_ended());
+        let before = self.directory.get(id).map(state);
         let is_new = self.directory.announce(now, source, announced, age_ms);
-        let after = self.directory.get(id).map(|u| u.announced.incarnation);
-        if before != after {
+        let after = self.directory.get(id).map(state);
+        if before.map(|(start, _)| start) != after.map(|(start, _)| start) {
             self.sights.renew(id);
             self.outcomes.renew(id);
+        } else if before != after {
+            self.sights.recheck(now, id);
         }
         is_new
     }
@@ -204,9 +210,33 @@
         self.directory.recall(now, announced);
     }
 
-    /// Takes that `source` hears an upstream no longer; see [`Directory::silent`].
+    /// Takes that `source` hears an upstream no longer; see [`Directory::silent`]. One that nobody
+    /// hears is probed: clients whose flows have been idle would wait for it in vain.
     pub fn silent(&mut self, now: Instant, source: SocketAddr, incarnation: Incarnation) -> bool {
-        self.directory.silent(now, source, incarnation)
+        let is_lost = self.directory.silent(now, source, incarnation);
+        if is_lost {
+            self.sights.doubt(now, incarnation.id);
+        }
+        is_lost
+    }
+
+    /// Takes that another VM has found an upstream down. This VM goes by its own probe: the other
+    /// may be cut off.
+    pub fn doubt(&mut self, now: Instant, id: u64) {
+        if self.directory.get(id).is_some() {
+            self.sights.doubt(now, id);
+        }
+    }
+
+    /// Upstreams that this VM's own clients led it to find down, since the last call.
+    pub fn take_found_down(&mut self) -> Vec<u64> {
+        std::mem::take(&mut self.found_down)
+    }
+
+    /// Whether `source` is the control VM that this VM tells which upstreams it found down.
+    #[must_use]
+    pub fn reports_to(&self, source: SocketAddr) -> bool {
+        self.directory.first_source() == Some(source)
     }
 
     /// Upstreams that are to be probed now, with the addresses at which they accept connections.
@@ -222,18 +252,24 @@
 
     /// Takes the outcome of a probe. Returns whether it changed what is believed of the upstream.
     ///
-    /// Where an upstream says nothing its failure domain may be cut off, so the others in it are
-    /// probed too.
+    /// Where this VM's clients led to it, the other VMs should know. Where the upstream says nothing
+    /// its failure domain may be cut off, so the others in it are probed too.
     pub fn probed(&mut self, now: Instant, id: u64, outcome: Probed) -> bool {
-        let is_news = self.sights.probed(now, id, outcome);
-        let domain = self.directory.get(id).map(|u| &u.announced.domain);
-        if let (true, Probed::Silent, Some(domain)) = (is_news, outcome, domain) {
-            let others = self.directory.all();
-            for other in others.filter(|o| o.announced.domain == *domain && o.takes_flows(now)) {
-                self.sights.doubt(now, other.announced.incarnation.id);
+        let upstream = self.directory.get(id);
+        let is_heard = upstream.is_some_and(|u| !u.has_ended());
+        let before = self.sights.probed(now, id, outcome, is_heard);
+        if before == Some(Standing::Suspect) && outcome != Probed::Accepted {
+            self.found_down.push(id);
+            if let (Probed::Silent, Some(upstream)) = (outcome, upstream) {
+                let domain = &upstream.announced.domain;
+                let others = self.directory.all();
+                for other in others.filter(|o| o.announced.domain == *domain && o.takes_flows(now))
+                {
+                    self.sights.doubt(now, other.announced.incarnation.id);
+                }
             }
         }
-        is_news
+        before.is_some()
     }
 
     /// Lets time pass.
--- a/crates/policy/src/token/gateway/packet.rs
+++ b/crates/policy/src/token/gateway/packet.rs
@@ -134,7 +134,7 @@
                 let action = forward(upstream);
                 self.sights.request(now, id);
                 if self.flows.len() < MAX_FLOWS {
-                    self.flows.insert(key, Flow::new(now, id));
+                    self.flows.insert(key, Flow::placed(now, id));
                 }
                 return Decision::new(action, why);
             }
@@ -185,7 +185,7 @@
         let flow = self
             .flows
             .entry(segment.key)
-            .or_insert_with(|| Flow::new(now, id));
+            .or_insert_with(|| Flow::found(now, id));
         flow.upstream = id;
         let signal = flow.take(now, segment);
         if signal.is_answer {
--- a/crates/policy/src/token/sight.rs
+++ b/crates/policy/src/token/sight.rs
@@ -15,6 +15,9 @@
 /// Time between two probes of an upstream that is down, in milliseconds.
 const PROBE_EVERY_MS: u64 = 500;
 
+/// The same for one that announces itself to no control VM, so that it is hardly there.
+const PROBE_LOST_EVERY_MS: u64 = 4_000;
+
 /// Time in which a probe has its outcome at the latest, in milliseconds.
 const PROBE_WAIT_MS: u64 = 1_000;
 
@@ -113,7 +116,8 @@
         true
     }
 
-    /// Makes the upstream suspect because others of its failure domain are down.
+    /// Has the upstream probed because of what others say or are: other VMs found it down, no
+    /// control VM hears it, or others of its failure domain are down.
     pub fn doubt(&mut self, now: Instant, id: u64) {
         let sight = self.upstreams.entry(id).or_default();
         if sight.standing == Standing::Good {
@@ -122,28 +126,48 @@
         }
     }
 
-    /// Takes the outcome of a probe. Returns whether the upstream's standing has changed.
-    pub fn probed(&mut self, now: Instant, id: u64, outcome: Probed) -> bool {
+    /// Has an upstream that is down probed at once: it announces itself again.
+    pub fn recheck(&mut self, now: Instant, id: u64) {
+        let sight = self.upstreams.get_mut(&id);
+        let Some(sight) = sight.filter(|s| matches!(s.standing, Standing::Down(_))) else {
+            return;
+        };
+        sight.probe_at = Some(now);
+        self.probe_by(now);
+    }
+
+    /// Takes the outcome of a probe of an upstream that announces itself, or no longer does.
+    /// Returns the upstream's standing before, where that has changed.
+    pub fn probed(
+        &mut self,
+        now: Instant,
+        id: u64,
+        outcome: Probed,
+        is_heard: bool,
+    ) -> Option<Standing> {
         let sight = self.upstreams.entry(id).or_default();
         let before = sight.standing;
         let began = sight.probing_since.take().unwrap_or(now);
         // An answer to a client counts more than a probe that began before it.
         if sight.answered_at.is_some_and(|at| at >= began) {
-            return false;
+            return None;
         }
         (sight.standing, sight.probe_at) = match (outcome, before) {
             (Probed::Accepted, Standing::Suspect) => (Standing::Busy(now.plus_ms(BUSY_MS)), None),
             (Probed::Accepted, _) => (Standing::Good, None),
             (outcome, _) => {
-                let next = now.plus_ms(PROBE_EVERY_MS);
-                (Standing::Down(outcome), Some(next))
+                let every_ms = match is_heard {
+                    true => PROBE_EVERY_MS,
+                    false => PROBE_LOST_EVERY_MS,
+                };
+                (Standing::Down(outcome), Some(now.plus_ms(every_ms)))
             }
         };
         let is_news = sight.standing != before;
         if let Some(at) = sight.probe_at {
             self.probe_by(at);
         }
-        is_news
+        is_news.then_some(before)
     }
 
     /// When the next probe may be due; none where none is.
--- a/crates/policy/tests/token_gateway.rs
+++ b/crates/policy/tests/token_gateway.rs
@@ -185,8 +185,10 @@
 fn a_copy_goes_to_the_same_upstream_where_that_answers_others() {
     let mut gateway = gateway(&[(1, "a"), (2, "a"), (3, "a")]);
     let id = upstream(gateway.decide(at(SETTLED), &opening(1, 0))).unwrap();
-    // Another flow shows that the upstream answers: a packet was lost.
-    gateway.decide(at(SETTLED + 50), &data(2, token(id), 101, 0, 1));
+    // Another flow that was placed there shows that the upstream answers: a packet was lost.
+    let mut place = |port: &u16| upstream(gateway.decide(at(SETTLED), &opening(*port, 0)));
+    let other = (2..).find(|port| place(port) == Some(id)).unwrap();
+    gateway.decide(at(SETTLED + 50), &data(other, token(id), 101, 0, 1));
     let decision = gateway.decide(at(SETTLED + 200), &opening(1, 1));
     assert_eq!(upstream(decision), Some(id));
     assert_eq!(decision.why, Why::Repeated);
@@ -239,6 +241,7 @@
 fn one_lost_packet_makes_no_upstream_suspect_that_answers_others() {
     let mut gateway = gateway(&[(1, "a")]);
     let id = open(&mut gateway, SETTLED, 1);
+    gateway.decide(at(SETTLED + 50), &opening(2, 0));
     gateway.decide(at(SETTLED + 100), &data(1, token(id), 101, 50, 1));
     // Another flow gets an answer meanwhile.
     gateway.decide(at(SETTLED + 150), &data(2, token(id), 101, 0, 1));
@@ -246,6 +249,21 @@
     assert_eq!(gateway.due_probes(at(SETTLED + 301)), []);
 }
 
+#[test]
+fn a_flow_that_another_vm_placed_says_at_first_nothing_of_its_upstream() {
+    let mut gateway = gateway(&[(1, "a")]);
+    let id = open(&mut gateway, SETTLED, 1);
+    ask_in_vain(&mut gateway, SETTLED + 10, 1, id);
+    assert_eq!(due(&mut gateway, SETTLED + 300), [id]);
+    gateway.probed(at(SETTLED + 301), id, Probed::Silent);
+    // Flows whose packets came through another VM until now, as when the fabric's choice changes.
+    for port in 2..5 {
+        let packet = data(port, token(id), 101, 50, 9_000);
+        let decision = gateway.decide(at(SETTLED + 302), &packet);
+        assert_eq!(outcome(decision), (Action::Reset, Why::Down));
+    }
+}
+
 #[test]
 fn an_answer_clears_an_upstream_and_so_does_a_new_start() {
     let mut gateway = gateway(&[(1, "a")]);
@@ -290,6 +308,56 @@
     gateway.is_ready(later).unwrap();
 }
 
+/// Ids of the upstreams to probe.
+fn due(gateway: &mut Gateway, ms: u64) -> Vec<u64> {
+    let probes = gateway.due_probes(at(ms));
+    probes.into_iter().map(|(id, _)| id).collect()
+}
+
+#[test]
+fn an_upstream_that_nobody_hears_is_probed_before_a_client_waits_for_it() {
+    let mut gateway = gateway(&[(1, "a"), (2, "a")]);
+    let id = open(&mut gateway, SETTLED, 1);
+    let start = announced(id, "a").incarnation;
+    assert!(gateway.silent(at(SETTLED + 5_000), control(1), start));
+    assert_eq!(due(&mut gateway, SETTLED + 5_000), [id]);
+    gateway.probed(at(SETTLED + 5_250), id, Probed::Silent);
+    // The flow has been idle since; its first packet is told at once.
+    let packet = data(1, token(id), 101, 50, 1);
+    let decision = gateway.decide(at(SETTLED + 9_000), &packet);
+    assert_eq!(outcome(decision), (Action::Reset, Why::Down));
+    // What nobody hears is probed rarely, and at once when it is heard again.
+    assert_eq!(due(&mut gateway, SETTLED + 9_000), []);
+    gateway.announce(at(SETTLED + 9_010), control(1), announced(id, "a"), 0);
+    assert_eq!(due(&mut gateway, SETTLED + 9_010), [id]);
+}
+
+#[test]
+fn what_one_vm_finds_down_others_find_by_their_own_probe() {
+    let upstreams = [(1, "a"), (2, "a"), (3, "a")];
+    let (mut one, mut other) = (gateway(&upstreams), gateway(&upstreams));
+    let id = open(&mut one, SETTLED, 1);
+    ask_in_vain(&mut one, SETTLED + 100, 1, id);
+    let now = SETTLED + 301;
+    assert_eq!(due(&mut one, now), [id]);
+    one.probed(at(now), id, Probed::Silent);
+    assert_eq!(one.take_found_down(), [id]);
+    assert_eq!(one.take_found_down(), []);
+    other.doubt(at(now), id);
+    // It believes its own probe: the first VM may be cut off.
+    let packet = data(1, token(id), 101, 50, 1);
+    assert_eq!(upstream(other.decide(at(now), &packet)), Some(id));
+    assert_eq!(due(&mut other, now), [id]);
+    other.probed(at(now + 1), id, Probed::Silent);
+    let decision = other.decide(at(now + 2), &packet);
+    assert_eq!(outcome(decision), (Action::Reset, Why::Down));
+    // What it was told it neither tells on nor probes a whole domain for.
+    assert_eq!(other.take_found_down(), []);
+    assert_eq!(due(&mut other, now + 2), []);
+    other.doubt(at(now + 3), 99);
+    assert_eq!(due(&mut other, now + 3), []);
+}
+
 #[test]
 fn flows_of_a_stopped_upstream_are_told_so_after_a_moment() {
     let mut gateway = gateway(&[(1, "a"), (2, "a")]);
--- a/crates/standin/tests/gateway/main.rs
+++ b/crates/standin/tests/gateway/main.rs
@@ -92,6 +92,30 @@
     assert_eq!(after[1], before[1] + 20);
 }
 
+#[test]
+fn what_one_entry_vm_finds_down_the_others_probe() {
+    let mut system = Whole::start();
+    // All flows go through the first entry VM; the other has no client that could tell it.
+    let mut flow = system.serve_one(0);
+    system.upstreams.clear();
+    eventually("the flow is reset or given up", || {
+        system.client.ask(system.entry(0), &mut flow, DEADLINE) == Got::Reset
+    });
+    let has = |log: &str, event| {
+        let lines = system.lines();
+        lines
+            .iter()
+            .any(|l| l.log.starts_with(log) && l.value("event") == Some(event))
+    };
+    for (log, event) in [
+        ("control", "found-down"),
+        ("entry-1", "doubted"),
+        ("entry-1", "probe"),
+    ] {
+        eventually(event, || has(log, event));
+    }
+}
+
 #[test]
 fn sighup_ends_no_process() {
     let mut system = Whole::start();
