A connection to the successor at an address is no sign of life; clients that wait are told at once

Entry VMs probe the address; the successor accepts, so the old upstream counted as busy and its flows went on to an address where the id before each packet is refused in silence. Each client waited until its deadline.

Where another upstream with a later start is heard at the address, and the old one has left a client without an answer or has fallen silent, an accepted connection counts as refused. Starts alone don't tell, as clocks differ. And clients whose requests are open when an upstream is found down are told then, not at their next packet; where only a silent probe says so, not without a client of this VM that got no answer.

--- a/crates/entry/src/gateway/shell.rs
+++ b/crates/entry/src/gateway/shell.rs
@@ -15,9 +15,10 @@
 use policy::{
     time::Instant,
     token::{
-        decision::{Action, HOLD_MS},
+        decision::{Action, Decision, HOLD_MS, Why},
         gateway::{Gateway, Settings},
         pace::Pacer,
+        segment::Segment,
         sight::Probed,
     },
 };
@@ -176,8 +177,13 @@
         let mut state = self.state.borrow_mut();
         let now = state.now();
         if state.gateway.probed(now, id, outcome) && state.journal.may_log(now) {
-            info!(target: "upstreams", "event=probe upstream={id:x} outcome={outcome:?}");
+            let is_down = state.gateway.is_down(id);
+            info!(
+                target: "upstreams",
+                "event=probe upstream={id:x} outcome={outcome:?} down={is_down}"
+            );
         }
+        state.refuse_waiting(&self.socket);
         for id in state.gateway.take_found_down() {
             // Without a stream there is nobody to tell.
             drop(self.found_down.send(id));
@@ -448,10 +454,7 @@
                 packet::address_to(&mut self.buffer[..end], id, token);
                 self.send(end, SocketAddr::V4(to), socket);
             }
-            Action::Reset => {
-                let client = SocketAddrV4::new(*segment.key.client.ip(), self.client_port);
-                self.send_now(&packet::reset(&segment), SocketAddr::V4(client), socket);
-            }
+            Action::Reset => self.refuse(&segment, socket),
             Action::Hold => {
                 if self.held.len() >= MAX_HELD {
                     self.held.pop_front();
@@ -464,6 +467,22 @@
         self.journal.decided(now, &segment, decision, &self.gateway);
     }
 
+    /// Tells clients that wait for upstreams which were found down.
+    fn refuse_waiting(&mut self, socket: &UdpSocket) {
+        for segment in self.gateway.take_waiting() {
+            self.refuse(&segment, socket);
+            let now = self.now();
+            let decision = Decision::new(Action::Reset, Why::Down);
+            self.journal.decided(now, &segment, decision, &self.gateway);
+        }
+    }
+
+    /// Tells the client of a packet that its flow is over.
+    fn refuse(&mut self, segment: &Segment, socket: &UdpSocket) {
+        let client = SocketAddrV4::new(*segment.key.client.ip(), self.client_port);
+        self.send_now(&packet::reset(segment), SocketAddr::V4(client), socket);
+    }
+
     /// Sends the first `length` bytes of the buffer as soon as the link carries them.
     fn send(&mut self, length: usize, to: SocketAddr, socket: &UdpSocket) {
         let now = self.now();
--- a/crates/policy/src/token/decision.rs
+++ b/crates/policy/src/token/decision.rs
@@ -101,7 +101,9 @@
 }
 
 impl Decision {
-    pub(super) fn new(action: Action, why: Why) -> Self {
+    /// A decision on a packet that doesn't tell how long its client has waited.
+    #[must_use]
+    pub fn new(action: Action, why: Why) -> Self {
         Self {
             action,
             why,
--- a/crates/policy/src/token/directory.rs
+++ b/crates/policy/src/token/directory.rs
@@ -380,6 +380,18 @@
         upstreams.min_by_key(|u| by_start(u))
     }
 
+    /// Whether another upstream that started later is there at the address of upstream `id`.
+    #[must_use]
+    pub fn has_successor(&self, id: u64) -> bool {
+        let Some(upstream) = self.get(id) else {
+            return false;
+        };
+        let there = self.addresses.get(&upstream.announced.address);
+        let there = there.into_iter().flatten().filter_map(|i| self.get(*i));
+        let mut live = there.filter(|u| !u.has_ended());
+        live.any(|u| by_start(u) > by_start(upstream))
+    }
+
     /// The ids of the upstreams of `service`.
     #[must_use]
     pub fn members(&self, service: &Arc<str>) -> Option<&Members> {
--- a/crates/policy/src/token/flow.rs
+++ b/crates/policy/src/token/flow.rs
@@ -1,8 +1,9 @@
 //! A flow as one entry VM sees it: the client's half, from the packets that reach this VM.
 
 use super::{
+    directory::token_of,
     outcome::Ended,
-    segment::{Kind, Segment},
+    segment::{Key, Kind, Segment},
 };
 use crate::time::Instant;
 
@@ -143,6 +144,23 @@
         has_left.then(|| self.end()).flatten()
     }
 
+    /// Whether its client waits for an answer on the open flow.
+    pub(super) fn is_waiting(&self) -> bool {
+        self.is_open && !self.is_over && self.is_asking
+    }
+
+    /// What the client has sent last on the flow, without its data.
+    pub(super) fn last_segment(&self, key: Key) -> Segment {
+        Segment {
+            key,
+            kind: Kind::Data,
+            token: token_of(self.upstream),
+            sequence: self.sent,
+            acknowledged: self.acknowledged,
+            length: 0,
+        }
+    }
+
     /// How the last request has ended, once.
     fn end(&mut self) -> Option<Ended> {
         let from = self.asked_from.take()?;
--- a/crates/policy/src/token/gateway.rs
+++ b/crates/policy/src/token/gateway.rs
@@ -23,7 +23,7 @@
     memo::Memo,
     outcome::{Outcomes, Verdict},
     place::Placer,
-    segment::Key,
+    segment::{Key, Segment},
     sight::{Probed, Sights, Standing},
 };
 use crate::time::Instant;
@@ -72,6 +72,8 @@
     flows: BTreeMap<Key, Flow>,
     /// Upstreams that were found down and not yet told of.
     found_down: Vec<u64>,
+    /// Packets of clients that wait for upstreams which were found down, and were not yet told.
+    waiting: Vec<Segment>,
     random: Pcg64Mcg,
     /// When the first control VM had told all it knew.
     first_complete: Option<Instant>,
@@ -96,6 +98,7 @@
             gathering: Memo::default(),
             flows: BTreeMap::new(),
             found_down: Vec::new(),
+            waiting: Vec::new(),
             first_complete: None,
             is_stopping: false,
         }
@@ -257,8 +260,18 @@
     pub fn probed(&mut self, now: Instant, id: u64, outcome: Probed) -> bool {
         let upstream = self.directory.get(id);
         let is_heard = upstream.is_some_and(|u| !u.has_ended());
+        let outcome = match outcome {
+            Probed::Accepted if self.is_replaced(id, is_heard) => Probed::Refused,
+            outcome => outcome,
+        };
         let before = self.sights.probed(now, id, outcome, is_heard);
-        if before == Some(Standing::Suspect) && outcome != Probed::Accepted {
+        let is_down = before.is_some() && outcome != Probed::Accepted;
+        let is_found = is_down && before == Some(Standing::Suspect);
+        // One lost packet makes a probe silent, so that this alone ends no request.
+        if is_found || is_down && outcome == Probed::Refused {
+            self.waiting.extend(end_waiting(&mut self.flows, id));
+        }
+        if is_found {
             self.found_down.push(id);
             if let (Probed::Silent, Some(upstream)) = (outcome, upstream) {
                 let domain = &upstream.announced.domain;
@@ -272,6 +285,24 @@
         before.is_some()
     }
 
+    /// Whether it was another upstream that accepted a connection at the address of upstream `id`.
+    ///
+    /// Starts alone don't tell, as clocks differ: it must also have left a client without an answer,
+    /// or have fallen silent.
+    fn is_replaced(&self, id: u64, is_heard: bool) -> bool {
+        let is_doubtful = matches!(
+            self.sights.standing(id),
+            Standing::Suspect | Standing::Down(_)
+        );
+        (is_doubtful || !is_heard) && self.directory.has_successor(id)
+    }
+
+    /// Packets whose clients wait for upstreams that have been found down since the last call, and
+    /// are to be told so.
+    pub fn take_waiting(&mut self) -> Vec<Segment> {
+        std::mem::take(&mut self.waiting)
+    }
+
     /// Lets time pass.
     pub fn tick(&mut self, now: Instant) {
         self.directory.tick(now);
@@ -322,6 +353,12 @@
         Ok(())
     }
 
+    /// Whether upstream `id` is known not to answer.
+    #[must_use]
+    pub fn is_down(&self, id: u64) -> bool {
+        self.sights.is_down(id)
+    }
+
     /// Whether some service has upstreams that may take new flows, but none of them answers here.
     fn is_cut_off(&self, now: Instant) -> bool {
         let services: BTreeSet<&Arc<str>> = self
@@ -336,3 +373,11 @@
         })
     }
 }
+
+/// Takes the flows whose clients wait for an answer of `upstream` off those that are counted. Returns
+/// what they have sent last.
+fn end_waiting(flows: &mut BTreeMap<Key, Flow>, upstream: u64) -> Vec<Segment> {
+    let is_waiting = |flow: &Flow| flow.upstream == upstream && flow.is_waiting();
+    let ended = flows.extract_if(.., |_, flow| is_waiting(flow));
+    ended.map(|(key, flow)| flow.last_segment(key)).collect()
+}
--- a/crates/policy/tests/token_gateway.rs
+++ b/crates/policy/tests/token_gateway.rs
@@ -13,7 +13,7 @@
 use policy::token::{
     decision::{Action, Why},
     gateway::Gateway,
-    segment::Kind,
+    segment::{Kind, Segment},
     sight::Probed,
 };
 use token_support::{
@@ -358,6 +358,75 @@
     assert_eq!(due(&mut other, now + 3), []);
 }
 
+/// Upstream 9, which took over the address of `id`.
+fn successor(id: u64) -> Announced {
+    let incarnation = Incarnation {
+        id: 9,
+        started_ms: 9_000,
+    };
+    Announced {
+        incarnation,
+        ..announced(id, "a")
+    }
+}
+
+#[test]
+fn a_connection_to_the_successor_at_an_address_is_no_sign_of_life() {
+    let mut gateway = gateway(&[(1, "a")]);
+    let id = open(&mut gateway, SETTLED, 1);
+    gateway.announce(at(SETTLED + 50), control(1), successor(id), 0);
+    // Its clients show nothing yet, and its successor may have been mistaken for one.
+    gateway.doubt(at(SETTLED + 60), id);
+    assert_eq!(due(&mut gateway, SETTLED + 60), [id]);
+    gateway.probed(at(SETTLED + 62), id, Probed::Accepted);
+    let packet = data(1, token(id), 101, 50, 1);
+    assert_eq!(
+        upstream(gateway.decide(at(SETTLED + 100), &packet)),
+        Some(id)
+    );
+    gateway.decide(at(SETTLED + 300), &packet);
+    assert_eq!(due(&mut gateway, SETTLED + 300), [id]);
+    assert!(gateway.probed(at(SETTLED + 302), id, Probed::Accepted));
+    let decision = gateway.decide(at(SETTLED + 700), &packet);
+    assert_eq!(outcome(decision), (Action::Reset, Why::Down));
+    assert_eq!(gateway.take_found_down(), [id]);
+}
+
+#[test]
+fn one_that_fell_silent_and_has_a_successor_is_down_before_a_client_waits() {
+    let mut gateway = gateway(&[(1, "a")]);
+    let id = open(&mut gateway, SETTLED, 1);
+    gateway.announce(at(SETTLED + 50), control(1), successor(id), 0);
+    gateway.silent(
+        at(SETTLED + 4_000),
+        control(1),
+        announced(id, "a").incarnation,
+    );
+    assert_eq!(due(&mut gateway, SETTLED + 4_000), [id]);
+    gateway.probed(at(SETTLED + 4_002), id, Probed::Accepted);
+    let packet = data(1, token(id), 101, 50, 1);
+    let decision = gateway.decide(at(SETTLED + 5_000), &packet);
+    assert_eq!(outcome(decision), (Action::Reset, Why::Down));
+}
+
+#[test]
+fn clients_that_wait_are_told_as_soon_as_their_upstream_is_down() {
+    let mut gateway = gateway(&[(1, "a")]);
+    let id = open(&mut gateway, SETTLED, 1);
+    for port in [2, 3] {
+        open(&mut gateway, SETTLED, port);
+    }
+    // 1 and 2 wait, 3 is idle.
+    gateway.decide(at(SETTLED + 290), &data(2, token(id), 101, 50, 1));
+    ask_in_vain(&mut gateway, SETTLED + 100, 1, id);
+    assert_eq!(due(&mut gateway, SETTLED + 300), [id]);
+    gateway.probed(at(SETTLED + 301), id, Probed::Refused);
+    let told = gateway.take_waiting();
+    let of = |s: &Segment| (s.key.client.port(), s.acknowledged);
+    assert_eq!(told.iter().map(of).collect::<Vec<_>>(), [(1, 1), (2, 1)]);
+    assert!(gateway.take_waiting().is_empty());
+}
+
 #[test]
 fn flows_of_a_stopped_upstream_are_told_so_after_a_moment() {
     let mut gateway = gateway(&[(1, "a"), (2, "a")]);
