--- a/crates/policy/src/load/serve/report.rs
+++ b/crates/policy/src/load/serve/report.rs
@@ -7,7 +7,11 @@
 use super::RESEND_MS;
 use crate::{
     io::{Action, Context},
-    load::{Load, job::Report, work::Outcome},
+    load::{
+        Load,
+        job::{Job, Report},
+        work::Outcome,
+    },
     request,
 };
 
@@ -92,12 +96,7 @@
             self.schedule(attempt);
             return;
         }
-        let message = request::Message::Taken {
-            attempt,
-            key: job.key.clone(),
-            content: job.content,
-            upstream: job.dispatched.as_ref().map(|d| d.upstream.clone()),
-        };
+        let message = taken(attempt, job);
         let home = job.home.clone();
         Self::tell(context, &home, message, out);
     }
@@ -125,13 +124,18 @@
         }
         for vm in successors {
             job.home = vm;
-            let message = request::Message::Taken {
-                attempt,
-                key: job.key.clone(),
-                content: job.content,
-                upstream: job.dispatched.as_ref().map(|d| d.upstream.clone()),
-            };
+            let message = taken(attempt, job);
             Self::tell(context, &job.home, message, out);
         }
     }
 }
+
+/// What a home is told of an attempt that has no outcome yet.
+fn taken(attempt: u64, job: &Job) -> request::Message {
+    request::Message::Taken {
+        attempt,
+        key: job.key.clone(),
+        content: job.content,
+        upstream: job.dispatched.as_ref().map(|d| d.upstream.clone()),
+    }
+}
