Probe an upstream that nobody hears again after 0.5 s, and then ever more rarely

Ruled out: the successor rule (no other upstream at the address), and what other VMs tell.

It is probed again after 0.5 s, as before, and then after 1, 2 and 4 s, so that what is gone for good costs little. A test asks for these times; it fails on the commit before (4 s).

--- a/crates/policy/src/token/sight.rs
+++ b/crates/policy/src/token/sight.rs
@@ -15,8 +15,9 @@
 /// Time between two probes of an upstream that is down, in milliseconds.
 const PROBE_EVERY_MS: u64 = 500;
 
-/// The same for one that announces itself to no control VM, so that it is hardly there.
-const PROBE_LOST_EVERY_MS: u64 = 4_000;
+/// The longest time between two probes of one that announces itself to no control VM either, to which
+/// the time grows with each probe: it is hardly there, but a lost packet makes a probe silent as well.
+const MAX_PROBE_EVERY_MS: u64 = 4_000;
 
 /// Time in which a probe has its outcome at the latest, in milliseconds.
 const PROBE_WAIT_MS: u64 = 1_000;
@@ -66,6 +67,8 @@
     probe_at: Option<Instant>,
     /// When the probe under way began.
     probing_since: Option<Instant>,
+    /// Time until the next probe while the upstream is down, in milliseconds.
+    probe_every_ms: u64,
 }
 
 impl Sight {
@@ -156,11 +159,14 @@
             (Probed::Accepted, Standing::Suspect) => (Standing::Busy(now.plus_ms(BUSY_MS)), None),
             (Probed::Accepted, _) => (Standing::Good, None),
             (outcome, _) => {
-                let every_ms = match is_heard {
-                    true => PROBE_EVERY_MS,
-                    false => PROBE_LOST_EVERY_MS,
+                sight.probe_every_ms = match (before, is_heard) {
+                    (Standing::Down(_), false) => {
+                        (2 * sight.probe_every_ms).min(MAX_PROBE_EVERY_MS)
+                    }
+                    _ => PROBE_EVERY_MS,
                 };
-                (Standing::Down(outcome), Some(now.plus_ms(every_ms)))
+                let next = now.plus_ms(sight.probe_every_ms);
+                (Standing::Down(outcome), Some(next))
             }
         };
         let is_news = sight.standing != before;
--- a/crates/policy/tests/token_gateway.rs
+++ b/crates/policy/tests/token_gateway.rs
@@ -326,8 +326,10 @@
     let packet = data(1, token(id), 101, 50, 1);
     let decision = gateway.decide(at(SETTLED + 9_000), &packet);
     assert_eq!(outcome(decision), (Action::Reset, Why::Down));
-    // What nobody hears is probed rarely, and at once when it is heard again.
-    assert_eq!(due(&mut gateway, SETTLED + 9_000), []);
+    // It is probed on, and at once when it is heard again.
+    assert_eq!(due(&mut gateway, SETTLED + 9_000), [id]);
+    gateway.probed(at(SETTLED + 9_002), id, Probed::Silent);
+    assert_eq!(due(&mut gateway, SETTLED + 9_009), []);
     gateway.announce(at(SETTLED + 9_010), control(1), announced(id, "a"), 0);
     assert_eq!(due(&mut gateway, SETTLED + 9_010), [id]);
 }
@@ -358,6 +360,29 @@
     assert_eq!(due(&mut other, now + 3), []);
 }
 
+#[test]
+fn one_that_nobody_hears_is_probed_again_soon_and_then_more_rarely() {
+    let mut gateway = gateway(&[(1, "a")]);
+    let id = open(&mut gateway, SETTLED, 1);
+    ask_in_vain(&mut gateway, SETTLED + 100, 1, id);
+    assert_eq!(due(&mut gateway, SETTLED + 300), [id]);
+    gateway.silent(
+        at(SETTLED + 400),
+        control(1),
+        announced(id, "a").incarnation,
+    );
+    // A packet of the probe may have been lost.
+    let mut ms = SETTLED + 550;
+    for wait_ms in [500, 1_000, 2_000, 4_000, 4_000] {
+        gateway.probed(at(ms), id, Probed::Silent);
+        assert_eq!(due(&mut gateway, ms + wait_ms - 1), []);
+        assert_eq!(due(&mut gateway, ms + wait_ms), [id]);
+        ms += wait_ms + 250;
+    }
+    gateway.probed(at(ms), id, Probed::Accepted);
+    assert!(!gateway.is_down(id));
+}
+
 /// Upstream 9, which took over the address of `id`.
 fn successor(id: u64) -> Announced {
     let incarnation = Incarnation {
