explain keeps the order of a log's lines of one millisecond, and shows why an upstream was probed

Lines of one log now keep their order (test, failed before). event=doubted and event=found-down of the flow's upstream are shown too.

--- a/crates/cli/src/explain.rs
+++ b/crates/cli/src/explain.rs
@@ -54,7 +54,8 @@
 #[must_use]
 pub fn explain(flow: &str, lines: impl IntoIterator<Item = Line>) -> Vec<Line> {
     let mut lines: Vec<Line> = lines.into_iter().collect();
-    lines.sort();
+    // Lines of one log keep its order where they are of the same millisecond.
+    lines.sort_by(|a, b| (&a.time, &a.log).cmp(&(&b.time, &b.log)));
     let own: Vec<&Line> = lines
         .iter()
         .filter(|line| line.value("flow") == Some(flow))
@@ -67,7 +68,14 @@
     let logs: BTreeSet<&str> = own.iter().map(|line| line.log.as_str()).collect();
     let concerns_upstream = |line: &Line| {
         let named = line.value("id").or_else(|| line.value("upstream"));
-        let is_own_event = ["upstream", "upstream-silent", "probe"].contains(&line.event());
+        let events = [
+            "upstream",
+            "upstream-silent",
+            "probe",
+            "doubted",
+            "found-down",
+        ];
+        let is_own_event = events.contains(&line.event());
         is_own_event && named.is_some_and(|id| upstreams.contains(id))
     };
     let concerns_vm = |line: &Line| {
--- a/crates/cli/tests/explain.rs
+++ b/crates/cli/tests/explain.rs
@@ -41,3 +41,17 @@
     assert_eq!(line.value("waited"), None);
     assert_eq!(line.value("ms"), None);
 }
+
+#[test]
+fn lines_of_the_same_millisecond_keep_the_order_of_their_log() {
+    let flow = "100.64.0.7:40001>198.18.0.1:443";
+    let time = "2026-12-04T09:22:41.103Z";
+    let text = format!(
+        "{time} INFO  packet: event=late flow={flow} waited_ms=213 upstream=2\n\
+         {time} INFO  upstreams: event=probe upstream=2 outcome=Refused down=true\n\
+         {time} INFO  packet: event=decision flow={flow} why=upstream-down upstream=0\n"
+    );
+    let found = explain(flow, lines("entry-1", &text));
+    let events: Vec<&str> = found.iter().filter_map(|l| l.value("event")).collect();
+    assert_eq!(events, ["late", "probe", "decision"]);
+}
