Ask for a successor at an address in one place; shorter probed and carry

From the last read of the change: Directory::is_barred repeated what has_successor says (they differ only for an upstream that has ended, which takes no flows anyway); Gateway::probed nested the probes of a whole domain; the soak's proxy made an error only to drop it; explain's lines need no order of their own, whose use was the mended fault.

--- a/crates/cli/src/explain.rs
+++ b/crates/cli/src/explain.rs
@@ -14,7 +14,7 @@
 const TIME: usize = "2026-12-04T05:00:00.000Z".len();
 
 /// A line with the name of the log that it stands in.
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Line {
     /// When it was written.
     pub time: String,
--- a/crates/policy/src/token/directory.rs
+++ b/crates/policy/src/token/directory.rs
@@ -451,11 +451,7 @@
             return true;
         };
         let sharing = self.tokens.get(&upstream.token).map_or(0, BTreeSet::len);
-        let there = self.addresses.get(&upstream.announced.address);
-        let there = there.into_iter().flatten().filter_map(|i| self.get(*i));
-        let there = there.filter(|u| !u.has_ended());
-        let last = there.max_by_key(|u| by_start(u));
-        sharing > 1 || last.is_some_and(|last| by_start(last) != by_start(upstream))
+        sharing > 1 || self.has_successor(id)
     }
 }
 
--- a/crates/policy/src/token/gateway.rs
+++ b/crates/policy/src/token/gateway.rs
@@ -273,18 +273,25 @@
         }
         if is_found {
             self.found_down.push(id);
-            if let (Probed::Silent, Some(upstream)) = (outcome, upstream) {
-                let domain = &upstream.announced.domain;
-                let others = self.directory.all();
-                for other in others.filter(|o| o.announced.domain == *domain && o.takes_flows(now))
-                {
-                    self.sights.doubt(now, other.announced.incarnation.id);
-                }
-            }
+        }
+        if is_found && outcome == Probed::Silent {
+            self.doubt_domain_of(now, id);
         }
         before.is_some()
     }
 
+    /// Has all upstreams in the failure domain of upstream `id` probed that may take new flows.
+    fn doubt_domain_of(&mut self, now: Instant, id: u64) {
+        let Some(upstream) = self.directory.get(id) else {
+            return;
+        };
+        let domain = &upstream.announced.domain;
+        let others = self.directory.all();
+        for other in others.filter(|o| o.announced.domain == *domain && o.takes_flows(now)) {
+            self.sights.doubt(now, other.announced.incarnation.id);
+        }
+    }
+
     /// Whether it was another upstream that accepted a connection at the address of upstream `id`.
     ///
     /// Starts alone don't tell, as clocks differ: it must also have left a client without an answer,
--- a/crates/soak/src/link.rs
+++ b/crates/soak/src/link.rs
@@ -135,16 +135,11 @@
 /// Carries the bytes of one connection until either end closes it or it is reset.
 async fn carry(mut near: TcpStream, to: SocketAddr, mut mode: watch::Receiver<Mode>) {
     until_passed(&mut mode, Way::Towards).await;
-    let opened = match *mode.borrow() {
-        Mode::Reset => Err(io::ErrorKind::ConnectionReset.into()),
-        _ => Ok(()),
-    };
-    let far = match opened {
-        Ok(()) => TcpStream::connect(to).await,
-        Err(reset) => Err(reset),
-    };
+    if *mode.borrow() == Mode::Reset {
+        return abort(&near);
+    }
     // Without a far end, as while the control VM is down, the near one is reset.
-    let Ok(mut far) = far else {
+    let Ok(mut far) = TcpStream::connect(to).await else {
         return abort(&near);
     };
     let is_reset = {
