--- a/crates/control/src/exchange.rs
+++ b/crates/control/src/exchange.rs
@@ -5,7 +5,13 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use delivery::{CONTROL_PATH, dial, server::Stream, stream};
+use delivery::{
+    CONTROL_PATH,
+    backoff::{Backoff, random_seed},
+    dial,
+    server::Stream,
+    stream,
+};
 use displaydoc::Display;
 use model::name::Name;
 use serde::{Deserialize, Serialize};
@@ -20,7 +26,7 @@
 /// Time that an acknowledgement may take.
 const ACK_WAIT: Duration = Duration::from_secs(1);
 
-/// Wait before a new try after a stream was lost.
+/// Longest wait before a new try after a stream was lost.
 const RETRY_WAIT: Duration = Duration::from_millis(500);
 
 /// Time without a message after which the receiving side ends a stream.
@@ -61,6 +67,7 @@
 /// Tells the control VM at `peer` what this one hears, until `token` is cancelled.
 pub async fn tell(peer: SocketAddr, state: State, token: CancellationToken) {
     let mut was_up = true;
+    let mut backoff = Backoff::new(RETRY_WAIT, RETRY_WAIT, random_seed());
     loop {
         let told = tokio::select! {
             () = token.cancelled() => return,
@@ -74,7 +81,7 @@
         }
         tokio::select! {
             () = token.cancelled() => return,
-            () = sleep(RETRY_WAIT) => {}
+            () = sleep(backoff.wait(0)) => {}
         }
     }
 }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod desk;
 pub mod dump;
 pub mod exchange;
+pub mod findings;
 pub mod heard;
 pub mod hints;
 pub mod lease;
--- a/crates/control/src/peer/client.rs
+++ b/crates/control/src/peer/client.rs
@@ -3,6 +3,7 @@
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::{BufMut, Bytes, BytesMut};
+use delivery::backoff::{Backoff, random_seed};
 use displaydoc::Display;
 use h2::SendStream;
 use http::Request;
@@ -22,7 +23,7 @@
 /// the first packet only after a second.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 
-/// Time between two tries to connect.
+/// Longest time between two tries to connect.
 const RETRY: Duration = Duration::from_millis(100);
 
 /// Time between two pings.
@@ -87,6 +88,7 @@
     token: CancellationToken,
 ) {
     let mut was_connected = true;
+    let mut backoff = Backoff::new(RETRY, RETRY, random_seed());
     loop {
         let outcome = tokio::select! {
             () = token.cancelled() => return,
@@ -101,7 +103,7 @@
         was_connected = false;
         // What waited while there was no connection is out of date.
         while queue.try_recv().is_ok() {}
-        tokio::time::sleep(RETRY).await;
+        tokio::time::sleep(backoff.wait(0)).await;
     }
 }
 
--- a/crates/control/src/process.rs
+++ b/crates/control/src/process.rs
@@ -7,9 +7,10 @@
     reload,
     supervisor::{Restart, Supervisor},
 };
-use delivery::{CONTROL_PATH, ROUTING_PATH, delta::History, server};
+use delivery::{CONTROL_PATH, FINDINGS_PATH, ROUTING_PATH, delta::History, server};
 use displaydoc::Display;
 use metrics_exporter_prometheus::PrometheusHandle;
+use model::routing::Version;
 use settings::{control::Settings, gateway::Control as Gateway};
 use tokio::{
     net::TcpListener,
@@ -210,7 +211,8 @@
         async move {
             match stream.path.as_str() {
                 CONTROL_PATH => exchange::hear(stream, state).await,
-                ROUTING_PATH => routing::serve(stream, state).await,
+                ROUTING_PATH => routing::serve(stream, state, Version::First).await,
+                FINDINGS_PATH => routing::serve(stream, state, Version::Findings).await,
                 _ => session::serve(stream, state).await,
             }
         }
--- a/crates/control/src/routing.rs
+++ b/crates/control/src/routing.rs
@@ -7,18 +7,24 @@
 use model::{
     config::{Config, DomainState},
     name::Name,
-    routing::{ALIVE_MS, Agreed, SILENCE_MS, ToControl, ToEntry},
+    routing::{ALIVE_MS, Agreed, SILENCE_MS, ToControl, ToEntry, Version},
 };
 use tokio::{
     sync::broadcast::{Receiver, error::RecvError},
     time::{sleep, timeout},
 };
 
-use crate::state::State;
+use crate::{
+    findings::{self, Finder, News},
+    state::State,
+};
 
 /// Time in which changes are gathered before entry VMs are told.
 const GATHER: Duration = Duration::from_millis(20);
 
+/// Part of a number of VMs by which it has to change to be told again: its size is what counts.
+const PEERS_STEP: u32 = 4;
+
 /// Why a stream ended.
 #[derive(Debug, Display)]
 enum End {
@@ -43,16 +49,49 @@
 struct Told {
     revision: u64,
     agreed: Agreed,
+    peers: u32,
+}
+
+/// An entry VM that listens, counted as long as this lives.
+#[derive(Debug)]
+struct Listener {
+    state: State,
+    finder: Arc<Finder>,
+}
+
+impl Listener {
+    fn new(state: &State, finder: Finder) -> Self {
+        state.soft().relay.join(&finder.domain);
+        Self {
+            state: state.clone(),
+            finder: Arc::new(finder),
+        }
+    }
+
+    /// The number of VMs in its failure domain, where that isn't about what it was `told`.
+    fn changed_peers(&self, told: u32) -> Option<u32> {
+        let peers = self.state.soft().relay.peers(&self.finder.domain);
+        let is_changed = PEERS_STEP * peers.abs_diff(told) > told;
+        is_changed.then_some(peers)
+    }
+}
+
+impl Drop for Listener {
+    fn drop(&mut self) {
+        self.state.soft().relay.leave(&self.finder.domain);
+    }
 }
 
 /// Serves the stream of an entry VM until it ends.
-pub async fn serve(mut stream: Stream, state: State) {
+///
+/// Entry VMs of the build before speak [`Version::First`].
+pub async fn serve(mut stream: Stream, state: State, version: Version) {
     let token = stream.token.clone();
     let peer = stream.peer;
     let mut vm = Arc::from("unknown");
     let end = tokio::select! {
         () = token.cancelled() => return,
-        end = exchange(&mut stream, &state, &mut vm) => end,
+        end = exchange(&mut stream, &state, version, &mut vm) => end,
     };
     let Err(end) = end;
     log::info!(target: "routing", "event=entry-lost vm={vm} peer={peer} reason=\"{end}\"");
@@ -63,27 +102,27 @@
 async fn exchange(
     stream: &mut Stream,
     state: &State,
+    version: Version,
     vm: &mut Arc<str>,
 ) -> Result<std::convert::Infallible, End> {
-    let first = timeout(silence(), stream.receiver.receive()).await;
-    let ToControl::Hello { vm: name } = first.map_err(|_| End::Silent)?? else {
-        return Err(End::NoHello);
-    };
-    *vm = name;
+    let finder = greet(stream).await?;
+    *vm = Arc::clone(&finder.vm);
+    let listener = Listener::new(state, finder);
     let mut told = Told::default();
     let mut revisions = state.revisions();
     let mut config = state.replica.watch();
     let mut status = state.replica.watch_status();
-    let mut doubts = state.doubts();
+    let mut news = state.news();
     let recalled = state.soft().heard.recalled();
     if !recalled.is_empty() {
         stream.sender.send(&ToEntry::Recalled(recalled)).await?;
     }
     tell(stream, state, &mut told).await?;
     stream.sender.send(&ToEntry::Complete).await?;
+    tell_peers(stream, version, &listener, &mut told).await?;
     log::info!(
         target: "routing",
-        "event=entry-gained vm={vm} peer={} revision={} index={}",
+        "event=entry-gained vm={vm} peer={} version={version:?} revision={} index={}",
         stream.peer, told.revision, told.agreed.index
     );
     let mut heard_at = tokio::time::Instant::now();
@@ -91,11 +130,12 @@
         tokio::select! {
             received = stream.receiver.receive() => {
                 heard_at = tokio::time::Instant::now();
-                take(stream, state, received?).await?;
+                take(stream, state, &listener, received?).await?;
             }
-            doubted = doubts.recv() => {
+            first = news.recv() => {
                 sleep(GATHER).await;
-                tell_doubted(stream, doubted, &mut doubts).await?;
+                let gathered = gather(first, &mut news);
+                tell_news(stream, version, &listener, &gathered).await?;
                 continue;
             }
             changed = revisions.changed() => changed.map_err(|_| End::Stops)?,
@@ -106,6 +146,7 @@
                     return Err(End::Silent);
                 }
                 stream.sender.send(&ToEntry::Alive).await?;
+                tell_peers(stream, version, &listener, &mut told).await?;
                 continue;
             }
         }
@@ -121,7 +162,24 @@
     Duration::from_millis(SILENCE_MS)
 }
 
-async fn take(stream: &mut Stream, state: &State, message: ToControl) -> Result<(), End> {
+async fn greet(stream: &mut Stream) -> Result<Finder, End> {
+    let first = timeout(silence(), stream.receiver.receive()).await;
+    match first.map_err(|_| End::Silent)?? {
+        ToControl::Join { vm, domain } => Ok(Finder { vm, domain }),
+        ToControl::Hello { vm } => Ok(Finder {
+            vm,
+            domain: Name::unknown(),
+        }),
+        _ => Err(End::NoHello),
+    }
+}
+
+async fn take(
+    stream: &mut Stream,
+    state: &State,
+    listener: &Listener,
+    message: ToControl,
+) -> Result<(), End> {
     match message {
         ToControl::Want { version } => {
             let plan = state.replica.latest().plan.clone();
@@ -138,7 +196,18 @@
                 "event=found-down upstream={id:x} peer={} told={is_told}", stream.peer
             );
         }
-        ToControl::Hello { .. } | ToControl::Alive => {}
+        ToControl::Found(findings) => {
+            for finding in findings {
+                let is_wide = state.found(&listener.finder, finding);
+                log::info!(
+                    target: "routing",
+                    "event=found upstream={:x} started={} probed={:?} age_ms={} vm={} wide={is_wide}",
+                    finding.upstream.id, finding.upstream.started_ms, finding.probed,
+                    finding.age_ms, listener.finder.vm
+                );
+            }
+        }
+        ToControl::Hello { .. } | ToControl::Join { .. } | ToControl::Alive => {}
     }
     Ok(())
 }
@@ -165,19 +234,57 @@
     Ok(())
 }
 
-/// Tells of the upstreams that entry VMs have found down lately.
-async fn tell_doubted(
+/// All news that wait.
+fn gather(first: Result<News, RecvError>, news: &mut Receiver<News>) -> Vec<News> {
+    // Where this stream has lagged behind, its entry VM finds the missed ones by itself.
+    let mut gathered: Vec<News> = first.into_iter().collect();
+    while let Ok(news) = news.try_recv() {
+        gathered.push(news);
+    }
+    gathered
+}
+
+/// Tells what other entry VMs found out about upstreams.
+async fn tell_news(
     stream: &mut Stream,
-    first: Result<u64, RecvError>,
-    doubts: &mut Receiver<u64>,
+    version: Version,
+    listener: &Listener,
+    news: &[News],
 ) -> Result<(), End> {
-    // Where this stream has lagged behind, its entry VM finds the missed ones by itself.
-    let mut ids: Vec<u64> = first.into_iter().collect();
-    while let Ok(id) = doubts.try_recv() {
-        ids.push(id);
+    if version < Version::Findings {
+        let doubted = findings::doubted(news);
+        if !doubted.is_empty() {
+            stream.sender.send(&ToEntry::Doubted(doubted)).await?;
+        }
+        return Ok(());
+    }
+    let reports = findings::reports(news, &listener.finder.domain);
+    if !reports.is_empty() {
+        stream.sender.send(&ToEntry::Found(reports)).await?;
     }
-    if !ids.is_empty() {
-        stream.sender.send(&ToEntry::Doubted(ids)).await?;
+    let doubted = news.iter().filter_map(|news| match news {
+        News::Doubted(id) => Some(*id),
+        News::Found { .. } => None,
+    });
+    let doubted: Vec<u64> = doubted.collect();
+    if !doubted.is_empty() {
+        stream.sender.send(&ToEntry::Doubted(doubted)).await?;
+    }
+    Ok(())
+}
+
+/// Tells how many entry VMs there are in the failure domain of this one, where that has changed.
+async fn tell_peers(
+    stream: &mut Stream,
+    version: Version,
+    listener: &Listener,
+    told: &mut Told,
+) -> Result<(), End> {
+    if let Some(peers) = listener.changed_peers(told.peers)
+        && version >= Version::Findings
+    {
+        stream.sender.send(&ToEntry::Peers(peers)).await?;
+        told.peers = peers;
     }
     Ok(())
 }
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -1,17 +1,25 @@
 //! What the parts of the daemon share.
 
 use std::{
-    collections::BTreeMap,
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Instant,
 };
 
 use delivery::delta::History;
-use model::{config::Config, name::Name};
+use model::{
+    config::Config,
+    name::Name,
+    routing::{Finding, Probed},
+};
 use tokio::sync::{Notify, broadcast, watch};
 
-use crate::{announced, heard, lease, replica::Handle};
+use crate::{
+    announced,
+    findings::{Finder, News, Relay},
+    heard, lease,
+    replica::Handle,
+};
 
 /// State that streams feed and that the RPC, the leader's steps and the dump read; clones share
 /// it.
@@ -29,8 +37,8 @@
     started: Instant,
     /// Revision of what upstreams announced here.
     revisions: watch::Sender<u64>,
-    /// Upstreams that entry VMs have found down, for the others.
-    doubts: broadcast::Sender<u64>,
+    /// What entry VMs found out about upstreams, for the others.
+    news: broadcast::Sender<News>,
     /// Port at which control VMs take streams of entry VMs; the same on all.
     delivery_port: u16,
 }
@@ -46,8 +54,8 @@
     pub heard: heard::Table,
     /// When this control VM last knew a leader.
     pub in_touch_ms: Option<u64>,
-    /// Upstreams that entry VMs have found down, with when that was told last.
-    doubted: BTreeMap<u64, u64>,
+    /// Which of what entry VMs find out is news, and who listens.
+    pub relay: Relay,
 }
 
 /// Time without a leader after which upstreams are sent to another control VM, in milliseconds.
@@ -56,12 +64,8 @@
 /// Time between two announcements of an upstream where the settings name none, in milliseconds.
 const DEFAULT_ANNOUNCE_MS: u64 = 1_000;
 
-/// Time in which an upstream that was found down isn't told of again, in milliseconds: many entry
-/// VMs find the same.
-const DOUBT_MS: u64 = 2_000;
-
-/// Upstreams found down that a stream may have waiting; one that lags behind misses the oldest.
-const MAX_DOUBTS: usize = 256;
+/// News that a stream may have waiting; one that lags behind misses the oldest.
+const MAX_NEWS: usize = 1_024;
 
 impl State {
     /// Starts with no soft state.
@@ -77,11 +81,11 @@
                 upstreams: announced::Table::default(),
                 heard: heard::Table::new(DEFAULT_ANNOUNCE_MS),
                 in_touch_ms: None,
-                doubted: BTreeMap::new(),
+                relay: Relay::default(),
             })),
             started: Instant::now(),
             revisions: watch::Sender::new(0),
-            doubts: broadcast::Sender::new(MAX_DOUBTS),
+            news: broadcast::Sender::new(MAX_NEWS),
             delivery_port: 0,
         }
     }
@@ -110,22 +114,35 @@
         outcome
     }
 
-    /// Takes that an entry VM found upstream `id` down. Returns whether the others are told.
+    /// Takes what an entry VM found out. Returns whether all others are told.
+    pub fn found(&self, by: &Arc<Finder>, finding: Finding) -> bool {
+        let is_wide = self.is_wide(finding.upstream.id, &by.domain, finding.probed);
+        // Without a stream there is nobody to tell.
+        let told = self.news.send(News::Found {
+            by: Arc::clone(by),
+            finding,
+            at: Instant::now(),
+            is_wide,
+        });
+        is_wide && told.is_ok()
+    }
+
+    /// Takes that an entry VM of the build before found upstream `id` down. Returns whether the
+    /// others are told.
     pub fn doubt(&self, id: u64) -> bool {
+        let is_wide = self.is_wide(id, &Name::unknown(), Probed::Silent);
+        is_wide && self.news.send(News::Doubted(id)).is_ok()
+    }
+
+    fn is_wide(&self, id: u64, domain: &Name, probed: Probed) -> bool {
         let now_ms = self.now_ms();
-        let mut soft = self.soft();
-        soft.doubted
-            .retain(|_, told_ms| now_ms < *told_ms + DOUBT_MS);
-        let is_news = soft.doubted.insert(id, now_ms).is_none();
-        drop(soft);
-        // Without a stream there is nobody to tell.
-        is_news && self.doubts.send(id).is_ok()
+        self.soft().relay.take(now_ms, id, domain, probed)
     }
 
-    /// Watches which upstreams entry VMs find down.
+    /// Watches what entry VMs find out.
     #[must_use]
-    pub fn doubts(&self) -> broadcast::Receiver<u64> {
-        self.doubts.subscribe()
+    pub fn news(&self) -> broadcast::Receiver<News> {
+        self.news.subscribe()
     }
 
     /// Watches the revision of what is heard of upstreams.
--- a/crates/delivery/src/client.rs
+++ b/crates/delivery/src/client.rs
@@ -17,6 +17,7 @@
 
 use crate::{
     ENTRY_PATH,
+    backoff::{Backoff, random_seed},
     delta::{Mismatch, Update},
     dial,
     pending::Pending,
@@ -32,12 +33,6 @@
 /// Longest wait before a new try.
 const MAX_WAIT: Duration = Duration::from_secs(2);
 
-/// Seed where none is given; differs between processes.
-fn random_seed() -> u64 {
-    use std::hash::{BuildHasher, RandomState};
-    RandomState::new().hash_one(0_u8)
-}
-
 /// How an entry VM reaches the control VMs.
 #[derive(Debug, Clone)]
 pub struct Settings<H> {
@@ -80,6 +75,7 @@
         pending: Pending::default(),
         base: Base::default(),
     };
+    let mut backoff = Backoff::new(FIRST_WAIT, MAX_WAIT, random.random());
     let mut failures = 0_usize;
     while let Some(control) = controls.get(failures % controls.len().max(1)).copied() {
         let end = tokio::select! {
@@ -96,7 +92,11 @@
             }
             End::Lost { answered: false } => failures += 1,
         }
-        let wait = wait(failures, controls.len(), &mut random);
+        // Once all control VMs have failed; longer with each further round.
+        let wait = match failures / controls.len() {
+            0 => Duration::ZERO,
+            rounds => backoff.wait(rounds - 1),
+        };
         let is_alive = tokio::select! {
             () = token.cancelled() => return,
             is_alive = link.absorb_until(Instant::now() + wait) => is_alive,
@@ -273,14 +273,3 @@
         }
     }
 }
-
-/// A jittered wait that grows once all control VMs have failed.
-fn wait(failures: usize, controls: usize, random: &mut impl Rng) -> Duration {
-    let rounds = failures / controls.max(1);
-    if rounds == 0 {
-        return Duration::ZERO;
-    }
-    let exponent = u32::try_from(rounds - 1).unwrap_or(u32::MAX).min(16);
-    let longest = (FIRST_WAIT * 2_u32.pow(exponent)).min(MAX_WAIT);
-    longest.mul_f64(random.random_range(0.5..1.0))
-}
--- a/crates/delivery/src/dial.rs
+++ b/crates/delivery/src/dial.rs
@@ -31,6 +31,14 @@
 
 impl std::error::Error for Error {}
 
+impl Error {
+    /// Whether the control VM is there, but serves no such stream.
+    #[must_use]
+    pub fn is_unknown_path(&self) -> bool {
+        matches!(self, Self::Refused(_, StatusCode::NOT_FOUND))
+    }
+}
+
 /// An open stream. Dropping it closes the connection.
 #[derive(Debug)]
 pub struct Stream {
--- a/crates/delivery/src/lib.rs
+++ b/crates/delivery/src/lib.rs
@@ -25,6 +25,7 @@
 //! # }
 //! ```
 
+pub mod backoff;
 pub mod client;
 pub mod delta;
 pub mod dial;
@@ -32,6 +33,8 @@
 pub mod server;
 pub mod stream;
 
+use model::routing::Version;
+
 /// Path of the streams that entry VMs open.
 pub const ENTRY_PATH: &str = "/entry";
 
@@ -41,6 +44,18 @@
 /// Path of the streams over which entry VMs learn the routing plan and the upstreams.
 pub const ROUTING_PATH: &str = "/routing";
 
+/// The same where both ends know [`Version::Findings`].
+pub const FINDINGS_PATH: &str = "/routing/findings";
+
+/// The path of routing streams on which `version` is spoken.
+#[must_use]
+pub fn routing_path(version: Version) -> &'static str {
+    match version {
+        Version::First => ROUTING_PATH,
+        Version::Findings => FINDINGS_PATH,
+    }
+}
+
 /// Window of one stream, in bytes: what may be under way without an acknowledgement.
 const STREAM_WINDOW: u32 = 1 << 20;
 
--- a/crates/delivery/src/server.rs
+++ b/crates/delivery/src/server.rs
@@ -23,6 +23,14 @@
 /// Streams that one connection may open at a time.
 const MAX_STREAMS: u32 = 4;
 
+/// Paths of streams that a control VM serves.
+const PATHS: [&str; 4] = [
+    crate::ENTRY_PATH,
+    crate::CONTROL_PATH,
+    crate::ROUTING_PATH,
+    crate::FINDINGS_PATH,
+];
+
 /// Time that a peer gets to speak HTTP/2.
 const HANDSHAKE_WAIT: Duration = Duration::from_secs(2);
 
@@ -123,7 +131,7 @@
     token: CancellationToken,
 ) -> Option<Stream> {
     let path = request.uri().path().to_owned();
-    let known = [crate::ENTRY_PATH, crate::CONTROL_PATH, crate::ROUTING_PATH].contains(&&*path);
+    let known = PATHS.contains(&&*path);
     let mut response = Response::new(());
     if !known {
         *response.status_mut() = StatusCode::NOT_FOUND;
--- /dev/null
+++ b/crates/delivery/tests/backoff.rs
@@ -0,0 +1,35 @@
+//! Waits before a new try.
+
+use std::{collections::BTreeSet, time::Duration};
+
+use delivery::backoff::Backoff;
+
+const FIRST: Duration = Duration::from_millis(100);
+const LONGEST: Duration = Duration::from_millis(800);
+
+#[test]
+fn waits_double_up_to_the_longest_and_stay_within_a_half() {
+    let mut backoff = Backoff::new(FIRST, LONGEST, 1);
+    for (before, most_ms) in [
+        (0, 100),
+        (1, 200),
+        (2, 400),
+        (3, 800),
+        (4, 800),
+        (9_999, 800),
+    ] {
+        let most = Duration::from_millis(most_ms);
+        for _ in 0..100 {
+            let wait = backoff.wait(before);
+            assert!(wait >= most / 2 && wait <= most, "{wait:?} of {most:?}");
+        }
+    }
+}
+
+#[test]
+fn peers_that_lost_the_same_control_vm_come_back_at_different_moments() {
+    let waits: BTreeSet<Duration> = (0..300)
+        .map(|seed| Backoff::new(FIRST, LONGEST, seed).wait(0))
+        .collect();
+    assert!(waits.len() > 290, "{} moments", waits.len());
+}
--- a/crates/entry/src/gateway/probes.rs
+++ b/crates/entry/src/gateway/probes.rs
@@ -5,7 +5,7 @@
 use std::{io::ErrorKind, net::SocketAddrV4, time::Duration};
 
 use daemon::supervisor::{Restart, Supervisor};
-use policy::token::sight::Probed;
+use model::routing::Probed;
 use tokio::{net::TcpStream, time::timeout};
 
 use super::{shell::Shell, sleep_for};
@@ -20,8 +20,8 @@
         let shell = shell.clone();
         async move {
             loop {
-                for (id, address) in shell.due_probes() {
-                    ntex::rt::spawn(probe(shell.clone(), id, address));
+                for due in shell.due_probes() {
+                    ntex::rt::spawn(probe(shell.clone(), due.id, due.address));
                 }
                 tokio::select! {
                     () = token.cancelled() => return Ok(()),
--- a/crates/entry/src/gateway/shell.rs
+++ b/crates/entry/src/gateway/shell.rs
@@ -10,16 +10,16 @@
 };
 
 use log::{info, warn};
-use model::routing::{Agreed, ToEntry};
+use model::routing::{Agreed, Finding, Probed, Report, ToEntry};
 use platform::packet;
 use policy::{
     time::Instant,
     token::{
         decision::{Action, Decision, HOLD_MS, Why},
-        gateway::{Gateway, Settings},
+        gateway::{Gateway, Settings, evidence::Taken},
         pace::Pacer,
         segment::Segment,
-        sight::Probed,
+        sight::Probe,
     },
 };
 use settings::gateway::Entry;
@@ -33,12 +33,38 @@
 /// Packets that are held at a time; the oldest gives way.
 const MAX_HELD: usize = 256;
 
-/// Upstreams found down that a stream to a control VM may have waiting.
-const MAX_FOUND: usize = 64;
+/// Findings that a stream to a control VM may have waiting.
+const MAX_FOUND: usize = 256;
 
 /// Time after which a plan that was asked for is asked for again.
 const PLAN_WAIT: Duration = Duration::from_millis(600);
 
+/// What this VM found out about an upstream, on its way to a control VM.
+#[derive(Debug, Clone)]
+pub struct Found {
+    finding: Finding,
+    at: Clock,
+}
+
+impl Found {
+    /// The finding, with its age now.
+    #[must_use]
+    pub fn finding(&self) -> Finding {
+        let waited_ms = u64::try_from(self.at.elapsed().as_millis()).unwrap_or(u64::MAX);
+        Finding {
+            age_ms: self.finding.age_ms.saturating_add(waited_ms),
+            ..self.finding
+        }
+    }
+
+    /// Identity of the upstream, where it was found down.
+    #[must_use]
+    pub fn down(&self) -> Option<u64> {
+        let is_down = self.finding.probed != Probed::Accepted;
+        is_down.then_some(self.finding.upstream.id)
+    }
+}
+
 /// The shell; clones share it.
 #[derive(Debug, Clone)]
 pub struct Shell {
@@ -50,8 +76,8 @@
     pub paced_changed: Rc<Notify>,
     /// Told when a probe may be due sooner than was known.
     pub probes_changed: Rc<Notify>,
-    /// Upstreams that were found down, for the streams to control VMs.
-    found_down: broadcast::Sender<u64>,
+    /// What this VM found out about upstreams, for the streams to control VMs.
+    findings: broadcast::Sender<Found>,
 }
 
 #[derive(Debug)]
@@ -78,6 +104,7 @@
         let started = Clock::now();
         let state = State {
             gateway: Gateway::new(Settings {
+                vm: settings.name.as_str().into(),
                 domain: settings.domain.clone(),
                 seed: settings.seed.unwrap_or_else(daemon::process::fresh_random),
             }),
@@ -96,7 +123,7 @@
             controls_changed: Rc::default(),
             paced_changed: Rc::default(),
             probes_changed: Rc::default(),
-            found_down: broadcast::Sender::new(MAX_FOUND),
+            findings: broadcast::Sender::new(MAX_FOUND),
         }
     }
 
@@ -156,12 +183,17 @@
         Ok(())
     }
 
-    /// Upstreams that are to be probed now, with the addresses at which they accept connections.
+    /// Upstreams that are to be probed now.
     #[must_use]
-    pub fn due_probes(&self) -> Vec<(u64, SocketAddrV4)> {
+    pub fn due_probes(&self) -> Vec<Probe> {
         let mut state = self.state.borrow_mut();
         let now = state.now();
-        state.gateway.due_probes(now)
+        let probes = state.gateway.due_probes(now);
+        for probe in &probes {
+            metrics::counter!("oriole_probes_total", "ground" => probe.ground.as_str())
+                .increment(1);
+        }
+        probes
     }
 
     /// Time until the next probe may be due; none where none is.
@@ -184,9 +216,10 @@
             );
         }
         state.refuse_waiting(&self.socket);
-        for id in state.gateway.take_found_down() {
+        for finding in state.gateway.take_findings(now) {
+            let at = Clock::now();
             // Without a stream there is nobody to tell.
-            drop(self.found_down.send(id));
+            drop(self.findings.send(Found { finding, at }));
         }
         // There is room for another.
         self.probes_changed.notify_one();
@@ -264,13 +297,13 @@
         self.state.borrow().packet_at.elapsed()
     }
 
-    /// Watches which upstreams this VM finds down.
+    /// Watches what this VM finds out about upstreams.
     #[must_use]
-    pub fn found_down(&self) -> broadcast::Receiver<u64> {
-        self.found_down.subscribe()
+    pub fn findings(&self) -> broadcast::Receiver<Found> {
+        self.findings.subscribe()
     }
 
-    /// Whether `source` is the control VM that is told which upstreams this VM finds down.
+    /// Whether `source` is the control VM that is told what this VM finds out.
     #[must_use]
     pub fn reports_to(&self, source: SocketAddr) -> bool {
         self.state.borrow().gateway.reports_to(source)
@@ -350,7 +383,7 @@
             }
             ToEntry::Doubted(ids) => {
                 for id in ids {
-                    state.gateway.doubt(now, id);
+                    state.gateway.doubted(now, id);
                     if state.journal.may_log(now) {
                         info!(
                             target: "upstreams",
@@ -359,6 +392,13 @@
                     }
                 }
             }
+            ToEntry::Found(reports) => {
+                for report in &reports {
+                    state.take_report(source, report);
+                }
+                state.refuse_waiting(&self.socket);
+            }
+            ToEntry::Peers(peers) => state.gateway.count_peers(source, peers),
             ToEntry::Complete => state.gateway.source_complete(now, source),
             ToEntry::Alive => {
                 let told = state.gateway.agreed().plan;
@@ -394,6 +434,25 @@
         Instant(u64::try_from(micros).unwrap_or(u64::MAX))
     }
 
+    /// Takes what another VM found out.
+    fn take_report(&mut self, source: SocketAddr, report: &Report) {
+        let now = self.now();
+        let taken = self.gateway.told(now, report);
+        metrics::counter!("oriole_findings_taken_total").increment(taken.news as u64);
+        metrics::counter!("oriole_findings_refused_total").increment(taken.refused as u64);
+        if taken != Taken::default() && self.journal.may_log(now) {
+            let oldest_ms = report.findings.iter().map(|f| f.age_ms).max();
+            info!(
+                target: "upstreams",
+                "event=told findings={} news={} probes={} refused={} first={:x} oldest_ms={} vm={} domain={} \
+                 control={source}",
+                report.findings.len(), taken.news, taken.probes, taken.refused,
+                report.findings.first().map_or(0, |f| f.upstream.id),
+                oldest_ms.unwrap_or_default(), report.vm, report.domain
+            );
+        }
+    }
+
     fn take_plan(&mut self, source: SocketAddr, plan: std::sync::Arc<model::plan::Plan>) {
         let (version, routes) = (plan.version, plan.routes.len());
         let held = self.gateway.plan_version();
--- a/crates/entry/src/gateway/sources.rs
+++ b/crates/entry/src/gateway/sources.rs
@@ -9,14 +9,21 @@
     time::Duration,
 };
 
-use delivery::{ROUTING_PATH, dial, stream};
+use delivery::{
+    backoff::{Backoff, random_seed},
+    dial, routing_path, stream,
+};
 use displaydoc::Display;
-use model::routing::{ALIVE_MS, SILENCE_MS, ToControl, ToEntry};
+use log::info;
+use model::routing::{ALIVE_MS, SILENCE_MS, ToControl, ToEntry, Version};
 use settings::gateway::Entry;
-use tokio::time::{Instant, sleep, timeout, timeout_at};
+use tokio::{
+    sync::broadcast::{Receiver, error::RecvError},
+    time::{Instant, sleep, timeout, timeout_at},
+};
 use tokio_util::sync::CancellationToken;
 
-use super::shell::Shell;
+use super::shell::{Found, Shell};
 
 /// Wait before a new try after a stream was lost.
 const RETRY_WAIT: Duration = Duration::from_millis(100);
@@ -31,6 +38,9 @@
 /// Longest time that a try may take.
 const MAX_DIAL_WAIT: Duration = Duration::from_millis(1_200);
 
+/// Time in which findings are gathered before a control VM is told.
+const GATHER: Duration = Duration::from_millis(10);
+
 /// Why there is no stream.
 #[derive(Debug, Display)]
 enum End {
@@ -44,6 +54,13 @@
     Silent,
 }
 
+impl End {
+    /// Whether the control VM is of the build before, which serves no such stream.
+    fn is_older_build(&self) -> bool {
+        matches!(self, Self::Dial(error) if error.is_unknown_path())
+    }
+}
+
 impl From<stream::Error> for End {
     fn from(error: stream::Error) -> Self {
         Self::Stream(error)
@@ -101,31 +118,37 @@
 
     /// Keeps a stream to `control` open as long as it is wanted.
     async fn keep(self, control: SocketAddr) {
-        let mut wait = RETRY_WAIT;
-        let mut dial_wait = DIAL_WAIT;
+        let mut backoff = Backoff::new(RETRY_WAIT, MAX_RETRY_WAIT, random_seed());
+        let mut version = Version::Findings;
+        let mut failures = 0;
         let mut was_up = true;
         loop {
             let mut is_open = false;
+            let dial_wait = (DIAL_WAIT * 2_u32.pow(failures.min(2))).min(MAX_DIAL_WAIT);
             let end = tokio::select! {
                 () = self.token.cancelled() => return,
-                end = self.follow(control, dial_wait, &mut is_open) => end,
+                end = self.follow(control, version, dial_wait, &mut is_open) => end,
             };
             let Err(end) = end;
+            if version == Version::Findings && end.is_older_build() {
+                info!(target: "sources", "event=older-build control={control} reason=\"{end}\"");
+                version = Version::First;
+                continue;
+            }
+            // It may have been upgraded meanwhile.
+            version = Version::Findings;
             // Only the first of a row of failures is news.
             if is_open || was_up {
                 self.shell.source_lost(control, &end.to_string());
             }
             was_up = false;
-            (wait, dial_wait) = match is_open {
-                true => (RETRY_WAIT, DIAL_WAIT),
-                false => (
-                    (wait * 2).min(MAX_RETRY_WAIT),
-                    (dial_wait * 2).min(MAX_DIAL_WAIT),
-                ),
+            failures = match is_open {
+                true => 0,
+                false => failures.saturating_add(1),
             };
             tokio::select! {
                 () = self.token.cancelled() => return,
-                () = sleep(wait) => {}
+                () = sleep(backoff.wait(failures as usize)) => {}
             }
             if !self.wanted().contains(&control) {
                 self.running.borrow_mut().remove(&control);
@@ -134,30 +157,42 @@
         }
     }
 
+    fn greeting(&self, version: Version) -> ToControl {
+        let vm = Arc::clone(&self.vm);
+        match version {
+            Version::First => ToControl::Hello { vm },
+            Version::Findings => ToControl::Join {
+                vm,
+                domain: self.settings.borrow().domain.clone(),
+            },
+        }
+    }
+
     async fn follow(
         &self,
         control: SocketAddr,
+        version: Version,
         dial_wait: Duration,
         is_open: &mut bool,
     ) -> Result<std::convert::Infallible, End> {
-        let opened = timeout(dial_wait, dial::open(control, ROUTING_PATH)).await;
+        let opened = timeout(dial_wait, dial::open(control, routing_path(version))).await;
         let opened = opened.map_err(|_| End::DialTimeout(dial_wait))?;
         let mut stream = opened.map_err(End::Dial)?;
-        let vm = Arc::clone(&self.vm);
-        stream.sender.send(&ToControl::Hello { vm }).await?;
+        stream.sender.send(&self.greeting(version)).await?;
         self.shell.source_opened(control);
         *is_open = true;
-        let mut found_down = self.shell.found_down();
+        let mut findings = self.shell.findings();
         let mut said_at = Instant::now();
         let mut heard_at = Instant::now();
         loop {
             let silent_at = heard_at + Duration::from_millis(SILENCE_MS);
             let received = tokio::select! {
                 received = timeout_at(silent_at, stream.receiver.receive()) => received,
-                found = found_down.recv() => {
-                    // What a stream misses that lags behind, other VMs find by themselves.
-                    if let (Ok(id), true) = (found, self.shell.reports_to(control)) {
-                        stream.sender.send(&ToControl::Down { id }).await?;
+                first = findings.recv() => {
+                    sleep(GATHER).await;
+                    let gathered = gather(first, &mut findings);
+                    if self.shell.reports_to(control) {
+                        report(&mut stream.sender, version, &gathered).await?;
                     }
                     continue;
                 }
@@ -176,3 +211,33 @@
         }
     }
 }
+
+/// All findings that wait.
+fn gather(first: Result<Found, RecvError>, findings: &mut Receiver<Found>) -> Vec<Found> {
+    // What a stream misses that lags behind, other VMs find by themselves.
+    let mut gathered: Vec<Found> = first.into_iter().collect();
+    while let Ok(found) = findings.try_recv() {
+        gathered.push(found);
+    }
+    gathered
+}
+
+/// Tells a control VM what this VM found out.
+async fn report(
+    sender: &mut stream::Sender,
+    version: Version,
+    found: &[Found],
+) -> Result<(), stream::Error> {
+    match version {
+        Version::Findings => {
+            let findings = found.iter().map(Found::finding).collect();
+            sender.send(&ToControl::Found(findings)).await
+        }
+        Version::First => {
+            for id in found.iter().filter_map(Found::down) {
+                sender.send(&ToControl::Down { id }).await?;
+            }
+            Ok(())
+        }
+    }
+}
--- a/crates/model/src/routing.rs
+++ b/crates/model/src/routing.rs
@@ -1,10 +1,14 @@
 //! Messages on the streams over which entry VMs learn the routing plan and the upstreams that
 //! announce themselves.
 //!
-//! An entry VM opens one stream to each control VM, says [`ToControl::Hello`], and repeats
+//! An entry VM opens one stream to each control VM, says who it is, and repeats
 //! [`ToControl::Alive`] every [`ALIVE_MS`]. The control VM tells all it has heard, then what
 //! changes, and [`ToEntry::Alive`] when nothing does. Moments are told as spans, since the VMs
 //! share no clock.
+//!
+//! A fleet is upgraded VM by VM, so builds that follow each other speak with each other: the path of
+//! the stream says which [`Version`] both ends know, variants are only ever added at the end, and
+//! neither end sends one that the other doesn't know.
 
 use std::{
     net::{SocketAddr, SocketAddrV4},
@@ -21,6 +25,15 @@
 /// Time without a message after which a stream is given up, in milliseconds.
 pub const SILENCE_MS: u64 = 2_500;
 
+/// What both ends of a stream know.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Version {
+    /// Up to [`ToControl::Down`] and [`ToEntry::Doubted`].
+    First,
+    /// Everything.
+    Findings,
+}
+
 /// One start of an upstream's process.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Incarnation {
@@ -62,6 +75,40 @@
     pub sequence: u64,
 }
 
+/// What a connection without a request to an upstream's address showed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum Probed {
+    /// The upstream accepted it.
+    Accepted,
+    /// It was refused, or accepted by another upstream that has taken over the address: this one
+    /// has ended.
+    Refused,
+    /// Nothing came back: the upstream has no power, or the VM that asked can't reach it.
+    Silent,
+}
+
+/// What an entry VM found out about an upstream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Finding {
+    /// The upstream, as far as the VM knew.
+    pub upstream: Incarnation,
+    /// What its probe showed.
+    pub probed: Probed,
+    /// Time since the probe began, in milliseconds.
+    pub age_ms: u64,
+}
+
+/// What one entry VM found out, as a control VM tells the others.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Report {
+    /// The entry VM.
+    pub vm: Arc<str>,
+    /// Its failure domain: what it couldn't reach may be reached from others.
+    pub domain: Name,
+    /// What it found.
+    pub findings: Vec<Finding>,
+}
+
 /// What an entry VM says.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ToControl {
@@ -77,11 +124,21 @@
     },
     /// The entry VM still listens.
     Alive,
-    /// Clients of the entry VM got no answer of an upstream, and a probe found it down.
+    /// Clients of the entry VM got no answer of an upstream, and a probe found it down. Said only
+    /// where [`Version::First`] is spoken.
     Down {
         /// Identity of the upstream.
         id: u64,
     },
+    /// Opens the stream, in place of [`ToControl::Hello`].
+    Join {
+        /// Name of the entry VM.
+        vm: Arc<str>,
+        /// Its failure domain.
+        domain: Name,
+    },
+    /// What probes of the entry VM showed that others should know.
+    Found(Vec<Finding>),
 }
 
 /// What the cluster has agreed on, as one control VM knows it.
@@ -117,6 +174,12 @@
     Complete,
     /// Nothing has changed.
     Alive,
-    /// Upstreams that other entry VMs have found down.
+    /// Upstreams that other entry VMs have found down. Said only where [`Version::First`] is
+    /// spoken.
     Doubted(Vec<u64>),
+    /// What other entry VMs have found out.
+    Found(Vec<Report>),
+    /// Number of entry VMs in the failure domain of this one, itself included, that the control VM
+    /// hears.
+    Peers(u32),
 }
--- a/crates/policy/src/time.rs
+++ b/crates/policy/src/time.rs
@@ -47,6 +47,12 @@
         (-age_ms / memory_ms).exp()
     }
 
+    /// The moment `ms` milliseconds earlier, or the start of the process.
+    #[must_use]
+    pub fn minus_ms(self, ms: u64) -> Self {
+        Self(self.0.saturating_sub(ms.saturating_mul(1_000)))
+    }
+
     /// The moment `ms` milliseconds later.
     #[must_use]
     pub fn plus_ms(self, ms: u64) -> Self {
--- a/crates/policy/src/token.rs
+++ b/crates/policy/src/token.rs
@@ -8,13 +8,15 @@
 //!
 //! - [`segment`]: what a packet says.
 //! - [`directory`]: the upstreams that are known, merged from what several control VMs tell.
-//! - [`sight`]: what this VM saw of each upstream: how much it bears, whether it answers.
+//! - [`sight`]: what this VM knows of each upstream: how much it bears, whether it answers.
+//! - [`spread`]: waits that let a few of many VMs find out for all.
 //! - [`delay`]: how long upstreams take to answer.
 //! - [`outcome`]: which upstreams fail more requests than others.
 //! - [`place`]: which upstream takes a new flow.
 //! - [`pace`]: how much of it the link carries when.
 //! - [`gateway`]: decides what becomes of each packet; a [`decision`] says it, and why.
 
+mod budget;
 pub mod decision;
 pub mod delay;
 pub mod directory;
@@ -26,3 +28,4 @@
 pub mod place;
 pub mod segment;
 pub mod sight;
+pub mod spread;
--- a/crates/policy/src/token/directory.rs
+++ b/crates/policy/src/token/directory.rs
@@ -404,6 +404,11 @@
         ids.iter().filter_map(|id| self.upstreams.get(id))
     }
 
+    /// The upstreams in a failure domain.
+    pub fn in_domain(&self, domain: &Name) -> impl Iterator<Item = &Upstream> {
+        self.all().filter(move |u| u.announced.domain == *domain)
+    }
+
     /// All upstreams.
     pub fn all(&self) -> impl Iterator<Item = &Upstream> {
         self.upstreams.values()
--- a/crates/policy/src/token/gateway.rs
+++ b/crates/policy/src/token/gateway.rs
@@ -1,6 +1,7 @@
 //! What an entry VM knows, and what it decides by that.
 //!
-//! This file learns: plans, announcements, probes, time. `packet` decides on packets.
+//! This file learns plans, announcements and time; `evidence` learns which upstreams answer, from
+//! probes and other VMs; `packet` decides on packets.
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -11,7 +12,7 @@
 use model::{
     name::Name,
     plan::{Plan, Target},
-    routing::{Agreed, Announced, Incarnation},
+    routing::{Agreed, Announced, Incarnation, Probed},
 };
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
@@ -24,10 +25,12 @@
     outcome::{Outcomes, Verdict},
     place::Placer,
     segment::{Key, Segment},
-    sight::{Probed, Sights, Standing},
+    sight::{Change, Outcome, Probe, Sights, Standing},
+    spread,
 };
 use crate::time::Instant;
 
+pub mod evidence;
 mod packet;
 
 /// Time without a packet after which a flow is no longer counted where the plan names none, in
@@ -40,6 +43,8 @@
 /// Settings of a gateway.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Settings {
+    /// Name of this VM.
+    pub vm: Arc<str>,
     /// Failure domain of this VM.
     pub domain: Name,
     /// Seed of its random choices.
@@ -70,8 +75,12 @@
     /// Whether most upstreams of a service have still to announce themselves.
     gathering: Memo<bool>,
     flows: BTreeMap<Key, Flow>,
-    /// Upstreams that were found down and not yet told of.
-    found_down: Vec<u64>,
+    /// What probes of this VM showed and others should know, with when each probe began.
+    findings: Vec<(Incarnation, Probed, Instant)>,
+    /// When each failure domain was last doubted as a whole.
+    doubted: BTreeMap<Name, Instant>,
+    /// Number of entry VMs in this failure domain, as each control VM told last.
+    peers: BTreeMap<SocketAddr, u32>,
     /// Packets of clients that wait for upstreams which were found down, and were not yet told.
     waiting: Vec<Segment>,
     random: Pcg64Mcg,
@@ -97,7 +106,9 @@
             placer: Placer::default(),
             gathering: Memo::default(),
             flows: BTreeMap::new(),
-            found_down: Vec::new(),
+            findings: Vec::new(),
+            doubted: BTreeMap::new(),
+            peers: BTreeMap::new(),
             waiting: Vec::new(),
             first_complete: None,
             is_stopping: false,
@@ -184,6 +195,10 @@
     /// Notes that the stream of `source` has ended.
     pub fn source_lost(&mut self, now: Instant, source: SocketAddr) {
         self.directory.lost(now, source);
+        // A VM that is cut off from all goes by what it was told last.
+        if self.peers.len() > 1 {
+            self.peers.remove(&source);
+        }
     }
 
     /// Takes an announcement; see [`Directory::announce`].
@@ -203,7 +218,8 @@
             self.sights.renew(id);
             self.outcomes.renew(id);
         } else if before != after {
-            self.sights.recheck(now, id);
+            let wait_ms = self.wait_ms();
+            self.sights.recheck(now, id, wait_ms);
         }
         is_new
     }
@@ -213,37 +229,14 @@
         self.directory.recall(now, announced);
     }
 
-    /// Takes that `source` hears an upstream no longer; see [`Directory::silent`]. One that nobody
-    /// hears is probed: clients whose flows have been idle would wait for it in vain.
-    pub fn silent(&mut self, now: Instant, source: SocketAddr, incarnation: Incarnation) -> bool {
-        let is_lost = self.directory.silent(now, source, incarnation);
-        if is_lost {
-            self.sights.doubt(now, incarnation.id);
-        }
-        is_lost
-    }
-
-    /// Takes that another VM has found an upstream down. This VM goes by its own probe: the other
-    /// may be cut off.
-    pub fn doubt(&mut self, now: Instant, id: u64) {
-        if self.directory.get(id).is_some() {
-            self.sights.doubt(now, id);
-        }
-    }
-
-    /// Upstreams that this VM's own clients led it to find down, since the last call.
-    pub fn take_found_down(&mut self) -> Vec<u64> {
-        std::mem::take(&mut self.found_down)
-    }
-
     /// Whether `source` is the control VM that this VM tells which upstreams it found down.
     #[must_use]
     pub fn reports_to(&self, source: SocketAddr) -> bool {
         self.directory.first_source() == Some(source)
     }
 
-    /// Upstreams that are to be probed now, with the addresses at which they accept connections.
-    pub fn due_probes(&mut self, now: Instant) -> Vec<(u64, SocketAddrV4)> {
+    /// Upstreams that are to be probed now.
+    pub fn due_probes(&mut self, now: Instant) -> Vec<Probe> {
         self.sights.due_probes(now, &self.directory)
     }
 
@@ -253,57 +246,6 @@
         self.sights.next_probe()
     }
 
-    /// Takes the outcome of a probe. Returns whether it changed what is believed of the upstream.
-    ///
-    /// Where this VM's clients led to it, the other VMs should know. Where the upstream says nothing
-    /// its failure domain may be cut off, so the others in it are probed too.
-    pub fn probed(&mut self, now: Instant, id: u64, outcome: Probed) -> bool {
-        let upstream = self.directory.get(id);
-        let is_heard = upstream.is_some_and(|u| !u.has_ended());
-        let outcome = match outcome {
-            Probed::Accepted if self.is_replaced(id, is_heard) => Probed::Refused,
-            outcome => outcome,
-        };
-        let before = self.sights.probed(now, id, outcome, is_heard);
-        let is_down = before.is_some() && outcome != Probed::Accepted;
-        let is_found = is_down && before == Some(Standing::Suspect);
-        // One lost packet makes a probe silent, so that this alone ends no request.
-        if is_found || is_down && outcome == Probed::Refused {
-            self.waiting.extend(end_waiting(&mut self.flows, id));
-        }
-        if is_found {
-            self.found_down.push(id);
-        }
-        if is_found && outcome == Probed::Silent {
-            self.doubt_domain_of(now, id);
-        }
-        before.is_some()
-    }
-
-    /// Has all upstreams in the failure domain of upstream `id` probed that may take new flows.
-    fn doubt_domain_of(&mut self, now: Instant, id: u64) {
-        let Some(upstream) = self.directory.get(id) else {
-            return;
-        };
-        let domain = &upstream.announced.domain;
-        let others = self.directory.all();
-        for other in others.filter(|o| o.announced.domain == *domain && o.takes_flows(now)) {
-            self.sights.doubt(now, other.announced.incarnation.id);
-        }
-    }
-
-    /// Whether it was another upstream that accepted a connection at the address of upstream `id`.
-    ///
-    /// Starts alone don't tell, as clocks differ: it must also have left a client without an answer,
-    /// or have fallen silent.
-    fn is_replaced(&self, id: u64, is_heard: bool) -> bool {
-        let is_doubtful = matches!(
-            self.sights.standing(id),
-            Standing::Suspect | Standing::Down(_)
-        );
-        (is_doubtful || !is_heard) && self.directory.has_successor(id)
-    }
-
     /// Packets whose clients wait for upstreams that have been found down since the last call, and
     /// are to be told so.
     pub fn take_waiting(&mut self) -> Vec<Segment> {
@@ -380,11 +322,3 @@
         })
     }
 }
-
-/// Takes the flows whose clients wait for an answer of `upstream` off those that are counted. Returns
-/// what they have sent last.
-fn end_waiting(flows: &mut BTreeMap<Key, Flow>, upstream: u64) -> Vec<Segment> {
-    let is_waiting = |flow: &Flow| flow.upstream == upstream && flow.is_waiting();
-    let ended = flows.extract_if(.., |_, flow| is_waiting(flow));
-    ended.map(|(key, flow)| flow.last_segment(key)).collect()
-}
--- a/crates/policy/src/token/sight.rs
+++ b/crates/policy/src/token/sight.rs
@@ -1,23 +1,33 @@
-//! What an entry VM saw of each upstream: how much it bears, and whether it answers.
+//! What an entry VM knows of each upstream: how much it bears, and whether it answers.
 //!
 //! An upstream answers clients directly, so a VM sees its answers only in what clients acknowledge.
 //! One that seems silent is probed before it is given up: a busy upstream accepts a connection,
 //! one that has crashed refuses it, and one behind a cut says nothing.
+//!
+//! What a probe shows is told to the other VMs, so that few have to probe. How far they go by it
+//! depends on what it says: see [`Sights::told`].
+
+use std::{collections::BTreeMap, net::SocketAddrV4, sync::Arc};
 
-use std::{collections::BTreeMap, net::SocketAddrV4};
+use model::routing::Probed;
 
-use super::directory::Directory;
+use super::{budget::Budget, directory::Directory};
 use crate::time::Instant;
 
 /// Time in which a request's weight falls to 1/e, in milliseconds.
 const MEMORY_MS: f32 = 2_000.0;
 
-/// Time between two probes of an upstream that is down, in milliseconds.
+/// Time until an upstream that was found down is probed again, in milliseconds; doubles with each
+/// further time.
 const PROBE_EVERY_MS: u64 = 500;
 
-/// The longest time between two probes of one that announces itself to no control VM either, to which
-/// the time grows with each probe: it is hardly there, but a lost packet makes a probe silent as well.
-const MAX_PROBE_EVERY_MS: u64 = 4_000;
+/// The longest such time for an upstream that announces itself, in milliseconds: flows that are open
+/// there are refused until then.
+const MAX_PROBE_EVERY_MS: u64 = 1_500;
+
+/// The longest such time for one that announces itself to no control VM either: it is hardly there,
+/// but a lost packet makes a probe silent as well.
+const MAX_PROBE_EVERY_UNHEARD_MS: u64 = 4_000;
 
 /// Time in which a probe has its outcome at the latest, in milliseconds.
 const PROBE_WAIT_MS: u64 = 1_000;
@@ -29,16 +39,13 @@
 /// Probes that are under way at a time.
 const MAX_PROBES: usize = 8;
 
-/// What came of a probe.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Probed {
-    /// The upstream accepted a connection.
-    Accepted,
-    /// It refused one: no process listens.
-    Refused,
-    /// Nothing came back.
-    Silent,
-}
+/// Time within which two VMs have to find an upstream down for others to believe it, in
+/// milliseconds.
+const CONFIRM_MS: u64 = 2_000;
+
+/// Time for which a VM that couldn't reach what another of its failure domain had reached takes no
+/// such word, in milliseconds: it is cut off by itself.
+const ALONE_MS: u64 = 5_000;
 
 /// Whether an upstream answers.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -54,8 +61,109 @@
     Down(Probed),
 }
 
-/// What this VM saw of one upstream.
-#[derive(Debug, Clone, Copy, Default)]
+/// Why an upstream is probed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Ground {
+    /// A client of this VM waits for it.
+    Client,
+    /// Other VMs could find out as well.
+    Doubt,
+}
+
+impl Ground {
+    /// The ground in one word.
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Client => "client",
+            Self::Doubt => "doubt",
+        }
+    }
+}
+
+/// A probe that is due: a connection without a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Probe {
+    /// The upstream.
+    pub id: u64,
+    /// Where it accepts connections.
+    pub address: SocketAddrV4,
+    /// Why it is probed.
+    pub ground: Ground,
+}
+
+/// What a probe of this VM or of another showed.
+#[derive(Debug, Clone, Copy)]
+pub struct Outcome {
+    /// The upstream.
+    pub id: u64,
+    /// What the probe showed.
+    pub probed: Probed,
+    /// Whether some control VM hears the upstream.
+    pub is_heard: bool,
+    /// Time that this VM adds to the wait for the next probe, in milliseconds: another may come
+    /// first.
+    pub wait_ms: u64,
+}
+
+/// Who tells of a probe, and when it began.
+#[derive(Debug, Clone, Copy)]
+pub struct Witness<'a> {
+    /// The VM that probed.
+    pub vm: &'a Arc<str>,
+    /// Whether it is in this VM's failure domain, so that it reaches what this one reaches.
+    pub is_near: bool,
+    /// When its probe began.
+    pub began: Instant,
+}
+
+/// What became of a standing.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Change {
+    /// The standing before.
+    pub before: Standing,
+    /// The standing now.
+    pub after: Standing,
+    /// When the probe began that led to it.
+    pub began: Instant,
+}
+
+impl Change {
+    /// Whether the upstream was not held to be down before, and is now.
+    #[must_use]
+    pub fn is_fall(self) -> bool {
+        !matches!(self.before, Standing::Down(_)) && matches!(self.after, Standing::Down(_))
+    }
+
+    /// Whether an upstream that couldn't be reached can be reached again.
+    #[must_use]
+    pub fn is_return(self) -> bool {
+        self.before == Standing::Down(Probed::Silent) && self.after == Standing::Good
+    }
+}
+
+/// What came of a probe of this VM.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Judged {
+    /// What it changed; none where it changed nothing.
+    pub change: Option<Change>,
+    /// When the probe began, where the other VMs should know what it showed.
+    pub tell: Option<Instant>,
+}
+
+/// What the word of another VM led to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Told {
+    /// Nothing: this VM knows better or as much.
+    Nothing,
+    /// This VM probes, unless others come first.
+    Probe,
+    /// It is believed, and that is what it changed.
+    Change(Change),
+}
+
+/// What this VM knows of one upstream.
+#[derive(Debug, Clone, Default)]
 struct Sight {
     /// Requests passed on lately, each weighted by its age, as of `at`.
     load: f32,
@@ -63,10 +171,20 @@
     /// When a client last took up a flow with it, or acknowledged something new.
     answered_at: Option<Instant>,
     standing: Standing,
+    /// When the newest probe began that the standing follows from.
+    judged_at: Option<Instant>,
+    /// Whether that was a probe of this VM.
+    is_own: bool,
+    /// VM of this failure domain that found it down, and when this one was told.
+    down_to: Option<(Arc<str>, Instant)>,
     /// When a probe is due, where one is.
     probe_at: Option<Instant>,
-    /// When the probe under way began.
-    probing_since: Option<Instant>,
+    /// When the probe under way began, and why.
+    probing: Option<(Instant, Ground)>,
+    /// Whether it accepted the last probe after it had refused one.
+    has_accepted: bool,
+    /// Whether another VM of this failure domain has reached it since this one found it silent.
+    is_disputed: bool,
     /// Time until the next probe while the upstream is down, in milliseconds.
     probe_every_ms: u64,
 }
@@ -75,14 +193,89 @@
     fn load(&self, now: Instant) -> f32 {
         self.load * now.left_of(self.at, MEMORY_MS)
     }
+
+    fn is_probing(&self, now: Instant) -> bool {
+        let since = self.probing.map(|(at, _)| at);
+        since.is_some_and(|at| now.ms_since(at) < PROBE_WAIT_MS)
+    }
+
+    fn ground(&self) -> Ground {
+        match self.standing {
+            Standing::Suspect => Ground::Client,
+            Standing::Good | Standing::Busy(_) | Standing::Down(_) => Ground::Doubt,
+        }
+    }
+
+    fn is_due(&self, now: Instant) -> bool {
+        self.probe_at.is_some_and(|at| now >= at) && !self.is_probing(now)
+    }
+
+    /// Whether what a probe showed that began at `began` is overtaken.
+    fn is_newer_than(&self, began: Instant) -> bool {
+        let later = |at: Option<Instant>| at.is_some_and(|at| at >= began);
+        later(self.answered_at) || later(self.judged_at)
+    }
+
+    /// Whether this VM holds it to be down, or another than `vm` found it so a moment ago.
+    fn is_down_to_another(&self, now: Instant, vm: &Arc<str>) -> bool {
+        let other = self.down_to.as_ref();
+        matches!(self.standing, Standing::Down(_))
+            || other.is_some_and(|(other, at)| other != vm && now.ms_since(*at) < CONFIRM_MS)
+    }
+
+    /// Takes what a probe showed that began at `began`.
+    fn settle(&mut self, now: Instant, began: Instant, outcome: Outcome) -> Option<Change> {
+        let before = self.standing;
+        self.judged_at = Some(began);
+        self.down_to = None;
+        (self.standing, self.probe_at) = match (outcome.probed, before) {
+            (Probed::Accepted, Standing::Suspect) => (Standing::Busy(now.plus_ms(BUSY_MS)), None),
+            // Another that has yet to announce itself may have taken over the address.
+            (Probed::Accepted, Standing::Down(Probed::Refused)) if !self.has_accepted => {
+                self.has_accepted = true;
+                let next = now.plus_ms(PROBE_EVERY_MS);
+                (Standing::Down(Probed::Refused), Some(next))
+            }
+            (Probed::Accepted, _) => (Standing::Good, None),
+            // Its process has ended, and no other start of it has been heard of.
+            (Probed::Refused, _) if !outcome.is_heard => (Standing::Down(Probed::Refused), None),
+            (down, _) => {
+                self.has_accepted = false;
+                self.probe_every_ms = self.next_wait_ms(outcome.is_heard);
+                let next = now.plus_ms(self.probe_every_ms + outcome.wait_ms);
+                (Standing::Down(down), Some(next))
+            }
+        };
+        let after = self.standing;
+        (after != before).then_some(Change {
+            before,
+            after,
+            began,
+        })
+    }
+
+    fn next_wait_ms(&self, is_heard: bool) -> u64 {
+        let most = match is_heard {
+            true => MAX_PROBE_EVERY_MS,
+            false => MAX_PROBE_EVERY_UNHEARD_MS,
+        };
+        match self.standing {
+            Standing::Down(_) => (2 * self.probe_every_ms).min(most),
+            Standing::Good | Standing::Busy(_) | Standing::Suspect => PROBE_EVERY_MS,
+        }
+    }
 }
 
-/// What this VM saw of all upstreams, by id.
+/// What this VM knows of all upstreams, by id.
 #[derive(Debug, Clone, Default)]
 pub struct Sights {
     upstreams: BTreeMap<u64, Sight>,
     /// No probe is due before this moment, or any before it has been asked for.
     next_probe: Option<Instant>,
+    /// Probes on doubts that this VM may still make.
+    budget: Budget,
+    /// Until when this VM takes no other's word that an upstream can be reached.
+    alone_until: Instant,
 }
 
 impl Sights {
@@ -119,61 +312,107 @@
         true
     }
 
-    /// Has the upstream probed because of what others say or are: other VMs found it down, no
-    /// control VM hears it, or others of its failure domain are down.
-    pub fn doubt(&mut self, now: Instant, id: u64) {
+    /// Has the upstream probed in `wait_ms` because of what others say or are: other VMs found it
+    /// down, no control VM hears it, or others of its failure domain are down.
+    pub fn doubt(&mut self, now: Instant, id: u64, wait_ms: u64) {
         let sight = self.upstreams.entry(id).or_default();
         if sight.standing == Standing::Good {
-            sight.probe_at.get_or_insert(now);
-            self.probe_by(now);
+            let at = *sight.probe_at.get_or_insert(now.plus_ms(wait_ms));
+            self.probe_by(at);
         }
     }
 
-    /// Has an upstream that is down probed at once: it announces itself again.
-    pub fn recheck(&mut self, now: Instant, id: u64) {
+    /// Has an upstream that is down probed in `wait_ms`: it announces itself again, or others of its
+    /// failure domain are back.
+    pub fn recheck(&mut self, now: Instant, id: u64, wait_ms: u64) {
         let sight = self.upstreams.get_mut(&id);
         let Some(sight) = sight.filter(|s| matches!(s.standing, Standing::Down(_))) else {
             return;
         };
-        sight.probe_at = Some(now);
-        self.probe_by(now);
+        let wanted = now.plus_ms(wait_ms);
+        let at = sight.probe_at.map_or(wanted, |at| at.min(wanted));
+        sight.probe_at = Some(at);
+        self.probe_by(at);
     }
 
-    /// Takes the outcome of a probe of an upstream that announces itself, or no longer does.
-    /// Returns the upstream's standing before, where that has changed.
-    pub fn probed(
-        &mut self,
-        now: Instant,
-        id: u64,
-        outcome: Probed,
-        is_heard: bool,
-    ) -> Option<Standing> {
-        let sight = self.upstreams.entry(id).or_default();
-        let before = sight.standing;
-        let began = sight.probing_since.take().unwrap_or(now);
+    /// Takes the outcome of a probe of this VM.
+    pub fn probed(&mut self, now: Instant, outcome: Outcome) -> Judged {
+        let sight = self.upstreams.entry(outcome.id).or_default();
+        let (began, ground) = sight.probing.take().unwrap_or((now, sight.ground()));
         // An answer to a client counts more than a probe that began before it.
         if sight.answered_at.is_some_and(|at| at >= began) {
-            return None;
+            return Judged {
+                change: None,
+                tell: None,
+            };
         }
-        (sight.standing, sight.probe_at) = match (outcome, before) {
-            (Probed::Accepted, Standing::Suspect) => (Standing::Busy(now.plus_ms(BUSY_MS)), None),
-            (Probed::Accepted, _) => (Standing::Good, None),
-            (outcome, _) => {
-                sight.probe_every_ms = match (before, is_heard) {
-                    (Standing::Down(_), false) => {
-                        (2 * sight.probe_every_ms).min(MAX_PROBE_EVERY_MS)
-                    }
-                    _ => PROBE_EVERY_MS,
-                };
-                let next = now.plus_ms(sight.probe_every_ms);
-                (Standing::Down(outcome), Some(next))
+        let change = sight.settle(now, began, outcome);
+        sight.is_own = true;
+        let was_disputed = std::mem::take(&mut sight.is_disputed);
+        if was_disputed && outcome.probed == Probed::Silent {
+            self.alone_until = now.plus_ms(ALONE_MS);
+        }
+        let next = sight.probe_at;
+        self.probe_by_any(next);
+        let is_told = ground == Ground::Doubt || outcome.probed != Probed::Accepted;
+        Judged {
+            change,
+            tell: is_told.then_some(began),
+        }
+    }
+
+    /// Takes the outcome of a probe of another VM.
+    ///
+    /// What a VM of another failure domain finds down makes this one probe, unless another of its own
+    /// domain comes first: the other may be behind a cut, which may be silent or refuse. So does what
+    /// one VM of its own domain finds down; a second one is believed. An upstream that was silent is
+    /// back where a VM of this domain says so, unless this VM itself found it silent: then it probes,
+    /// and where that is silent again, this VM goes by its own probes for a while.
+    /// One that refused may have another at its address, so that each VM sees for itself.
+    pub fn told(&mut self, now: Instant, outcome: Outcome, witness: Witness<'_>) -> Told {
+        if outcome.probed == Probed::Accepted && now < self.alone_until {
+            return Told::Nothing;
+        }
+        let sight = self.upstreams.entry(outcome.id).or_default();
+        if sight.is_newer_than(witness.began) {
+            return Told::Nothing;
+        }
+        let is_believed = witness.is_near
+            && match outcome.probed {
+                Probed::Accepted => match sight.standing {
+                    Standing::Good | Standing::Busy(_) => true,
+                    Standing::Down(down) => down == Probed::Silent && !sight.is_own,
+                    // A client waits, and this VM's own probe tells why.
+                    Standing::Suspect => false,
+                },
+                Probed::Refused | Probed::Silent => sight.is_down_to_another(now, witness.vm),
+            };
+        if is_believed {
+            let change = sight.settle(now, witness.began, outcome);
+            sight.is_own = false;
+            let next = sight.probe_at;
+            self.probe_by_any(next);
+            return change.map_or(Told::Nothing, Told::Change);
+        }
+        match (outcome.probed, sight.standing) {
+            (Probed::Accepted, Standing::Down(Probed::Silent)) if witness.is_near => {
+                sight.is_disputed = true;
+                self.recheck(now, outcome.id, 0);
+                Told::Probe
             }
-        };
-        let is_news = sight.standing != before;
-        if let Some(at) = sight.probe_at {
-            self.probe_by(at);
+            (Probed::Refused | Probed::Silent, Standing::Good) => {
+                if witness.is_near {
+                    sight.down_to = Some((Arc::clone(witness.vm), now));
+                }
+                self.doubt(now, outcome.id, outcome.wait_ms);
+                Told::Probe
+            }
+            (Probed::Refused | Probed::Silent, _) if witness.is_near => {
+                sight.down_to = Some((Arc::clone(witness.vm), now));
+                Told::Nothing
+            }
+            _ => Told::Nothing,
         }
-        is_news.then_some(before)
     }
 
     /// When the next probe may be due; none where none is.
@@ -182,35 +421,61 @@
         self.next_probe
     }
 
+    fn probe_by_any(&mut self, moment: Option<Instant>) {
+        if let Some(moment) = moment {
+            self.probe_by(moment);
+        }
+    }
+
     fn probe_by(&mut self, moment: Instant) {
         let before = self.next_probe.unwrap_or(moment);
         self.next_probe = Some(before.min(moment));
     }
 
-    /// Upstreams that are to be probed now.
-    pub fn due_probes(&mut self, now: Instant, directory: &Directory) -> Vec<(u64, SocketAddrV4)> {
-        let is_running = |s: &Sight| {
-            let since = s.probing_since;
-            since.is_some_and(|at| now.ms_since(at) < PROBE_WAIT_MS)
-        };
-        let running = self.upstreams.values().filter(|s| is_running(s)).count();
-        let room = MAX_PROBES.saturating_sub(running);
-        let due =
-            |(_, s): &(&u64, &mut Sight)| s.probe_at.is_some_and(|at| now >= at) && !is_running(s);
+    /// Upstreams that are to be probed now: those that clients wait for, then as many others as the
+    /// budget allows.
+    pub fn due_probes(&mut self, now: Instant, directory: &Directory) -> Vec<Probe> {
+        let running = self.upstreams.values().filter(|s| s.is_probing(now));
+        let room = MAX_PROBES.saturating_sub(running.count());
+        let due = self.upstreams.iter().filter(|(_, s)| s.is_due(now));
+        let (urgent, other): (Vec<_>, Vec<_>) = due
+            .map(|(id, s)| (*id, s.ground()))
+            .partition(|(_, ground)| *ground == Ground::Client);
+        let urgent = urgent.into_iter().take(room);
+        let left = room.saturating_sub(urgent.len());
+        let allowed = self.budget.take(now, other.len().min(left));
         let mut probes = Vec::new();
-        for (id, sight) in self.upstreams.iter_mut().filter(due).take(room) {
-            sight.probe_at = None;
-            if let Some(upstream) = directory.get(*id) {
-                sight.probing_since = Some(now);
-                probes.push((*id, upstream.announced.address));
-            }
+        let is_spent = allowed < other.len().min(left);
+        for (id, ground) in urgent.chain(other.into_iter().take(allowed)) {
+            probes.extend(self.start_probe(now, id, ground, directory));
         }
         // One that finds no room is looked for again when a probe under way has its outcome.
         let waiting = self.upstreams.values().filter_map(|s| s.probe_at);
         self.next_probe = waiting.filter(|at| *at > now).min();
+        if is_spent {
+            self.probe_by(now.plus_ms(Budget::REFILL_MS));
+        }
         probes
     }
 
+    fn start_probe(
+        &mut self,
+        now: Instant,
+        id: u64,
+        ground: Ground,
+        directory: &Directory,
+    ) -> Option<Probe> {
+        let sight = self.upstreams.get_mut(&id)?;
+        sight.probe_at = None;
+        let address = directory.get(id)?.announced.address;
+        sight.probing = Some((now, ground));
+        Some(Probe {
+            id,
+            address,
+            ground,
+        })
+    }
+
     /// Whether the upstream has answered any client after `moment`.
     #[must_use]
     pub fn has_answered_since(&self, id: u64, moment: Instant) -> bool {
@@ -218,6 +483,17 @@
         answered_at.is_some_and(|at| at > moment)
     }
 
+    /// Whether the upstream has answered a client, or a probe that is known of, after `moment`.
+    #[must_use]
+    pub fn was_reached_since(&self, id: u64, moment: Instant) -> bool {
+        let Some(sight) = self.upstreams.get(&id) else {
+            return false;
+        };
+        let is_up = matches!(sight.standing, Standing::Good | Standing::Busy(_));
+        let answered = sight.answered_at.is_some_and(|at| at > moment);
+        answered || is_up && sight.judged_at.is_some_and(|at| at > moment)
+    }
+
     /// Forgets upstreams that the directory has forgotten.
     pub fn retain(&mut self, directory: &Directory) {
         self.upstreams.retain(|id, _| directory.get(*id).is_some());
@@ -228,6 +504,8 @@
         if let Some(sight) = self.upstreams.get_mut(&id) {
             sight.standing = Standing::Good;
             sight.probe_at = None;
+            sight.judged_at = None;
+            sight.down_to = None;
         }
     }
 
--- a/crates/policy/tests/token_load.rs
+++ b/crates/policy/tests/token_load.rs
@@ -178,6 +178,7 @@
             let mut gateway = match vm % 3 {
                 0 => fresh(),
                 other => Gateway::new(policy::token::gateway::Settings {
+                    vm: "entry".into(),
                     domain: DOMAINS[usize::try_from(other).unwrap()].parse().unwrap(),
                     seed: vm,
                 }),
--- /dev/null
+++ b/crates/policy/tests/token_told.rs
@@ -0,0 +1,224 @@
+//! How far a VM goes by what other VMs found out, and how many act at once.
+
+mod token_support;
+
+use model::routing::{Finding, Probed, Report};
+use policy::token::{
+    decision::{Action, Why},
+    gateway::{Gateway, evidence::Taken},
+    spread,
+};
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+use token_support::{
+    SETTLED, announced, at, control, data, gateway, opening, outcome, report, upstream,
+};
+
+const REFUSED: Taken = Taken {
+    news: 0,
+    probes: 0,
+    refused: 1,
+};
+
+const PROBES: Taken = Taken {
+    news: 0,
+    probes: 1,
+    refused: 0,
+};
+
+const NEWS: Taken = Taken {
+    news: 1,
+    probes: 0,
+    refused: 0,
+};
+
+/// A VM of domain a with an upstream there, far from its turn to probe.
+fn patient() -> Gateway {
+    let mut gateway = gateway(&[(1, "a")]);
+    gateway.count_peers(control(1), 10_000);
+    gateway
+}
+
+fn due(gateway: &mut Gateway, ms: u64) -> usize {
+    gateway.due_probes(at(ms)).len()
+}
+
+#[test]
+fn one_vm_of_its_domain_makes_a_vm_probe_and_two_are_believed() {
+    for down in [Probed::Silent, Probed::Refused] {
+        let mut gateway = patient();
+        let now = at(SETTLED);
+        assert_eq!(gateway.told(now, &report("two", "a", 1, down)), PROBES);
+        // The same VM again is no second one.
+        assert_eq!(gateway.told(now, &report("two", "a", 1, down)), PROBES);
+        assert!(!gateway.is_down(1));
+        assert_eq!(gateway.told(now, &report("three", "a", 1, down)), NEWS);
+        assert!(gateway.is_down(1));
+        assert_eq!(due(&mut gateway, SETTLED + 10), 0);
+    }
+}
+
+#[test]
+fn vms_of_other_domains_only_make_a_vm_probe() {
+    let mut gateway = gateway(&[(1, "a")]);
+    for vm in ["two", "three", "four"] {
+        let found = Report {
+            domain: "b".parse().unwrap(),
+            ..report(vm, "a", 1, Probed::Refused)
+        };
+        gateway.told(at(SETTLED), &found);
+    }
+    assert!(!gateway.is_down(1));
+    assert_eq!(due(&mut gateway, SETTLED), 1);
+}
+
+#[test]
+fn a_vm_spares_its_probe_where_another_of_its_domain_reached_the_upstream() {
+    let mut gateway = patient();
+    gateway.told(at(SETTLED), &report("two", "a", 1, Probed::Silent));
+    gateway.told(at(SETTLED + 1), &report("three", "a", 1, Probed::Accepted));
+    assert_eq!(
+        gateway.next_probe().map(|_| due(&mut gateway, 60_000)),
+        Some(0)
+    );
+}
+
+#[test]
+fn a_vm_that_is_told_nothing_more_probes_by_itself() {
+    let mut gateway = patient();
+    gateway.told(at(SETTLED), &report("two", "a", 1, Probed::Silent));
+    assert_eq!(due(&mut gateway, SETTLED + 5_000), 1);
+}
+
+#[test]
+fn clients_that_wait_are_told_when_others_found_their_upstream_down() {
+    let mut gateway = patient();
+    let id = upstream(gateway.decide(at(SETTLED), &opening(1, 0))).unwrap();
+    gateway.decide(at(SETTLED + 5), &data(1, 1, 101, 0, 1));
+    gateway.decide(at(SETTLED + 10), &data(1, 1, 101, 50, 1));
+    for vm in ["two", "three"] {
+        gateway.told(at(SETTLED + 20), &report(vm, "a", id, Probed::Refused));
+    }
+    assert_eq!(gateway.take_waiting().len(), 1);
+    let decision = gateway.decide(at(SETTLED + 30), &data(2, 1, 101, 50, 1));
+    assert_eq!(outcome(decision), (Action::Reset, Why::Down));
+}
+
+#[test]
+fn what_is_unknown_too_old_or_overtaken_changes_no_belief() {
+    let mut gateway = patient();
+    let now = at(SETTLED + 500);
+    assert_eq!(
+        gateway.told(now, &report("two", "a", 9, Probed::Refused)),
+        REFUSED
+    );
+    let of = |started_ms, age_ms| {
+        let upstream = model::routing::Incarnation { id: 1, started_ms };
+        let probed = Probed::Refused;
+        let finding = Finding {
+            upstream,
+            probed,
+            age_ms,
+        };
+        Report {
+            findings: vec![finding],
+            ..report("two", "a", 1, probed)
+        }
+    };
+    let known_ms = announced(1, "a").incarnation.started_ms;
+    // Another start, before and after the one that is known.
+    assert_eq!(gateway.told(now, &of(known_ms - 1, 0)), REFUSED);
+    assert_eq!(gateway.told(now, &of(known_ms + 1, 0)), REFUSED);
+    assert_eq!(gateway.told(now, &of(known_ms, u64::MAX)), REFUSED);
+    // A client took up a flow after the probe had begun.
+    gateway.decide(at(SETTLED + 300), &opening(1, 0));
+    gateway.decide(at(SETTLED + 305), &data(1, 1, 101, 0, 1));
+    for vm in ["two", "three"] {
+        let late = Report {
+            vm: vm.into(),
+            ..of(known_ms, 400)
+        };
+        assert_eq!(gateway.told(now, &late), Taken::default());
+    }
+    assert!(!gateway.is_down(1));
+    // What it found itself comes back.
+    assert_eq!(
+        gateway.told(now, &report("entry-1", "a", 1, Probed::Silent)),
+        Taken::default()
+    );
+}
+
+#[test]
+fn a_vm_that_is_cut_off_alone_goes_by_its_own_probes() {
+    let mut gateway = gateway(&[(1, "a")]);
+    gateway.told(at(SETTLED), &report("two", "a", 1, Probed::Silent));
+    assert_eq!(due(&mut gateway, SETTLED), 1);
+    gateway.probed(at(SETTLED + 250), 1, Probed::Silent);
+    assert!(gateway.is_down(1));
+    // Another reaches it: this VM looks again, and knows that it is alone.
+    let reached = report("two", "a", 1, Probed::Accepted);
+    assert_eq!(gateway.told(at(SETTLED + 300), &reached), PROBES);
+    assert_eq!(due(&mut gateway, SETTLED + 300), 1);
+    gateway.probed(at(SETTLED + 550), 1, Probed::Silent);
+    assert_eq!(gateway.told(at(SETTLED + 600), &reached), Taken::default());
+    assert!(gateway.is_down(1));
+}
+
+#[test]
+fn one_that_refused_is_back_after_two_connections() {
+    let mut gateway = gateway(&[(1, "a")]);
+    for vm in ["two", "three"] {
+        gateway.told(at(SETTLED), &report(vm, "a", 1, Probed::Refused));
+    }
+    assert_eq!(due(&mut gateway, SETTLED + 500), 1);
+    gateway.probed(at(SETTLED + 502), 1, Probed::Accepted);
+    assert!(
+        gateway.is_down(1),
+        "another may have taken over the address"
+    );
+    assert_eq!(due(&mut gateway, SETTLED + 1_002), 1);
+    gateway.probed(at(SETTLED + 1_004), 1, Probed::Accepted);
+    assert!(!gateway.is_down(1));
+}
+
+#[test]
+fn a_vm_makes_twenty_probes_a_second_of_its_own_accord() {
+    let upstreams: Vec<(u64, &str)> = (1..=200).map(|id| (id, "a")).collect();
+    let mut gateway = gateway(&upstreams);
+    for (id, _) in &upstreams {
+        gateway.told(at(SETTLED), &report("two", "a", *id, Probed::Silent));
+    }
+    let mut made = 0;
+    for ms in (SETTLED..SETTLED + 3_000).step_by(10) {
+        for probe in gateway.due_probes(at(ms)) {
+            made += 1;
+            gateway.probed(at(ms + 2), probe.id, Probed::Accepted);
+        }
+    }
+    // A second's worth at once, then three seconds' worth.
+    assert!((70..=80).contains(&made), "{made} probes");
+}
+
+#[test]
+fn of_any_number_of_vms_few_act_at_once_and_all_within_seconds() {
+    let mut random = Pcg64Mcg::seed_from_u64(1);
+    for peers in [2_u32, 10, 50, 1_000] {
+        let rounds = 200;
+        let (mut at_once, mut soon) = (0, 0);
+        for _ in 0..rounds {
+            for _ in 0..peers {
+                let ms = spread::wait_ms(peers, &mut random);
+                assert!(ms < 2_000, "{ms} ms of {peers}");
+                at_once += u32::from(ms == 0);
+                soon += u32::from(ms < 250);
+            }
+        }
+        assert!(
+            (80..150).contains(&(100 * at_once / rounds)),
+            "{peers}: {at_once}"
+        );
+        assert!(soon <= 4 * rounds, "{peers}: {soon}");
+    }
+    assert_eq!(spread::wait_ms(1, &mut random), 0);
+    assert_eq!(spread::wait_ms(0, &mut random), 0);
+}
