Announcements in groups; beliefs of one upstream and what a shell learns in files of their own

Cause: at ten upstreams a VM bytes are the larger price, and each fresh stream is told of every upstream with service and domain in words.

--- a/crates/control/src/process.rs
+++ b/crates/control/src/process.rs
@@ -7,7 +7,7 @@
     reload,
     supervisor::{Restart, Supervisor},
 };
-use delivery::{CONTROL_PATH, FINDINGS_PATH, ROUTING_PATH, delta::History, server};
+use delivery::{CONTROL_PATH, ROUTING_PATH, SECOND_ROUTING_PATH, delta::History, server};
 use displaydoc::Display;
 use metrics_exporter_prometheus::PrometheusHandle;
 use model::routing::Version;
@@ -212,7 +212,7 @@
             match stream.path.as_str() {
                 CONTROL_PATH => exchange::hear(stream, state).await,
                 ROUTING_PATH => routing::serve(stream, state, Version::First).await,
-                FINDINGS_PATH => routing::serve(stream, state, Version::Findings).await,
+                SECOND_ROUTING_PATH => routing::serve(stream, state, Version::Second).await,
                 _ => session::serve(stream, state).await,
             }
         }
--- a/crates/control/src/routing.rs
+++ b/crates/control/src/routing.rs
@@ -7,7 +7,7 @@
 use model::{
     config::{Config, DomainState},
     name::Name,
-    routing::{ALIVE_MS, Agreed, SILENCE_MS, ToControl, ToEntry, Version},
+    routing::{ALIVE_MS, Agreed, Announced, Group, SILENCE_MS, ToControl, ToEntry, Version},
 };
 use tokio::{
     sync::broadcast::{Receiver, error::RecvError},
@@ -115,9 +115,9 @@
     let mut news = state.news();
     let recalled = state.soft().heard.recalled();
     if !recalled.is_empty() {
-        stream.sender.send(&ToEntry::Recalled(recalled)).await?;
+        stream.sender.send(&recall(version, recalled)).await?;
     }
-    tell(stream, state, &mut told).await?;
+    tell(stream, state, version, &mut told).await?;
     stream.sender.send(&ToEntry::Complete).await?;
     tell_peers(stream, version, &listener, &mut told).await?;
     log::info!(
@@ -154,7 +154,7 @@
         config.borrow_and_update();
         status.borrow_and_update();
         revisions.borrow_and_update();
-        tell(stream, state, &mut told).await?;
+        tell(stream, state, version, &mut told).await?;
     }
 }
 
@@ -212,8 +212,24 @@
     Ok(())
 }
 
+/// Upstreams that were heard before this process started, as `version` has it.
+fn recall(version: Version, recalled: Vec<Announced>) -> ToEntry {
+    match version {
+        Version::First => ToEntry::Recalled(recalled),
+        Version::Second => {
+            let without_age = recalled.into_iter().map(|announced| (announced, 0));
+            ToEntry::RecalledGroups(Group::all_of(without_age.collect()))
+        }
+    }
+}
+
 /// Tells what has changed since the last time.
-async fn tell(stream: &mut Stream, state: &State, told: &mut Told) -> Result<(), End> {
+async fn tell(
+    stream: &mut Stream,
+    state: &State,
+    version: Version,
+    told: &mut Told,
+) -> Result<(), End> {
     // Without a leader, what is agreed may be out of date.
     if state.is_in_touch() {
         let agreed = agreed(&state.replica.latest(), state.controls());
@@ -225,7 +241,10 @@
     let (news, revision) = state.soft().heard.news(state.now_ms(), told.revision);
     told.revision = revision;
     if !news.announced.is_empty() {
-        let announced = ToEntry::Announced(news.announced);
+        let announced = match version {
+            Version::First => ToEntry::Announced(news.announced),
+            Version::Second => ToEntry::AnnouncedGroups(Group::all_of(news.announced)),
+        };
         stream.sender.send(&announced).await?;
     }
     if !news.silent.is_empty() {
@@ -251,7 +270,7 @@
     listener: &Listener,
     news: &[News],
 ) -> Result<(), End> {
-    if version < Version::Findings {
+    if version < Version::Second {
         let doubted = findings::doubted(news);
         if !doubted.is_empty() {
             stream.sender.send(&ToEntry::Doubted(doubted)).await?;
@@ -281,7 +300,7 @@
     told: &mut Told,
 ) -> Result<(), End> {
     if let Some(peers) = listener.changed_peers(told.peers)
-        && version >= Version::Findings
+        && version >= Version::Second
     {
         stream.sender.send(&ToEntry::Peers(peers)).await?;
         told.peers = peers;
--- a/crates/delivery/src/lib.rs
+++ b/crates/delivery/src/lib.rs
@@ -44,15 +44,15 @@
 /// Path of the streams over which entry VMs learn the routing plan and the upstreams.
 pub const ROUTING_PATH: &str = "/routing";
 
-/// The same where both ends know [`Version::Findings`].
-pub const FINDINGS_PATH: &str = "/routing/findings";
+/// The same where both ends know [`Version::Second`].
+pub const SECOND_ROUTING_PATH: &str = "/routing/2";
 
 /// The path of routing streams on which `version` is spoken.
 #[must_use]
 pub fn routing_path(version: Version) -> &'static str {
     match version {
         Version::First => ROUTING_PATH,
-        Version::Findings => FINDINGS_PATH,
+        Version::Second => SECOND_ROUTING_PATH,
     }
 }
 
--- a/crates/delivery/src/server.rs
+++ b/crates/delivery/src/server.rs
@@ -28,7 +28,7 @@
     crate::ENTRY_PATH,
     crate::CONTROL_PATH,
     crate::ROUTING_PATH,
-    crate::FINDINGS_PATH,
+    crate::SECOND_ROUTING_PATH,
 ];
 
 /// Time that a peer gets to speak HTTP/2.
--- a/crates/entry/src/gateway/shell.rs
+++ b/crates/entry/src/gateway/shell.rs
@@ -10,13 +10,13 @@
 };
 
 use log::{info, warn};
-use model::routing::{Agreed, Finding, Probed, Report, ToEntry};
+use model::routing::{Finding, Probed};
 use platform::packet;
 use policy::{
     time::Instant,
     token::{
         decision::{Action, Decision, HOLD_MS, Why},
-        gateway::{Gateway, Settings, evidence::Taken},
+        gateway::{Gateway, Settings},
         pace::Pacer,
         segment::Segment,
         sight::Probe,
@@ -30,6 +30,8 @@
 
 use super::journal::Journal;
 
+mod learn;
+
 /// Packets that are held at a time; the oldest gives way.
 const MAX_HELD: usize = 256;
 
@@ -328,104 +330,6 @@
         let now = state.now();
         state.gateway.source_lost(now, source);
     }
-
-    /// Takes a message of `source`. Returns the version of a plan that it is to be asked for.
-    pub fn take(&self, source: SocketAddr, message: ToEntry) -> Option<u64> {
-        let mut state = self.state.borrow_mut();
-        self.waking(&mut state, |state| {
-            let wanted = self.learn(state, source, message);
-            state.release_held(&self.socket);
-            wanted
-        })
-    }
-
-    fn learn(&self, state: &mut State, source: SocketAddr, message: ToEntry) -> Option<u64> {
-        let now = state.now();
-        match message {
-            ToEntry::Agreed(agreed) => return self.agree(state, source, agreed),
-            ToEntry::Plan(plan) => state.take_plan(source, plan),
-            ToEntry::Announced(all) => {
-                for (announced, age_ms) in all {
-                    let shown = announced.clone();
-                    if state.gateway.announce(now, source, announced, age_ms)
-                        && state.journal.may_log(now)
-                    {
-                        info!(
-                            target: "upstreams",
-                            "event=upstream id={:x} started={} phase={:?} service={} domain={} \
-                             cold_ms={} sequence={} age_ms={age_ms} control={source}",
-                            shown.incarnation.id, shown.incarnation.started_ms, shown.phase,
-                            shown.service, shown.domain, shown.cold_ms, shown.sequence
-                        );
-                    }
-                }
-            }
-            ToEntry::Recalled(all) => {
-                info!(
-                    target: "upstreams",
-                    "event=recalled upstreams={} control={source}", all.len()
-                );
-                for announced in all {
-                    state.gateway.recall(now, announced);
-                }
-            }
-            ToEntry::Silent(all) => {
-                for incarnation in all {
-                    if state.gateway.silent(now, source, incarnation) && state.journal.may_log(now)
-                    {
-                        info!(
-                            target: "upstreams",
-                            "event=upstream-silent id={:x} started={} control={source}",
-                            incarnation.id, incarnation.started_ms
-                        );
-                    }
-                }
-            }
-            ToEntry::Doubted(ids) => {
-                for id in ids {
-                    state.gateway.doubted(now, id);
-                    if state.journal.may_log(now) {
-                        info!(
-                            target: "upstreams",
-                            "event=doubted upstream={id:x} control={source}"
-                        );
-                    }
-                }
-            }
-            ToEntry::Found(reports) => {
-                for report in &reports {
-                    state.take_report(source, report);
-                }
-                state.refuse_waiting(&self.socket);
-            }
-            ToEntry::Peers(peers) => state.gateway.count_peers(source, peers),
-            ToEntry::Complete => state.gateway.source_complete(now, source),
-            ToEntry::Alive => {
-                let told = state.gateway.agreed().plan;
-                return state.ask_for(told);
-            }
-        }
-        None
-    }
-
-    fn agree(&self, state: &mut State, source: SocketAddr, agreed: Agreed) -> Option<u64> {
-        let told = agreed.plan;
-        let before = state.gateway.agreed().clone();
-        if state.gateway.agree(agreed) {
-            let now = state.gateway.agreed();
-            if before.out != now.out {
-                info!(
-                    target: "plan",
-                    "event=domains out={:?} index={} control={source}", now.out, now.index
-                );
-            }
-            if before.controls != now.controls {
-                info!(target: "sources", "event=controls all={:?}", now.controls);
-                self.controls_changed.notify_one();
-            }
-        }
-        state.ask_for(told)
-    }
 }
 
 impl State {
@@ -434,47 +338,6 @@
         Instant(u64::try_from(micros).unwrap_or(u64::MAX))
     }
 
-    /// Takes what another VM found out.
-    fn take_report(&mut self, source: SocketAddr, report: &Report) {
-        let now = self.now();
-        let taken = self.gateway.told(now, report);
-        metrics::counter!("oriole_findings_taken_total").increment(taken.news as u64);
-        metrics::counter!("oriole_findings_refused_total").increment(taken.refused as u64);
-        if taken != Taken::default() && self.journal.may_log(now) {
-            let oldest_ms = report.findings.iter().map(|f| f.age_ms).max();
-            info!(
-                target: "upstreams",
-                "event=told findings={} news={} probes={} refused={} first={:x} oldest_ms={} vm={} domain={} \
-                 control={source}",
-                report.findings.len(), taken.news, taken.probes, taken.refused,
-                report.findings.first().map_or(0, |f| f.upstream.id),
-                oldest_ms.unwrap_or_default(), report.vm, report.domain
-            );
-        }
-    }
-
-    fn take_plan(&mut self, source: SocketAddr, plan: std::sync::Arc<model::plan::Plan>) {
-        let (version, routes) = (plan.version, plan.routes.len());
-        let held = self.gateway.plan_version();
-        if self.gateway.take_plan(plan) {
-            info!(
-                target: "plan",
-                "event=plan version={version} before={held:?} routes={routes} control={source}"
-            );
-        }
-    }
-
-    /// The version of a plan to ask for, unless that was done a moment ago.
-    fn ask_for(&mut self, told: Option<u64>) -> Option<u64> {
-        let wanted = self.gateway.wanted_plan(told)?;
-        let is_asked = |(version, at): (u64, Clock)| version >= wanted && at.elapsed() < PLAN_WAIT;
-        if self.asked.is_some_and(is_asked) {
-            return None;
-        }
-        self.asked = Some((wanted, Clock::now()));
-        Some(wanted)
-    }
-
     /// Decides again on the packets that are held.
     fn release_held(&mut self, socket: &UdpSocket) {
         let now = self.now();
--- a/crates/entry/src/gateway/sources.rs
+++ b/crates/entry/src/gateway/sources.rs
@@ -119,7 +119,7 @@
     /// Keeps a stream to `control` open as long as it is wanted.
     async fn keep(self, control: SocketAddr) {
         let mut backoff = Backoff::new(RETRY_WAIT, MAX_RETRY_WAIT, random_seed());
-        let mut version = Version::Findings;
+        let mut version = Version::Second;
         let mut failures = 0;
         let mut was_up = true;
         loop {
@@ -130,13 +130,13 @@
                 end = self.follow(control, version, dial_wait, &mut is_open) => end,
             };
             let Err(end) = end;
-            if version == Version::Findings && end.is_older_build() {
+            if version == Version::Second && end.is_older_build() {
                 info!(target: "sources", "event=older-build control={control} reason=\"{end}\"");
                 version = Version::First;
                 continue;
             }
             // It may have been upgraded meanwhile.
-            version = Version::Findings;
+            version = Version::Second;
             // Only the first of a row of failures is news.
             if is_open || was_up {
                 self.shell.source_lost(control, &end.to_string());
@@ -161,7 +161,7 @@
         let vm = Arc::clone(&self.vm);
         match version {
             Version::First => ToControl::Hello { vm },
-            Version::Findings => ToControl::Join {
+            Version::Second => ToControl::Join {
                 vm,
                 domain: self.settings.borrow().domain.clone(),
             },
@@ -229,7 +229,7 @@
     found: &[Found],
 ) -> Result<(), stream::Error> {
     match version {
-        Version::Findings => {
+        Version::Second => {
             let findings = found.iter().map(Found::finding).collect();
             sender.send(&ToControl::Found(findings)).await
         }
--- a/crates/model/src/routing.rs
+++ b/crates/model/src/routing.rs
@@ -19,6 +19,10 @@
 
 use crate::{name::Name, plan::Plan};
 
+mod group;
+
+pub use group::Group;
+
 /// Time between two messages where nothing changes, in milliseconds.
 pub const ALIVE_MS: u64 = 1_000;
 
@@ -31,7 +35,7 @@
     /// Up to [`ToControl::Down`] and [`ToEntry::Doubted`].
     First,
     /// Everything.
-    Findings,
+    Second,
 }
 
 /// One start of an upstream's process.
@@ -163,10 +167,10 @@
     /// The plan that was asked for, or a newer one.
     Plan(Arc<Plan>),
     /// Announcements that are new or say something new, with the time since each, in
-    /// milliseconds.
+    /// milliseconds. Said only where [`Version::First`] is spoken.
     Announced(Vec<(Announced, u64)>),
     /// Upstreams that this control VM had heard before its process started, and not again since:
-    /// they may have flows, but get no new ones.
+    /// they may have flows, but get no new ones. Said only where [`Version::First`] is spoken.
     Recalled(Vec<Announced>),
     /// Upstreams that have announced nothing to this control VM for too long.
     Silent(Vec<Incarnation>),
@@ -179,6 +183,10 @@
     Doubted(Vec<u64>),
     /// What other entry VMs have found out.
     Found(Vec<Report>),
+    /// [`ToEntry::Announced`] in groups.
+    AnnouncedGroups(Vec<Group>),
+    /// [`ToEntry::Recalled`] in groups; the times since each don't count.
+    RecalledGroups(Vec<Group>),
     /// Number of entry VMs in the failure domain of this one, itself included, that the control VM
     /// hears.
     Peers(u32),
--- a/crates/standin/tests/gateway/builds.rs
+++ b/crates/standin/tests/gateway/builds.rs
@@ -17,7 +17,14 @@
     loop {
         let received = timeout(PATIENCE, stream.receiver.receive()).await;
         let message: ToEntry = received.unwrap().unwrap();
-        assert!(!matches!(message, ToEntry::Found(_) | ToEntry::Peers(_)));
+        let is_newer = matches!(
+            message,
+            ToEntry::Found(_)
+                | ToEntry::Peers(_)
+                | ToEntry::AnnouncedGroups(_)
+                | ToEntry::RecalledGroups(_)
+        );
+        assert!(!is_newer, "{message:?}");
         if fits(&message) {
             return message;
         }
