An upstream that refused is up again where VMs of the domain connect twice; findings go to the near control VM

Now VMs of the domain that connect, twice with a pause, are believed. What a VM finds goes to the control VM of its own failure domain where there is one, since most of it comes back there.

--- a/crates/control/src/process.rs
+++ b/crates/control/src/process.rs
@@ -105,7 +105,7 @@
     if let Some((gateway, source)) = gateway {
         let recalled = hints::read(&settings.data_folder);
         let heard = heard::Table::new(gateway.announce_ms).recall(recalled);
-        state = state.with_announcements(heard, gateway.delivery_port());
+        state = state.with_announcements(heard, settings.domain.clone(), gateway.delivery_port());
         start_hints(&settings, &state, &root)?;
         start_desk(&gateway, source, &state, &root);
     }
--- a/crates/control/src/routing.rs
+++ b/crates/control/src/routing.rs
@@ -7,7 +7,7 @@
 use model::{
     config::{Config, DomainState},
     name::Name,
-    routing::{ALIVE_MS, Agreed, Announced, Group, SILENCE_MS, ToControl, ToEntry, Version},
+    routing::{ALIVE_MS, Agreed, Announced, Group, Peers, SILENCE_MS, ToControl, ToEntry, Version},
 };
 use tokio::{
     sync::broadcast::{Receiver, error::RecvError},
@@ -68,11 +68,14 @@
         }
     }
 
-    /// The number of VMs in its failure domain, where that isn't about what it was `told`.
-    fn changed_peers(&self, told: u32) -> Option<u32> {
-        let peers = self.state.soft().relay.peers(&self.finder.domain);
-        let is_changed = PEERS_STEP * peers.abs_diff(told) > told;
-        is_changed.then_some(peers)
+    /// Who is in its failure domain, where that isn't about what it was `told`.
+    fn changed_peers(&self, told: u32) -> Option<Peers> {
+        let count = self.state.soft().relay.peers(&self.finder.domain);
+        let is_changed = PEERS_STEP * count.abs_diff(told) > told;
+        is_changed.then(|| Peers {
+            count,
+            is_near: self.state.domain == self.finder.domain,
+        })
     }
 }
 
@@ -303,7 +306,7 @@
         && version >= Version::Second
     {
         stream.sender.send(&ToEntry::Peers(peers)).await?;
-        told.peers = peers;
+        told.peers = peers.count;
     }
     Ok(())
 }
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -39,6 +39,8 @@
     revisions: watch::Sender<u64>,
     /// What entry VMs found out about upstreams, for the others.
     news: broadcast::Sender<News>,
+    /// Failure domain of this control VM.
+    pub domain: Name,
     /// Port at which control VMs take streams of entry VMs; the same on all.
     delivery_port: u16,
 }
@@ -86,15 +88,22 @@
             started: Instant::now(),
             revisions: watch::Sender::new(0),
             news: broadcast::Sender::new(MAX_NEWS),
+            domain: Name::unknown(),
             delivery_port: 0,
         }
     }
 
-    /// Adds what the platform's callers need: a table for the announcements of upstreams, and the
-    /// port at which control VMs take streams of entry VMs.
+    /// Adds what the platform's callers need: a table for the announcements of upstreams, this VM's
+    /// failure domain, and the port at which control VMs take streams of entry VMs.
     #[must_use]
-    pub fn with_announcements(mut self, heard: heard::Table, delivery_port: u16) -> Self {
+    pub fn with_announcements(
+        mut self,
+        heard: heard::Table,
+        domain: Name,
+        delivery_port: u16,
+    ) -> Self {
         self.soft().heard = heard;
+        self.domain = domain;
         self.delivery_port = delivery_port;
         self
     }
--- a/crates/model/src/routing.rs
+++ b/crates/model/src/routing.rs
@@ -113,6 +113,15 @@
     pub findings: Vec<Finding>,
 }
 
+/// Who is in the failure domain of an entry VM, as a control VM hears.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Peers {
+    /// Number of entry VMs, the one that is told included.
+    pub count: u32,
+    /// Whether the control VM is there as well.
+    pub is_near: bool,
+}
+
 /// What an entry VM says.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ToControl {
@@ -187,7 +196,6 @@
     AnnouncedGroups(Vec<Group>),
     /// [`ToEntry::Recalled`] in groups; the times since each don't count.
     RecalledGroups(Vec<Group>),
-    /// Number of entry VMs in the failure domain of this one, itself included, that the control VM
-    /// hears.
-    Peers(u32),
+    /// Who else is in the failure domain of the entry VM.
+    Peers(Peers),
 }
--- a/crates/policy/src/token/directory.rs
+++ b/crates/policy/src/token/directory.rs
@@ -206,11 +206,10 @@
         (self.sources.len(), complete)
     }
 
-    /// The first control VM, by address, that has told all it knew.
-    #[must_use]
-    pub fn first_source(&self) -> Option<SocketAddr> {
-        let mut complete = self.sources.iter().filter(|(_, complete)| **complete);
-        complete.next().map(|(source, _)| *source)
+    /// The control VMs, by address, that have told all they knew.
+    pub fn complete_sources(&self) -> impl Iterator<Item = SocketAddr> {
+        let complete = self.sources.iter().filter(|(_, complete)| **complete);
+        complete.map(|(source, _)| *source)
     }
 
     /// Takes an announcement that `source` heard `age_ms` ago. Returns whether it changed what is
--- a/crates/policy/src/token/gateway.rs
+++ b/crates/policy/src/token/gateway.rs
@@ -12,7 +12,7 @@
 use model::{
     name::Name,
     plan::{Plan, Target},
-    routing::{Agreed, Announced, Incarnation, Probed},
+    routing::{Agreed, Announced, Incarnation, Peers, Probed},
 };
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
@@ -80,7 +80,7 @@
     /// When each failure domain was last doubted as a whole.
     doubted: BTreeMap<Name, Instant>,
     /// Number of entry VMs in this failure domain, as each control VM told last.
-    peers: BTreeMap<SocketAddr, u32>,
+    peers: BTreeMap<SocketAddr, Peers>,
     /// Packets of clients that wait for upstreams which were found down, and were not yet told.
     waiting: Vec<Segment>,
     random: Pcg64Mcg,
@@ -229,12 +229,6 @@
         self.directory.recall(now, announced);
     }
 
-    /// Whether `source` is the control VM that this VM tells which upstreams it found down.
-    #[must_use]
-    pub fn reports_to(&self, source: SocketAddr) -> bool {
-        self.directory.first_source() == Some(source)
-    }
-
     /// Upstreams that are to be probed now.
     pub fn due_probes(&mut self, now: Instant) -> Vec<Probe> {
         self.sights.due_probes(now, &self.directory)
--- a/crates/policy/src/token/gateway/evidence.rs
+++ b/crates/policy/src/token/gateway/evidence.rs
@@ -9,7 +9,7 @@
 
 use model::{
     name::Name,
-    routing::{Finding, Incarnation, Probed, Report},
+    routing::{Finding, Incarnation, Peers, Probed, Report},
 };
 
 use super::{Change, Gateway, Outcome, Standing, spread};
@@ -40,15 +40,24 @@
 }
 
 impl Gateway {
-    /// Takes how many entry VMs of this failure domain `source` hears.
-    pub fn count_peers(&mut self, source: SocketAddr, peers: u32) {
+    /// Takes how many entry VMs of this failure domain `source` hears, and whether it is there too.
+    pub fn count_peers(&mut self, source: SocketAddr, peers: Peers) {
         self.peers.insert(source, peers);
     }
 
+    /// Whether `source` is the control VM that this VM tells what it finds out: one of its own failure
+    /// domain where there is one, since most of it goes back there.
+    #[must_use]
+    pub fn reports_to(&self, source: SocketAddr) -> bool {
+        let is_near = |at: &SocketAddr| self.peers.get(at).is_some_and(|p| p.is_near);
+        let near = self.directory.complete_sources().find(is_near);
+        near.or(self.directory.complete_sources().next()) == Some(source)
+    }
+
     /// A wait that lets few of this failure domain's VMs act at once, in milliseconds.
     pub(super) fn wait_ms(&mut self) -> u64 {
-        let peers = self.peers.values().max().copied().unwrap_or_default();
-        spread::wait_ms(peers, &mut self.random)
+        let counts = self.peers.values().map(|p| p.count);
+        spread::wait_ms(counts.max().unwrap_or_default(), &mut self.random)
     }
 
     /// Takes that `source` hears an upstream no longer; see [`Directory::silent`]. One that nobody
@@ -224,8 +233,7 @@
     fn recheck_domain(&mut self, now: Instant, domain: &Name) {
         let upstreams = self.directory.in_domain(domain);
         let ids = upstreams.map(|u| u.announced.incarnation.id);
-        let is_silent = |id: &u64| self.sights.standing(*id) == Standing::Down(Probed::Silent);
-        let ids: Vec<u64> = ids.filter(is_silent).collect();
+        let ids: Vec<u64> = ids.filter(|id| self.sights.is_down(*id)).collect();
         for id in ids {
             let wait_ms = self.wait_ms();
             self.sights.recheck(now, id, wait_ms);
--- a/crates/policy/src/token/sight.rs
+++ b/crates/policy/src/token/sight.rs
@@ -112,10 +112,10 @@
         !matches!(self.before, Standing::Down(_)) && matches!(self.after, Standing::Down(_))
     }
 
-    /// Whether an upstream that couldn't be reached can be reached again.
+    /// Whether an upstream that was down can be reached again.
     #[must_use]
     pub fn is_return(self) -> bool {
-        self.before == Standing::Down(Probed::Silent) && self.after == Standing::Good
+        matches!(self.before, Standing::Down(_)) && self.after == Standing::Good
     }
 }
 
@@ -241,7 +241,6 @@
     /// one VM of its own domain finds down; a second one is believed. An upstream that was silent is
     /// back where a VM of this domain says so, unless this VM itself found it silent: then it probes,
     /// and where that is silent again, this VM goes by its own probes for a while.
-    /// One that refused may have another at its address, so that each VM sees for itself.
     pub fn told(&mut self, now: Instant, outcome: Outcome, witness: Witness<'_>) -> Told {
         if outcome.probed == Probed::Accepted && now < self.alone_until {
             return Told::Nothing;
@@ -254,7 +253,8 @@
             && match outcome.probed {
                 Probed::Accepted => match sight.standing {
                     Standing::Good | Standing::Busy(_) => true,
-                    Standing::Down(down) => down == Probed::Silent && !sight.is_own,
+                    // Found to be down by its refusal, it has to accept twice.
+                    Standing::Down(down) => down == Probed::Refused || !sight.is_own,
                     // A client waits, and this VM's own probe tells why.
                     Standing::Suspect => false,
                 },
--- a/crates/policy/src/token/sight/belief.rs
+++ b/crates/policy/src/token/sight/belief.rs
@@ -52,8 +52,8 @@
     pub(super) probe_at: Option<Instant>,
     /// When the probe under way began, and why.
     pub(super) probing: Option<(Instant, Ground)>,
-    /// Whether it accepted the last probe after it had refused one.
-    pub(super) has_accepted: bool,
+    /// When the first probe began that it accepted after it had refused one.
+    pub(super) accepted_at: Option<Instant>,
     /// Whether another VM of this failure domain has reached it since this one found it silent.
     pub(super) is_disputed: bool,
     /// Time until the next probe while the upstream is down, in milliseconds.
@@ -107,16 +107,16 @@
         (self.standing, self.probe_at) = match (outcome.probed, before) {
             (Probed::Accepted, Standing::Suspect) => (Standing::Busy(now.plus_ms(BUSY_MS)), None),
             // Another that has yet to announce itself may have taken over the address.
-            (Probed::Accepted, Standing::Down(Probed::Refused)) if !self.has_accepted => {
-                self.has_accepted = true;
-                let next = now.plus_ms(PROBE_EVERY_MS);
+            (Probed::Accepted, Standing::Down(Probed::Refused)) if !self.accepts_since(began) => {
+                self.accepted_at.get_or_insert(began);
+                let next = now.plus_ms(PROBE_EVERY_MS + outcome.wait_ms);
                 (Standing::Down(Probed::Refused), Some(next))
             }
             (Probed::Accepted, _) => (Standing::Good, None),
             // Its process has ended, and no other start of it has been heard of.
             (Probed::Refused, _) if !outcome.is_heard => (Standing::Down(Probed::Refused), None),
             (down, _) => {
-                self.has_accepted = false;
+                self.accepted_at = None;
                 self.probe_every_ms = self.next_wait_ms(outcome.is_heard);
                 let next = now.plus_ms(self.probe_every_ms + outcome.wait_ms);
                 (Standing::Down(down), Some(next))
@@ -130,6 +130,12 @@
         })
     }
 
+    /// Whether a probe that began long enough before `began` was accepted as well.
+    fn accepts_since(&self, began: Instant) -> bool {
+        let first = self.accepted_at;
+        first.is_some_and(|at| began.ms_since(at) >= PROBE_EVERY_MS)
+    }
+
     fn next_wait_ms(&self, is_heard: bool) -> u64 {
         let most = match is_heard {
             true => MAX_PROBE_EVERY_MS,
--- a/crates/policy/tests/token_doubts.rs
+++ b/crates/policy/tests/token_doubts.rs
@@ -12,7 +12,7 @@
 use policy::token::{decision::Action, gateway::Gateway, sight::Probe};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
-use token_support::{SETTLED, announced, at, control, data, gateway_of, opening, upstream};
+use token_support::{SETTLED, announced, at, control, data, gateway_of, opening, peers, upstream};
 
 const VMS: usize = 40;
 const UPSTREAMS: u64 = 30;
@@ -84,7 +84,7 @@
 fn start(vm: usize, known: &[(u64, &str)], tells: bool) -> Gateway {
     let mut gateway = gateway_of(&name(vm), known);
     if tells {
-        gateway.count_peers(control(1), 40);
+        gateway.count_peers(control(1), peers(40));
     }
     gateway
 }
--- a/crates/policy/tests/token_evidence.rs
+++ b/crates/policy/tests/token_evidence.rs
@@ -21,7 +21,7 @@
 };
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
-use token_support::{SETTLED, announced, at, control, data, named, plan};
+use token_support::{SETTLED, announced, at, control, data, named, peers, plan};
 
 const DOMAINS: [&str; 4] = ["a", "b", "c", "d"];
 
@@ -547,7 +547,7 @@
     }
     gateway.source_complete(at(0), control(1));
     if way == Way::Few {
-        gateway.count_peers(control(1), u32::try_from(vms).unwrap());
+        gateway.count_peers(control(1), peers(u32::try_from(vms).unwrap()));
     }
     gateway
 }
--- a/crates/policy/tests/token_support/mod.rs
+++ b/crates/policy/tests/token_support/mod.rs
@@ -7,7 +7,7 @@
 
 use model::{
     plan::{Plan, Route, Service, Target},
-    routing::{Agreed, Announced, Finding, Incarnation, Phase, Probed, Report},
+    routing::{Agreed, Announced, Finding, Incarnation, Peers, Phase, Probed, Report},
 };
 use policy::{
     time::Instant,
@@ -89,6 +89,14 @@
     gateway
 }
 
+/// As many entry VMs in a failure domain.
+pub(crate) fn peers(count: u32) -> Peers {
+    Peers {
+        count,
+        is_near: false,
+    }
+}
+
 /// A gateway that knows nothing.
 pub(crate) fn fresh() -> Gateway {
     named("entry-1", "a", 1)
--- a/crates/policy/tests/token_told.rs
+++ b/crates/policy/tests/token_told.rs
@@ -2,7 +2,7 @@
 
 mod token_support;
 
-use model::routing::{Finding, Probed, Report};
+use model::routing::{Finding, Peers, Probed, Report};
 use policy::token::{
     decision::{Action, Why},
     gateway::{Gateway, evidence::Taken},
@@ -11,7 +11,7 @@
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 use token_support::{
-    SETTLED, announced, at, control, data, gateway, opening, outcome, report, upstream,
+    SETTLED, announced, at, control, data, gateway, opening, outcome, peers, report, upstream,
 };
 
 const REFUSED: Taken = Taken {
@@ -35,7 +35,7 @@
 /// A VM of domain a with an upstream there, far from its turn to probe.
 fn patient() -> Gateway {
     let mut gateway = gateway(&[(1, "a")]);
-    gateway.count_peers(control(1), 10_000);
+    gateway.count_peers(control(1), peers(10_000));
     gateway
 }
 
@@ -222,3 +222,39 @@
     assert_eq!(spread::wait_ms(1, &mut random), 0);
     assert_eq!(spread::wait_ms(0, &mut random), 0);
 }
+
+#[test]
+fn one_that_refused_is_back_where_others_connect_twice_with_a_pause() {
+    let mut gateway = patient();
+    for vm in ["two", "three"] {
+        gateway.told(at(SETTLED), &report(vm, "a", 1, Probed::Refused));
+    }
+    // A cut that refuses has ended: few VMs look, and all believe them.
+    for (ms, vm, is_down) in [
+        (600, "two", true),
+        (601, "three", true),
+        (1_150, "four", false),
+    ] {
+        gateway.told(at(SETTLED + ms), &report(vm, "a", 1, Probed::Accepted));
+        assert_eq!(gateway.is_down(1), is_down, "after {ms} ms");
+    }
+    assert_eq!(due(&mut gateway, 60_000), 0);
+}
+
+#[test]
+fn a_vm_reports_to_the_control_vm_of_its_own_domain_where_there_is_one() {
+    let mut gateway = gateway(&[(1, "a")]);
+    gateway.source_opened(control(2));
+    gateway.source_complete(at(0), control(2));
+    let reports_to = |gateway: &Gateway| [1, 2].map(|n| gateway.reports_to(control(n)));
+    assert_eq!(reports_to(&gateway), [true, false]);
+    let near = Peers {
+        is_near: true,
+        ..peers(9)
+    };
+    gateway.count_peers(control(1), peers(9));
+    gateway.count_peers(control(2), near);
+    assert_eq!(reports_to(&gateway), [false, true]);
+    gateway.source_lost(at(10), control(2));
+    assert_eq!(reports_to(&gateway), [true, false]);
+}
