A connection from before the last refusal counts for nothing; a busy upstream stays so where another VM connects

What an upstream accepted before it refused again was kept where no control VM heard it, so that one connection made it up again; and another VM's connection ended the moment for which an upstream is avoided that left a client of this one waiting. Both tests failed before.

--- a/crates/policy/src/token/sight.rs
+++ b/crates/policy/src/token/sight.rs
@@ -252,11 +252,11 @@
         let is_believed = witness.is_near
             && match outcome.probed {
                 Probed::Accepted => match sight.standing {
-                    Standing::Good | Standing::Busy(_) => true,
+                    Standing::Good => true,
                     // Found to be down by its refusal, it has to accept twice.
                     Standing::Down(down) => down == Probed::Refused || !sight.is_own,
-                    // A client waits, and this VM's own probe tells why.
-                    Standing::Suspect => false,
+                    // A client of this VM waits, whatever the upstream accepts.
+                    Standing::Busy(_) | Standing::Suspect => false,
                 },
                 Probed::Refused | Probed::Silent => sight.is_down_to_another(now, witness.vm),
             };
--- a/crates/policy/src/token/sight/belief.rs
+++ b/crates/policy/src/token/sight/belief.rs
@@ -116,12 +116,14 @@
             // Its process has ended, and no other start of it has been heard of.
             (Probed::Refused, _) if !outcome.is_heard => (Standing::Down(Probed::Refused), None),
             (down, _) => {
-                self.accepted_at = None;
                 self.probe_every_ms = self.next_wait_ms(outcome.is_heard);
                 let next = now.plus_ms(self.probe_every_ms + outcome.wait_ms);
                 (Standing::Down(down), Some(next))
             }
         };
+        if outcome.probed != Probed::Accepted {
+            self.accepted_at = None;
+        }
         let after = self.standing;
         (after != before).then_some(Change {
             before,
--- a/crates/policy/tests/token_told.rs
+++ b/crates/policy/tests/token_told.rs
@@ -258,3 +258,42 @@
     gateway.source_lost(at(10), control(2));
     assert_eq!(reports_to(&gateway), [true, false]);
 }
+
+#[test]
+fn a_connection_from_before_the_last_refusal_counts_for_nothing() {
+    let mut gateway = gateway(&[(1, "a")]);
+    let start = announced(1, "a").incarnation;
+    gateway.told(at(SETTLED), &report("two", "a", 1, Probed::Silent));
+    for (ms, probed) in [(0, Probed::Refused), (502, Probed::Accepted)] {
+        assert_eq!(due(&mut gateway, SETTLED + ms), 1);
+        gateway.probed(at(SETTLED + ms + 2), 1, probed);
+    }
+    // It refuses again, and no control VM hears it until it is back.
+    gateway.silent(at(SETTLED + 600), control(1), start);
+    assert_eq!(due(&mut gateway, SETTLED + 1_004), 1);
+    gateway.probed(at(SETTLED + 1_006), 1, Probed::Refused);
+    assert_eq!(due(&mut gateway, SETTLED + 9_000), 0);
+    gateway.announce(at(SETTLED + 9_000), control(1), announced(1, "a"), 0);
+    assert_eq!(due(&mut gateway, SETTLED + 9_000), 1);
+    gateway.probed(at(SETTLED + 9_002), 1, Probed::Accepted);
+    assert!(gateway.is_down(1));
+}
+
+#[test]
+fn a_busy_upstream_stays_so_where_another_vm_connects() {
+    let mut gateway = gateway(&[(1, "a"), (2, "a")]);
+    let id = upstream(gateway.decide(at(SETTLED), &opening(1, 0))).unwrap();
+    let token = u32::try_from(id).unwrap();
+    gateway.decide(at(SETTLED + 5), &data(1, token, 101, 0, 1));
+    for ms in [10, 210] {
+        gateway.decide(at(SETTLED + ms), &data(1, token, 101, 50, 1));
+    }
+    assert_eq!(due(&mut gateway, SETTLED + 210), 1);
+    gateway.probed(at(SETTLED + 212), id, Probed::Accepted);
+    gateway.told(at(SETTLED + 220), &report("two", "a", id, Probed::Accepted));
+    // New flows go to the other one for a moment.
+    for port in 10..20 {
+        let opened = gateway.decide(at(SETTLED + 230), &opening(port, 0));
+        assert_ne!(upstream(opened), Some(id));
+    }
+}
