Upstreams are back at once after a cut: another VM of the domain is believed, and no probe starves

Each VM may make 20 probes a second; they were taken in the order of ids, so that 500 upstreams that had been out of reach used the budget up by their repeats, and a high id was never reached. A VM that had found an upstream silent itself took no other's word that it was back.

Now those that have waited longest are probed first, and a VM of the domain that reaches an upstream is believed; one whose own probe is silent again knows that it is alone. a_cut_that_ends_is_over_for_all_upstreams_at_once failed before.

--- a/crates/policy/src/token/sight.rs
+++ b/crates/policy/src/token/sight.rs
@@ -163,6 +163,7 @@
     pub fn answered(&mut self, now: Instant, id: u64) {
         let sight = self.upstreams.entry(id).or_default();
         sight.answered_at = Some(now);
+        sight.is_disputed = false;
         sight.standing = Standing::Good;
         sight.probe_at = None;
     }
@@ -238,9 +239,9 @@
     ///
     /// What a VM of another failure domain finds down makes this one probe, unless another of its own
     /// domain comes first: the other may be behind a cut, which may be silent or refuse. So does what
-    /// one VM of its own domain finds down; a second one is believed. An upstream that was silent is
-    /// back where a VM of this domain says so, unless this VM itself found it silent: then it probes,
-    /// and where that is silent again, this VM goes by its own probes for a while.
+    /// one VM of its own domain finds down; a second one is believed. One that is down is back where a
+    /// VM of this domain says so. Where this VM had found it silent itself, and does so again, it goes
+    /// by its own probes for a while: it may be cut off alone.
     pub fn told(&mut self, now: Instant, outcome: Outcome, witness: Witness<'_>) -> Told {
         if outcome.probed == Probed::Accepted && now < self.alone_until {
             return Told::Nothing;
@@ -252,27 +253,23 @@
         let is_believed = witness.is_near
             && match outcome.probed {
                 Probed::Accepted => match sight.standing {
-                    Standing::Good => true,
-                    // Found to be down by its refusal, it has to accept twice.
-                    Standing::Down(down) => down == Probed::Refused || !sight.is_own,
+                    // One that has refused has to accept twice.
+                    Standing::Good | Standing::Down(_) => true,
                     // A client of this VM waits, whatever the upstream accepts.
                     Standing::Busy(_) | Standing::Suspect => false,
                 },
                 Probed::Refused | Probed::Silent => sight.is_down_to_another(now, witness.vm),
             };
         if is_believed {
+            let was_silent = sight.is_own && sight.standing == Standing::Down(Probed::Silent);
             let change = sight.settle(now, witness.began, outcome);
             sight.is_own = false;
+            sight.is_disputed |= was_silent && outcome.probed == Probed::Accepted;
             let next = sight.probe_at;
             self.probe_by_any(next);
             return change.map_or(Told::Nothing, Told::Change);
         }
         match (outcome.probed, sight.standing) {
-            (Probed::Accepted, Standing::Down(Probed::Silent)) if witness.is_near => {
-                sight.is_disputed = true;
-                self.recheck(now, outcome.id, 0);
-                Told::Probe
-            }
             (Probed::Refused | Probed::Silent, Standing::Good) => {
                 if witness.is_near {
                     sight.down_to = Some((Arc::clone(witness.vm), now));
@@ -311,7 +308,11 @@
         let running = self.upstreams.values().filter(|s| s.is_probing(now));
         let room = MAX_PROBES.saturating_sub(running.count());
         let due = self.upstreams.iter().filter(|(_, s)| s.is_due(now));
+        let mut due: Vec<(&u64, &Sight)> = due.collect();
+        // Those that have waited longest come first, so that none waits for good.
+        due.sort_by_key(|(_, s)| s.probe_at);
         let (urgent, other): (Vec<_>, Vec<_>) = due
+            .into_iter()
             .map(|(id, s)| (*id, s.ground()))
             .partition(|(_, ground)| *ground == Ground::Client);
         let urgent = urgent.into_iter().take(room);
