Control VMs that join are known to entry VMs at once: the list has a version of its own

Cause: Agreed.index is the index of the last change of the configuration, and the list of control VMs in it grew under the same index, so that entry VMs kept the list of the last change. With no change after the start, 83 entry VMs held streams to 5 of 8 control VMs, and the upstreams that announced themselves to the other three got no request.

Change: ToEntry::Controls carries the list with the index of the last committed membership, on streams of Version::Third. Entry VMs take only a higher version, refuse empty lists and duplicates, open streams to new members and close those to members that left.

--- a/crates/consensus/src/log.rs
+++ b/crates/consensus/src/log.rs
@@ -93,8 +93,14 @@
 
     /// Returns the membership as of `index`.
     pub(crate) fn membership_at(&self, index: u64) -> &Membership {
+        self.membership_entry_at(index).1
+    }
+
+    /// Returns the membership as of `index`, with the index from which it is in effect.
+    pub(crate) fn membership_entry_at(&self, index: u64) -> (u64, &Membership) {
         let known = self.memberships.iter().rev().find(|(i, _)| *i <= index);
-        known.map_or(&self.memberships[0].1, |(_, m)| m)
+        let (from, membership) = known.unwrap_or(&self.memberships[0]);
+        (*from, membership)
     }
 
     /// Reports whether a log that ends with `last_index` and `last_term` is at least as up-to-date
--- a/crates/consensus/src/replica.rs
+++ b/crates/consensus/src/replica.rs
@@ -429,6 +429,16 @@
         self.log.membership()
     }
 
+    /// Returns the last membership that is known to be committed, with the index of its entry, or of
+    /// the snapshot that includes the entry.
+    ///
+    /// Replicas that return the same index return the same membership, and a higher index belongs
+    /// to a later membership or to a snapshot with the same one.
+    #[must_use]
+    pub fn committed_membership(&self) -> (u64, &Membership) {
+        self.log.membership_entry_at(self.commit)
+    }
+
     /// Returns the last index that `id` is known to have synced; `None` unless this replica leads.
     #[must_use]
     pub fn match_index(&self, id: ReplicaId) -> Option<u64> {
--- a/crates/control/src/process.rs
+++ b/crates/control/src/process.rs
@@ -7,7 +7,9 @@
     reload,
     supervisor::{Restart, Supervisor},
 };
-use delivery::{CONTROL_PATH, ROUTING_PATH, SECOND_ROUTING_PATH, delta::History, server};
+use delivery::{
+    CONTROL_PATH, ROUTING_PATH, SECOND_ROUTING_PATH, THIRD_ROUTING_PATH, delta::History, server,
+};
 use displaydoc::Display;
 use metrics_exporter_prometheus::PrometheusHandle;
 use model::routing::Version;
@@ -230,6 +232,7 @@
                 CONTROL_PATH => soft_state_sync::receive_digests(stream, state).await,
                 ROUTING_PATH => routing_stream::serve(stream, state, Version::First).await,
                 SECOND_ROUTING_PATH => routing_stream::serve(stream, state, Version::Second).await,
+                THIRD_ROUTING_PATH => routing_stream::serve(stream, state, Version::Third).await,
                 _ => config_stream::serve(stream, state).await,
             }
         }
--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -96,10 +96,21 @@
     pub voters: Vec<String>,
     /// Names of the learners, which receive the log and do not vote.
     pub learners: Vec<String>,
+    /// Last membership that is known to be committed.
+    pub members: Members,
     /// Reason why the replica has stopped, if it has.
     pub stop_reason: Option<String>,
 }
 
+/// A committed membership of the cluster.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Members {
+    /// Index in the log from which the membership is in effect.
+    pub index: u64,
+    /// Names of the voters and learners.
+    pub names: Vec<String>,
+}
+
 /// A handle to this control VM's replica; clones share the same replica.
 #[derive(Debug, Clone)]
 pub struct Handle {
--- a/crates/control/src/replica/state_machine.rs
+++ b/crates/control/src/replica/state_machine.rs
@@ -25,7 +25,7 @@
 
 use crate::{
     peer::{Body, Envelope, Sender},
-    replica::{Error, Status},
+    replica::{Error, Members, Status},
 };
 
 mod membership;
@@ -278,6 +278,16 @@
         let names = |of: &BTreeMap<ReplicaId, consensus::Member>| {
             of.values().map(|m| m.name.clone()).collect::<Vec<_>>()
         };
+        let (index, committed) = self.replica.committed_membership();
+        let members = Members {
+            index,
+            names: committed
+                .voters
+                .values()
+                .chain(committed.learners.values())
+                .map(|m| m.name.clone())
+                .collect(),
+        };
         Status {
             is_leader: self.replica.is_leader(),
             leader: self.replica.leader().and_then(name),
@@ -285,6 +295,7 @@
             committed: self.applied,
             voters: names(&membership.voters),
             learners: names(&membership.learners),
+            members,
             stop_reason: None,
         }
     }
--- a/crates/control/src/routing_stream.rs
+++ b/crates/control/src/routing_stream.rs
@@ -8,7 +8,10 @@
 use model::{
     config::{Config, DomainState},
     name::Name,
-    routing::{ALIVE_MS, Agreed, Announced, Group, Peers, SILENCE_MS, ToControl, ToEntry, Version},
+    routing::{
+        ALIVE_MS, Agreed, Announced, ControlList, Group, Peers, SILENCE_MS, ToControl, ToEntry,
+        Version,
+    },
 };
 use tokio::{
     sync::broadcast::{Receiver, error::RecvError},
@@ -51,6 +54,7 @@
 struct SentState {
     revision: u64,
     agreed: Agreed,
+    controls: ControlList,
     peers: u32,
 }
 
@@ -224,7 +228,11 @@
                 );
             }
         }
-        ToControl::Hello { .. } | ToControl::Join { .. } | ToControl::Alive => {}
+        // Until there is a table of work, digests are ignored.
+        ToControl::Work(_)
+        | ToControl::Hello { .. }
+        | ToControl::Join { .. }
+        | ToControl::Alive => {}
     }
     Ok(())
 }
@@ -233,7 +241,7 @@
 fn recalled_message(version: Version, recalled: Vec<Announced>) -> ToEntry {
     match version {
         Version::First => ToEntry::Recalled(recalled),
-        Version::Second => {
+        Version::Second | Version::Third => {
             let without_age = recalled.into_iter().map(|announced| (announced, 0));
             ToEntry::RecalledGroups(Group::all_of(without_age.collect()))
         }
@@ -247,9 +255,11 @@
     version: Version,
     sent: &mut SentState,
 ) -> Result<(), End> {
+    let controls = state.control_list();
+    send_control_list(stream, version, &controls, sent).await?;
     // Without a leader, the agreed state may be out of date.
     if state.knows_leader() {
-        let agreed = agreed_state(&state.replica.applied_config(), state.control_addresses());
+        let agreed = agreed_state(&state.replica.applied_config(), controls.addresses);
         if agreed != sent.agreed && agreed.index >= sent.agreed.index {
             stream.sender.send(&ToEntry::Agreed(agreed.clone())).await?;
             sent.agreed = agreed;
@@ -263,7 +273,9 @@
     if !updates.announced.is_empty() {
         let announced = match version {
             Version::First => ToEntry::Announced(updates.announced),
-            Version::Second => ToEntry::AnnouncedGroups(Group::all_of(updates.announced)),
+            Version::Second | Version::Third => {
+                ToEntry::AnnouncedGroups(Group::all_of(updates.announced))
+            }
         };
         stream.sender.send(&announced).await?;
     }
@@ -273,6 +285,27 @@
     Ok(())
 }
 
+/// Sends the list of control VMs if it has changed. The list is committed, so it may be sent without
+/// a leader as well.
+async fn send_control_list(
+    stream: &mut Stream,
+    version: Version,
+    controls: &ControlList,
+    sent: &mut SentState,
+) -> Result<(), End> {
+    let is_changed = controls.addresses != sent.controls.addresses;
+    // A replica that has not joined a cluster knows no members.
+    if version < Version::Third || !is_changed || controls.check().is_err() {
+        return Ok(());
+    }
+    stream
+        .sender
+        .send(&ToEntry::Controls(controls.clone()))
+        .await?;
+    sent.controls = controls.clone();
+    Ok(())
+}
+
 /// Collects all queued updates.
 fn drain_queue(
     first: Result<ProbeUpdate, RecvError>,
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -10,7 +10,7 @@
 use model::{
     config::Config,
     name::Name,
-    routing::{ProbeOutcome, ProbeReport},
+    routing::{ControlList, ProbeOutcome, ProbeReport},
 };
 use tokio::sync::{Notify, broadcast, watch};
 
@@ -181,18 +181,24 @@
         self.knows_leader() || now_ms < last_leader_ms + MAX_LEADERLESS_MS
     }
 
-    /// Returns the addresses at which the control VMs of the cluster accept streams of entry VMs.
+    /// Returns the control VMs of the cluster, with the addresses at which they accept streams of
+    /// entry VMs.
     #[must_use]
-    pub fn control_addresses(&self) -> Vec<SocketAddr> {
-        let status = self.replica.status();
-        let members = status.voters.iter().chain(&status.learners);
-        let addresses = members.filter_map(|name| name.parse::<SocketAddr>().ok());
-        let mut controls: Vec<SocketAddr> = addresses
+    pub fn control_list(&self) -> ControlList {
+        let members = self.replica.status().members;
+        let peers = members
+            .names
+            .iter()
+            .filter_map(|name| name.parse::<SocketAddr>().ok());
+        let mut addresses: Vec<SocketAddr> = peers
             .map(|address| SocketAddr::new(address.ip(), self.delivery_port))
             .collect();
-        controls.sort_unstable();
-        controls.dedup();
-        controls
+        addresses.sort_unstable();
+        addresses.dedup();
+        ControlList {
+            version: members.index,
+            addresses,
+        }
     }
 
     /// Returns the milliseconds since the start of this process.
--- a/crates/delivery/src/lib.rs
+++ b/crates/delivery/src/lib.rs
@@ -47,12 +47,16 @@
 /// Path of the same streams when both ends support [`Version::Second`].
 pub const SECOND_ROUTING_PATH: &str = "/routing/2";
 
+/// Path of the same streams when both ends support [`Version::Third`].
+pub const THIRD_ROUTING_PATH: &str = "/routing/3";
+
 /// Returns the path of routing streams in `version`.
 #[must_use]
 pub fn routing_path(version: Version) -> &'static str {
     match version {
         Version::First => ROUTING_PATH,
         Version::Second => SECOND_ROUTING_PATH,
+        Version::Third => THIRD_ROUTING_PATH,
     }
 }
 
--- a/crates/entry/src/gateway.rs
+++ b/crates/entry/src/gateway.rs
@@ -199,7 +199,7 @@
         let mut file = reload::SettingsFile::new(settings_path.clone(), settings.clone());
         async move {
             loop {
-                control_streams.start_missing_streams();
+                control_streams.update_streams();
                 tokio::select! {
                     () = control_streams.wait_for_change() => {}
                     changed = file.changed(&token) => match changed {
--- a/crates/entry/src/gateway/control_streams.rs
+++ b/crates/entry/src/gateway/control_streams.rs
@@ -2,7 +2,7 @@
 
 use std::{
     cell::RefCell,
-    collections::BTreeSet,
+    collections::{BTreeMap, BTreeSet, btree_map::Entry as MapEntry},
     net::{IpAddr, SocketAddr},
     rc::Rc,
     sync::Arc,
@@ -74,7 +74,8 @@
 pub struct ControlStreams {
     vm: Arc<str>,
     settings: Rc<RefCell<Entry>>,
-    running: Rc<RefCell<BTreeSet<SocketAddr>>>,
+    /// Control VMs whose streams are kept open, each with the token that ends its task.
+    running: Rc<RefCell<BTreeMap<SocketAddr, CancellationToken>>>,
     driver: GatewayDriver,
     token: CancellationToken,
 }
@@ -102,15 +103,28 @@
         self.driver.controls_changed.notified().await;
     }
 
-    /// Starts a task for each known control VM that has no task yet.
-    pub fn start_missing_streams(&self) {
-        for control in self.target_controls() {
-            if self.running.borrow_mut().insert(control) {
-                ntex::rt::spawn(self.clone().maintain_stream(control));
+    /// Starts a task for each known control VM that has no task yet, and ends the tasks of control
+    /// VMs that are no longer known.
+    pub fn update_streams(&self) {
+        let targets = self.target_controls();
+        self.running.borrow_mut().retain(|control, token| {
+            let is_target = targets.contains(control);
+            if !is_target {
+                token.cancel();
+            }
+            is_target
+        });
+        for control in targets {
+            let token = self.token.child_token();
+            if let MapEntry::Vacant(vacant) = self.running.borrow_mut().entry(control) {
+                vacant.insert(token.clone());
+                ntex::rt::spawn(self.clone().maintain_stream(control, token));
             }
         }
     }
 
+    /// Returns the addresses to keep a stream to. Seeds are always among them: if all control VMs of
+    /// the list are lost, only the seeds of changed settings lead to others.
     fn target_controls(&self) -> BTreeSet<SocketAddr> {
         let settings = self.settings.borrow();
         let ips = settings.seeds.iter().map(SocketAddr::ip);
@@ -118,10 +132,10 @@
         seeds.chain(self.driver.control_addresses()).collect()
     }
 
-    /// Keeps a stream to `control` open as long as `control` is a seed or a known control VM.
-    async fn maintain_stream(self, control: SocketAddr) {
+    /// Keeps a stream to `control` open until `token` is cancelled.
+    async fn maintain_stream(self, control: SocketAddr, token: CancellationToken) {
         let mut backoff = Backoff::new(INITIAL_RETRY_DELAY, MAX_RETRY_DELAY, random_seed());
-        let mut version = Version::Second;
+        let mut version = Version::Third;
         let mut failures = 0;
         let mut was_up = true;
         loop {
@@ -129,17 +143,25 @@
             let dial_timeout =
                 (INITIAL_DIAL_TIMEOUT * 2_u32.pow(failures.min(2))).min(MAX_DIAL_TIMEOUT);
             let end = tokio::select! {
-                () = self.token.cancelled() => return,
+                () = token.cancelled() => {
+                    if is_open {
+                        self.driver.remove_control_stream(control, "control VM left the cluster");
+                    }
+                    return;
+                }
                 end = self.run_stream(control, version, dial_timeout, &mut is_open) => end,
             };
             let Err(end) = end;
-            if version == Version::Second && end.is_older_build() {
-                info!(target: "sources", "event=older-build control={control} reason=\"{end}\"");
-                version = Version::First;
+            if let Some(older) = version.older().filter(|_| end.is_older_build()) {
+                info!(
+                    target: "sources",
+                    "event=older-build control={control} version={older:?} reason=\"{end}\""
+                );
+                version = older;
                 continue;
             }
             // The control VM may have been upgraded meanwhile.
-            version = Version::Second;
+            version = Version::Third;
             // Only the first of several failures in a row is reported.
             if is_open || was_up {
                 self.driver.remove_control_stream(control, &end.to_string());
@@ -150,13 +172,9 @@
                 false => failures.saturating_add(1),
             };
             tokio::select! {
-                () = self.token.cancelled() => return,
+                () = token.cancelled() => return,
                 () = sleep(backoff.wait(failures as usize)) => {}
             }
-            if !self.target_controls().contains(&control) {
-                self.running.borrow_mut().remove(&control);
-                return;
-            }
         }
     }
 
@@ -164,7 +182,7 @@
         let vm = Arc::clone(&self.vm);
         match version {
             Version::First => ToControl::Hello { vm },
-            Version::Second => ToControl::Join {
+            Version::Second | Version::Third => ToControl::Join {
                 vm,
                 domain: self.settings.borrow().domain.clone(),
             },
@@ -235,7 +253,7 @@
     batch: &[TimedReport],
 ) -> Result<(), stream::Error> {
     match version {
-        Version::Second => {
+        Version::Second | Version::Third => {
             let reports = batch.iter().map(TimedReport::aged_report).collect();
             sender.send(&ToControl::ProbeReports(reports)).await
         }
--- a/crates/entry/src/gateway/driver.rs
+++ b/crates/entry/src/gateway/driver.rs
@@ -286,7 +286,8 @@
             "plan_version": state.gateway.plan_version(),
             "agreed_index": state.gateway.agreed().index,
             "domains_out": state.gateway.agreed().domains_out,
-            "controls": state.gateway.agreed().controls,
+            "controls": state.gateway.control_addresses(),
+            "controls_version": state.gateway.controls_version(),
             "streams_open": open,
             "streams_complete": complete,
             "flows": state.gateway.flows(),
@@ -320,7 +321,7 @@
     /// Returns the known addresses at which control VMs accept streams.
     #[must_use]
     pub fn control_addresses(&self) -> Vec<SocketAddr> {
-        self.state.borrow().gateway.agreed().controls.clone()
+        self.state.borrow().gateway.control_addresses().to_vec()
     }
 
     /// Records and logs that the stream to `control` has opened.
--- a/crates/entry/src/gateway/driver/control_messages.rs
+++ b/crates/entry/src/gateway/driver/control_messages.rs
@@ -2,10 +2,10 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Instant as Clock};
 
-use log::info;
+use log::{info, warn};
 use model::{
     plan::Plan,
-    routing::{Agreed, Announced, Group, Report, ToEntry},
+    routing::{Agreed, Announced, ControlList, Group, Report, ToEntry},
 };
 use policy::token::gateway::reachability::ReportSummary;
 
@@ -73,6 +73,9 @@
                 }
                 state.send_pending_resets(&self.socket);
             }
+            ToEntry::Controls(controls) => self.apply_controls(state, control, controls),
+            // The gateway has no use for terms and work yet.
+            ToEntry::Terms(_) | ToEntry::Work(_) => {}
             ToEntry::Peers(peers) => state.gateway.set_peer_count(control, peers),
             ToEntry::Complete => state.gateway.mark_control_stream_synced(now, control),
             ToEntry::Alive => {
@@ -86,6 +89,7 @@
     fn apply_agreed(&self, state: &mut State, control: SocketAddr, agreed: Agreed) -> Option<u64> {
         let agreed_version = agreed.plan;
         let before = state.gateway.agreed().clone();
+        let controls_before = state.gateway.control_addresses().to_vec();
         if state.gateway.update_agreed(agreed) {
             let now = state.gateway.agreed();
             if before.domains_out != now.domains_out {
@@ -94,13 +98,44 @@
                     "event=domains out={:?} index={} control={control}", now.domains_out, now.index
                 );
             }
-            if before.controls != now.controls {
-                info!(target: "sources", "event=controls all={:?}", now.controls);
-                self.controls_changed.notify_one();
-            }
+            self.announce_controls(state, control, &controls_before);
         }
         state.claim_plan_request(agreed_version)
     }
+
+    fn apply_controls(&self, state: &mut State, control: SocketAddr, controls: ControlList) {
+        let before = state.gateway.control_addresses().to_vec();
+        match state.gateway.update_controls(controls) {
+            Ok(true) => self.announce_controls(state, control, &before),
+            Ok(false) => {
+                metrics::counter!("oriole_control_lists_old_total").increment(1);
+            }
+            Err(fault) => {
+                metrics::counter!("oriole_control_lists_invalid_total").increment(1);
+                let now = state.now();
+                if state.decision_log.may_log(now) {
+                    warn!(target: "sources", "event=controls-refused control={control} reason=\"{fault}\"");
+                }
+            }
+        }
+    }
+
+    /// Logs the control VMs and wakes the task that opens their streams, if they differ from
+    /// `before`.
+    fn announce_controls(&self, state: &State, control: SocketAddr, before: &[SocketAddr]) {
+        let controls = state.gateway.control_addresses();
+        if controls == before {
+            return;
+        }
+        let version = state.gateway.controls_version();
+        info!(
+            target: "sources",
+            "event=controls version={version} all={controls:?} control={control}"
+        );
+        metrics::gauge!("oriole_controls_known")
+            .set(u32::try_from(controls.len()).unwrap_or(u32::MAX));
+        self.controls_changed.notify_one();
+    }
 }
 
 impl State {
--- a/crates/entry/tests/control_streams.rs
+++ b/crates/entry/tests/control_streams.rs
@@ -1,23 +1,25 @@
-//! Tests the stream of an entry VM to a control VM of the previous build.
+//! Tests the streams of an entry VM to control VMs.
 //!
-//! Guards against an entry VM that gets no stream during an upgrade: the previous build serves only
-//! the first version of the path and answers 404 to the second.
+//! Guards against an entry VM that gets no stream during an upgrade (a control VM of an older build
+//! serves only older versions of the path and answers 404 to others), and against one that misses a
+//! control VM which joined the cluster, or keeps the stream to one which left, while the
+//! configuration doesn't change.
 
 #![expect(clippy::unwrap_used, reason = "a test ends at the first error")]
 
-use std::{net::SocketAddr, time::Duration};
+use std::{cell::Cell, net::SocketAddr, rc::Rc, time::Duration};
 
 use delivery::{
-    ROUTING_PATH,
+    ROUTING_PATH, THIRD_ROUTING_PATH,
     stream::{Receiver, Sender},
 };
 use entry::gateway::{control_streams::ControlStreams, driver::GatewayDriver};
 use http::{Response, StatusCode};
-use model::routing::{ToControl, ToEntry};
+use model::routing::{ControlList, ToControl, ToEntry};
 use settings::gateway::Entry;
 use tokio::{
     net::{TcpListener, TcpStream, UdpSocket},
-    sync::mpsc,
+    sync::{mpsc, watch},
     time::timeout,
 };
 use tokio_util::sync::CancellationToken;
@@ -75,6 +77,114 @@
     }
 }
 
+/// Serves streams of the current version: sends the lists that arrive in `lists` on every stream
+/// that is open then, and counts open streams in `open`.
+async fn serve_lists(
+    listener: TcpListener,
+    lists: watch::Receiver<Option<ControlList>>,
+    open: Rc<Cell<usize>>,
+) {
+    loop {
+        let (tcp, _) = listener.accept().await.unwrap();
+        let (lists, open) = (lists.clone(), Rc::clone(&open));
+        ntex::rt::spawn(async move {
+            let mut connection = h2::server::handshake(tcp).await.unwrap();
+            while let Some(Ok((request, mut respond))) = connection.accept().await {
+                assert_eq!(request.uri().path(), THIRD_ROUTING_PATH);
+                let sender = respond.send_response(Response::new(()), false).unwrap();
+                let (lists, open) = (lists.clone(), Rc::clone(&open));
+                ntex::rt::spawn(async move {
+                    let mut receiver = Receiver::new(request.into_body());
+                    let mut sender = Sender::new(sender);
+                    open.set(open.get() + 1);
+                    let end = send_lists(&mut sender, lists);
+                    tokio::select! {
+                        () = end => {}
+                        () = async { while receiver.receive::<ToControl>().await.is_ok() {} } => {}
+                    }
+                    open.set(open.get() - 1);
+                });
+            }
+        });
+    }
+}
+
+async fn send_lists(sender: &mut Sender, mut lists: watch::Receiver<Option<ControlList>>) {
+    loop {
+        let list = lists.borrow_and_update().clone();
+        if let Some(list) = list
+            && sender.send(&ToEntry::Controls(list)).await.is_err()
+        {
+            return;
+        }
+        if lists.changed().await.is_err() {
+            return std::future::pending().await;
+        }
+    }
+}
+
+/// Waits until `condition` holds.
+async fn wait_until(what: &str, condition: impl Fn() -> bool) {
+    for _ in 0..2_000 {
+        if condition() {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    panic!("{what} did not happen");
+}
+
+#[test]
+fn streams_follow_the_list_of_control_vms_without_a_change_of_the_configuration() {
+    let system = ntex::rt::System::build().build(ntex::rt::DefaultRuntime);
+    system.block_on(async {
+        let (lists, receiver) = watch::channel(None);
+        let mut controls = Vec::new();
+        let mut open = Vec::new();
+        for _ in 0..3 {
+            let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+            controls.push(listener.local_addr().unwrap());
+            let count = Rc::new(Cell::new(0));
+            open.push(Rc::clone(&count));
+            ntex::rt::spawn(serve_lists(listener, receiver.clone(), count));
+        }
+        let settings = settings(controls[0]);
+        let socket = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+        let driver = GatewayDriver::new(&settings, socket);
+        let token = CancellationToken::new();
+        let streams = ControlStreams::new(settings, driver.clone(), token.clone());
+        ntex::rt::spawn({
+            let streams = streams.clone();
+            async move {
+                loop {
+                    streams.update_streams();
+                    streams.wait_for_change().await;
+                }
+            }
+        });
+        let counts = || open.iter().map(|count| count.get()).collect::<Vec<_>>();
+        wait_until("the stream to the seed", || counts() == [1, 0, 0]).await;
+
+        let list = |version, addresses: &[SocketAddr]| {
+            let addresses = addresses.to_vec();
+            Some(ControlList { version, addresses })
+        };
+        lists.send_replace(list(5, &controls[..2]));
+        wait_until("the stream to a VM that joined", || counts() == [1, 1, 0]).await;
+        lists.send_replace(list(6, &[controls[0], controls[2]]));
+        wait_until("the exchange of a VM", || counts() == [1, 0, 1]).await;
+        // Neither an older list nor an invalid one changes the streams.
+        lists.send_replace(list(5, &controls[..2]));
+        lists.send_replace(list(9, &[]));
+        lists.send_replace(list(7, &[controls[0], controls[2], controls[1]]));
+        wait_until("the stream to a VM that came back", || {
+            counts() == [1, 1, 1]
+        })
+        .await;
+        token.cancel();
+    });
+}
+
 #[test]
 fn a_control_vm_of_the_previous_build_gets_a_stream_of_the_first_version() {
     let system = ntex::rt::System::build().build(ntex::rt::DefaultRuntime);
@@ -88,7 +198,7 @@
         let driver = GatewayDriver::new(&settings, socket);
         let token = CancellationToken::new();
         let control_streams = ControlStreams::new(settings, driver.clone(), token.clone());
-        control_streams.start_missing_streams();
+        control_streams.update_streams();
         let (path, first) = timeout(EVENT_TIMEOUT, received.recv())
             .await
             .unwrap()
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -25,3 +25,4 @@
 pub mod name;
 pub mod plan;
 pub mod routing;
+pub mod work;
--- a/crates/model/src/plan.rs
+++ b/crates/model/src/plan.rs
@@ -54,6 +54,65 @@
     pub name: Arc<str>,
 }
 
+/// Demands on the requests of a plan's routes, and limits of its services.
+///
+/// Terms are derived from the text of the plan wherever they are needed, so that the stored layout
+/// of [`Plan`] stays the same.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Terms {
+    /// Version of the plan.
+    pub version: u64,
+    /// Terms of the routes.
+    pub routes: Vec<RouteTerms>,
+    /// Limits of the services.
+    pub services: Vec<ServiceTerms>,
+}
+
+/// Demands on the requests of one route.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RouteTerms {
+    /// Address and port that clients use.
+    pub address: SocketAddrV4,
+    /// Kind of the requests.
+    pub kind: Kind,
+    /// Importance of the requests: 0 is the highest.
+    pub priority: u32,
+    /// Response-time goal of a request in milliseconds, if there is one. Invariant: not 0.
+    pub goal_ms: Option<u64>,
+}
+
+/// Kind of the requests of a route.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum Kind {
+    /// Idempotent: a client repeats a failed request.
+    Safe,
+    /// Not idempotent; also stands for unknown kinds.
+    #[default]
+    Unsafe,
+    /// Not idempotent, with a large request body.
+    Upload,
+    /// A large response; not repeated once it has run.
+    Download,
+}
+
+impl Kind {
+    /// Reports whether a client may repeat a request that may have run.
+    #[must_use]
+    pub fn is_idempotent(self) -> bool {
+        self == Self::Safe
+    }
+}
+
+/// Limits of one service.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServiceTerms {
+    /// Name of the service.
+    pub name: Arc<str>,
+    /// Number of flows that an upstream of the service can hold, if there is a limit. Invariant:
+    /// not 0.
+    pub max_flows: Option<u32>,
+}
+
 /// The reason why a plan is invalid.
 #[derive(Debug, Display, Clone, PartialEq, Eq)]
 pub enum Fault {
--- a/crates/model/src/routing.rs
+++ b/crates/model/src/routing.rs
@@ -17,10 +17,16 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{name::Name, plan::Plan};
+use crate::{
+    name::Name,
+    plan::{Plan, Terms},
+    work,
+};
 
+mod control_list;
 mod group;
 
+pub use control_list::{ControlList, Fault};
 pub use group::Group;
 
 /// Interval of keep-alive messages while nothing changes, in milliseconds.
@@ -34,8 +40,22 @@
 pub enum Version {
     /// Variants up to and including [`ToControl::Down`] and [`ToEntry::Suspected`].
     First,
-    /// All variants.
+    /// Variants up to and including [`ToControl::ProbeReports`] and [`ToEntry::Peers`].
     Second,
+    /// All variants.
+    Third,
+}
+
+impl Version {
+    /// Returns the version of the build before, if that build can still be in service.
+    #[must_use]
+    pub fn older(self) -> Option<Self> {
+        match self {
+            Self::First => None,
+            Self::Second => Some(Self::First),
+            Self::Third => Some(Self::Second),
+        }
+    }
 }
 
 /// Identifies one run of an upstream's process.
@@ -153,6 +173,9 @@
     },
     /// Probe reports of the entry VM for the other entry VMs.
     ProbeReports(Vec<ProbeReport>),
+    /// Flows and work that the entry VM has placed on upstreams. Sent only on streams of
+    /// [`Version::Third`].
+    Work(work::Digest),
 }
 
 /// State committed by the cluster, as known to one control VM.
@@ -164,7 +187,8 @@
     pub plan: Option<u64>,
     /// Failure domains that operators have taken out of service.
     pub domains_out: Vec<Name>,
-    /// Addresses at which the control VMs accept streams.
+    /// Addresses at which the control VMs accept streams. Streams of [`Version::Third`] ignore this
+    /// field: it may change without a change of `index`; see [`ToEntry::Controls`].
     pub controls: Vec<SocketAddr>,
 }
 
@@ -201,4 +225,12 @@
     RecalledGroups(Vec<Group>),
     /// Peers in the failure domain of the receiving entry VM.
     Peers(Peers),
+    /// The control VMs of the cluster; sent when the stream opens and after each change. Sent only
+    /// on streams of [`Version::Third`].
+    Controls(ControlList),
+    /// Terms of the plan that was sent before. Sent only on streams of [`Version::Third`].
+    Terms(Arc<Terms>),
+    /// Flows and work at upstreams, summed over the entry VMs that report to the control VM. Sent
+    /// only on streams of [`Version::Third`].
+    Work(work::Summary),
 }
--- a/crates/policy/src/token.rs
+++ b/crates/policy/src/token.rs
@@ -7,6 +7,8 @@
 //! Per-Connection-Consistency", NSDI 2020), with an upstream id instead of a server index.
 //!
 //! - [`segment`]: the header fields of a packet.
+//! - [`cost`]: what the requests of each route cost.
+//! - [`work`]: flows and work at upstreams, over all entry VMs.
 //! - [`directory`]: the known upstreams, merged from the streams of several control VMs.
 //! - [`health`]: load and health of each upstream, as seen by this VM.
 //! - [`backoff`]: random waits, so that few VMs probe the same upstream.
@@ -19,6 +21,7 @@
 pub mod backoff;
 mod budget;
 mod cache;
+pub mod cost;
 pub mod decision;
 pub mod directory;
 mod flow;
@@ -29,3 +32,4 @@
 pub mod pace;
 pub mod placement;
 pub mod segment;
+pub mod work;
--- a/crates/policy/src/token/decision.rs
+++ b/crates/policy/src/token/decision.rs
@@ -43,6 +43,10 @@
     NoRoute,
     /// No upstream of the route accepts new flows.
     NoUpstream,
+    /// The upstreams of the route have no room for a flow of this class or caller.
+    NoRoom,
+    /// All upstreams of the route hold as many flows as the plan allows.
+    FlowCap,
     /// All control VMs were restarted, and most upstreams have yet to announce themselves again.
     Gathering,
     /// The packet has no token, or a token of no known upstream.
@@ -55,7 +59,7 @@
 
 impl Reason {
     /// All reasons.
-    pub const ALL: [Self; 11] = [
+    pub const ALL: [Self; 13] = [
         Self::Token,
         Self::Placed,
         Self::Repeated,
@@ -63,6 +67,8 @@
         Self::NoPlan,
         Self::NoRoute,
         Self::NoUpstream,
+        Self::NoRoom,
+        Self::FlowCap,
         Self::Gathering,
         Self::UnknownToken,
         Self::Stopped,
@@ -80,6 +86,8 @@
             Self::NoPlan => "no-plan",
             Self::NoRoute => "no-route",
             Self::NoUpstream => "no-upstream",
+            Self::NoRoom => "no-room",
+            Self::FlowCap => "flow-cap",
             Self::Gathering => "gathering",
             Self::UnknownToken => "unknown-token",
             Self::Stopped => "upstream-stopped",
--- a/crates/policy/src/token/gateway.rs
+++ b/crates/policy/src/token/gateway.rs
@@ -12,7 +12,7 @@
 use model::{
     name::Name,
     plan::{Plan, Target},
-    routing::{Agreed, Announced, Incarnation, Peers, ProbeOutcome},
+    routing::{self, Agreed, Announced, ControlList, Incarnation, Peers, ProbeOutcome},
 };
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
@@ -67,6 +67,8 @@
     plan: Option<Arc<Plan>>,
     routes: BTreeMap<SocketAddrV4, Route>,
     agreed: Agreed,
+    /// The control VMs of the cluster; version 0 if no list with a version was received.
+    controls: ControlList,
     directory: Directory,
     health: HealthTable,
     latencies: LatencyTable,
@@ -100,6 +102,7 @@
             plan: None,
             routes: BTreeMap::new(),
             agreed: Agreed::default(),
+            controls: ControlList::default(),
             directory: Directory::default(),
             health: HealthTable::default(),
             latencies: LatencyTable::default(),
@@ -126,6 +129,41 @@
         is_newer
     }
 
+    /// Stores the list of control VMs, unless it is older than the known list. Returns whether it was
+    /// newer.
+    ///
+    /// A control VM that lags behind, or was cut off, sends an older list than the others.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the list is invalid; the known list stays.
+    pub fn update_controls(&mut self, controls: ControlList) -> Result<bool, routing::Fault> {
+        controls.check()?;
+        let is_newer = controls.version > self.controls.version;
+        if is_newer {
+            self.controls = controls;
+        }
+        Ok(is_newer)
+    }
+
+    /// Returns the known addresses at which control VMs accept streams.
+    ///
+    /// Control VMs of the build before send only the list within the agreed state, which has no
+    /// version of its own.
+    #[must_use]
+    pub fn control_addresses(&self) -> &[SocketAddr] {
+        match self.controls.version {
+            0 => &self.agreed.controls,
+            _ => &self.controls.addresses,
+        }
+    }
+
+    /// Returns the version of the list of control VMs; 0 if no list with a version was received.
+    #[must_use]
+    pub fn controls_version(&self) -> u64 {
+        self.controls.version
+    }
+
     /// Returns the offered plan version if it is newer than the plan in force, so that the plan has
     /// to be requested.
     #[must_use]
@@ -290,7 +328,7 @@
             return Err("no control VM has sent its complete list of upstreams yet");
         };
         let (open, synced) = self.directory.control_stream_counts();
-        if synced < open.max(self.agreed.controls.len())
+        if synced < open.max(self.control_addresses().len())
             && now.ms_since(first_synced_at) < CONTROL_SYNC_WAIT_MS
         {
             return Err("further control VMs have yet to send their complete lists of upstreams");
