policy, entry: keep the terms of a plan beside it

Gateway::apply_terms puts the terms of the plan in force into effect and keeps terms that arrive before their plan.

--- a/crates/entry/src/gateway/driver/control_messages.rs
+++ b/crates/entry/src/gateway/driver/control_messages.rs
@@ -4,10 +4,10 @@
 
 use log::{info, warn};
 use model::{
-    plan::Plan,
+    plan::{Plan, Terms},
     routing::{Agreed, Announced, ControlList, Group, Report, ToEntry},
 };
-use policy::token::gateway::reachability::ReportSummary;
+use policy::token::gateway::{reachability::ReportSummary, terms::TermsEffect};
 
 use super::{GatewayDriver, PLAN_RETRY_INTERVAL, State};
 
@@ -74,8 +74,9 @@
                 state.send_pending_resets(&self.socket);
             }
             ToEntry::Controls(controls) => self.apply_controls(state, control, controls),
-            // The gateway has no use for terms and work yet.
-            ToEntry::Terms(_) | ToEntry::Work(_) => {}
+            ToEntry::Terms(terms) => state.apply_terms(control, terms),
+            // The gateway has no use for work yet.
+            ToEntry::Work(_) => {}
             ToEntry::Peers(peers) => state.gateway.set_peer_count(control, peers),
             ToEntry::Complete => state.gateway.mark_control_stream_synced(now, control),
             ToEntry::Alive => {
@@ -198,9 +199,33 @@
                 target: "plan",
                 "event=plan version={version} before={held:?} routes={routes} control={control}"
             );
+            // Terms that arrived before the plan are now in force.
+            if self.gateway.terms_version().is_some() {
+                self.announce_terms(control);
+            }
+        }
+    }
+
+    fn apply_terms(&mut self, control: SocketAddr, terms: Arc<Terms>) {
+        let before = self.gateway.terms_version();
+        match self.gateway.apply_terms(terms) {
+            TermsEffect::Applied if before.is_none() => self.announce_terms(control),
+            TermsEffect::Applied | TermsEffect::Kept => {}
+            TermsEffect::Ignored => metrics::counter!("oriole_plan_terms_old_total").increment(1),
         }
     }
 
+    /// Logs that terms came into force, and counts entries that the plan doesn't define.
+    fn announce_terms(&self, control: SocketAddr) {
+        let version = self.gateway.terms_version().unwrap_or_default();
+        let unknown = self.gateway.unknown_terms();
+        metrics::counter!("oriole_plan_terms_unknown_total").increment(unknown as u64);
+        info!(
+            target: "plan",
+            "event=terms version={version} unknown={unknown} control={control}"
+        );
+    }
+
     /// Returns the version of a plan to request and records the request, unless that version was
     /// requested within [`PLAN_RETRY_INTERVAL`].
     fn claim_plan_request(&mut self, agreed_version: Option<u64>) -> Option<u64> {
--- a/crates/model/src/plan.rs
+++ b/crates/model/src/plan.rs
@@ -54,6 +54,9 @@
     pub name: Arc<str>,
 }
 
+/// Priority of a route that states none.
+pub const LOWEST_PRIORITY: u32 = u32::MAX;
+
 /// Demands on the requests of a plan's routes, and limits of its services.
 ///
 /// Terms are derived from the text of the plan wherever they are needed, so that the stored layout
@@ -75,7 +78,7 @@
     pub address: SocketAddrV4,
     /// Kind of the requests.
     pub kind: Kind,
-    /// Importance of the requests: 0 is the highest.
+    /// Importance of the requests: 0 is the highest, [`LOWEST_PRIORITY`] the lowest.
     pub priority: u32,
     /// Response-time goal of a request in milliseconds, if there is one. Invariant: not 0.
     pub goal_ms: Option<u64>,
--- a/crates/policy/src/token/gateway.rs
+++ b/crates/policy/src/token/gateway.rs
@@ -1,7 +1,8 @@
 //! State and decisions of an entry VM.
 //!
 //! This file handles plans, announcements and the passing of time; `reachability` handles probe
-//! results and reports of other VMs; `packet` decides on packets.
+//! results and reports of other VMs; `terms` keeps the terms of the plan; `packet` decides on
+//! packets.
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -29,9 +30,11 @@
     segment::{Key, Segment},
 };
 use crate::time::Instant;
+use terms::TermsTable;
 
 mod packet;
 pub mod reachability;
+pub mod terms;
 
 /// Time in milliseconds without a packet after which a flow is no longer counted, if there is no
 /// plan.
@@ -66,6 +69,7 @@
     settings: Settings,
     plan: Option<Arc<Plan>>,
     routes: BTreeMap<SocketAddrV4, Route>,
+    terms: TermsTable,
     agreed: Agreed,
     /// The control VMs of the cluster; version 0 if no list with a version was received.
     controls: ControlList,
@@ -101,6 +105,7 @@
             settings,
             plan: None,
             routes: BTreeMap::new(),
+            terms: TermsTable::default(),
             agreed: Agreed::default(),
             controls: ControlList::default(),
             directory: Directory::default(),
@@ -193,6 +198,7 @@
         self.gathering = TtlCache::default();
         let routes = &self.routes;
         self.outliers.retain_routes(|r| routes.contains_key(&r));
+        self.terms.replace_plan(&plan);
         self.plan = Some(plan);
         true
     }
