Flows and work at upstreams are shared: digests of entry VMs, summaries of control VMs

An entry VM saw only its own part of the flows at an upstream. It now sends a digest a second to the control VM that it reports to; control VMs sum the digests and send changes to all entry VMs, which add them up in work::View.

Control VMs now send a keep-alive each second whatever else they send: with a summary a second, the former timer, which began anew with each message, would never have ended.

--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -7,7 +7,8 @@
 //! with the other control VMs. [`generations`] plans the leader's own commands, which
 //! [`maintenance`] proposes. [`api`] answers the HTTP calls of the platform. [`announcement_table`]
 //! stores the upstreams that announce themselves there, [`announcement_cache`] keeps them on disk,
-//! and [`routing_stream`] sends plan and upstreams to entry VMs. [`process`] builds and runs all
+//! and [`routing_stream`] sends plan and upstreams to entry VMs. [`work_table`] sums what entry VMs
+//! have placed on upstreams. [`process`] builds and runs all
 //! parts.
 //!
 //! ```
@@ -36,3 +37,4 @@
 pub mod routing_stream;
 pub mod soft_state_sync;
 pub mod state;
+pub mod work_table;
--- a/crates/control/src/process.rs
+++ b/crates/control/src/process.rs
@@ -122,6 +122,7 @@
     ntex::rt::spawn(state::publish_configs(replica.watch_config(), publish));
     start_streams(&settings, &state, &root).await?;
     start_maintenance(&state, &root);
+    start_work_rounds(&state, &root);
     watch_replica(&replica, &root);
     start_http(http, metrics, &state, &root);
 
@@ -275,6 +276,17 @@
     });
 }
 
+fn start_work_rounds(state: &State, root: &Supervisor) {
+    let state = state.clone();
+    root.start_child("work", Restart::OnFailure, move |token| {
+        let state = state.clone();
+        async move {
+            routing_stream::publish_rounds(state, token).await;
+            Ok(())
+        }
+    });
+}
+
 fn start_http(listener: StdListener, metrics: PrometheusHandle, state: &State, root: &Supervisor) {
     let (questions, asked) = mpsc::channel(MAX_QUEUED_QUESTIONS);
     ntex::rt::spawn(answer_questions(asked, state.clone()));
--- a/crates/control/src/routing_stream.rs
+++ b/crates/control/src/routing_stream.rs
@@ -12,15 +12,19 @@
         ALIVE_MS, Agreed, Announced, ControlList, Group, Peers, SILENCE_MS, ToControl, ToEntry,
         Version,
     },
+    work::{self, Summary},
 };
 use tokio::{
     sync::broadcast::{Receiver, error::RecvError},
-    time::{sleep, timeout},
+    time::{sleep, sleep_until, timeout},
 };
 
+use tokio_util::sync::CancellationToken;
+
 use crate::{
     probe_reports::{self, ProbeUpdate, Reporter},
     state::State,
+    work_table::{self, Round},
 };
 
 /// Time for which changes are collected before they are sent to entry VMs.
@@ -56,6 +60,10 @@
     agreed: Agreed,
     controls: ControlList,
     peers: u32,
+    /// Number of the last summary of work.
+    work_sequence: u64,
+    /// Last round of the work table that was sent.
+    work_round: u64,
 }
 
 /// A connected entry VM, counted in its failure domain for the lifetime of this value.
@@ -63,12 +71,18 @@
 struct Listener {
     state: State,
     reporter: Arc<Reporter>,
+    /// The stream in the work table.
+    member: work_table::Member,
 }
 
 impl Listener {
     fn new(state: &State, reporter: Reporter) -> Self {
-        state.soft_state().relay.add_listener(&reporter.domain);
+        let mut soft = state.soft_state();
+        soft.relay.add_listener(&reporter.domain);
+        let member = soft.work.open(&reporter.vm, &reporter.domain);
+        drop(soft);
         Self {
+            member,
             state: state.clone(),
             reporter: Arc::new(reporter),
         }
@@ -92,10 +106,9 @@
 
 impl Drop for Listener {
     fn drop(&mut self) {
-        self.state
-            .soft_state()
-            .relay
-            .remove_listener(&self.reporter.domain);
+        let mut soft = self.state.soft_state();
+        soft.relay.remove_listener(&self.reporter.domain);
+        soft.work.close(&self.member);
     }
 }
 
@@ -130,6 +143,7 @@
     let mut config = state.replica.watch_config();
     let mut status = state.replica.watch_status();
     let mut probes = state.watch_probes();
+    let mut rounds = state.watch_work();
     let recalled = state.soft_state().announcements.recalled();
     if !recalled.is_empty() {
         stream
@@ -140,12 +154,18 @@
     send_updates(stream, state, version, &mut sent).await?;
     stream.sender.send(&ToEntry::Complete).await?;
     send_peer_count(stream, version, &listener, &mut sent).await?;
+    if version >= Version::Third {
+        send_all_work(stream, &listener, &mut sent).await?;
+    }
     log::info!(
         target: "routing",
         "event=entry-gained vm={vm} peer={} version={version:?} revision={} index={}",
         stream.peer, sent.revision, sent.agreed.index
     );
     let mut last_message_at = tokio::time::Instant::now();
+    // Summaries of work come once a second too, so a time that begins with each message would never
+    // end.
+    let mut alive_at = last_message_at + Duration::from_millis(ALIVE_MS);
     loop {
         tokio::select! {
             received = stream.receiver.receive() => {
@@ -158,10 +178,19 @@
                 send_probe_updates(stream, version, &listener, &updates).await?;
                 continue;
             }
+            round = rounds.recv(), if version >= Version::Third => {
+                match round {
+                    Ok(round) => send_work(stream, &listener, &round, &mut sent).await?,
+                    Err(RecvError::Lagged(_)) => send_all_work(stream, &listener, &mut sent).await?,
+                    Err(RecvError::Closed) => return Err(End::Stopping),
+                }
+                continue;
+            }
             changed = revisions.changed() => changed.map_err(|_| End::Stopping)?,
             changed = config.changed() => changed.map_err(|_| End::Stopping)?,
             changed = status.changed() => changed.map_err(|_| End::Stopping)?,
-            () = sleep(Duration::from_millis(ALIVE_MS)) => {
+            () = sleep_until(alive_at) => {
+                alive_at += Duration::from_millis(ALIVE_MS);
                 if last_message_at.elapsed() > silence_timeout() {
                     return Err(End::Silent);
                 }
@@ -228,11 +257,13 @@
                 );
             }
         }
-        // Until there is a table of work, digests are ignored.
-        ToControl::Work(_)
-        | ToControl::Hello { .. }
-        | ToControl::Join { .. }
-        | ToControl::Alive => {}
+        ToControl::Work(digest) => {
+            let now_ms = state.now_ms();
+            let mut soft = state.soft_state();
+            soft.work.apply(now_ms, &listener.member, &digest);
+            metrics::counter!("oriole_work_digests_total").increment(1);
+        }
+        ToControl::Hello { .. } | ToControl::Join { .. } | ToControl::Alive => {}
     }
     Ok(())
 }
@@ -306,6 +337,89 @@
     Ok(())
 }
 
+/// Sends all known work, as a new state that replaces what the entry VM knows.
+async fn send_all_work(
+    stream: &mut Stream,
+    listener: &Listener,
+    sent: &mut SentState,
+) -> Result<(), End> {
+    let now_ms = listener.state.now_ms();
+    let (entries, reporters) = {
+        let mut soft = listener.state.soft_state();
+        let (entries, round) = soft.work.full_state(now_ms, &listener.reporter.domain);
+        sent.work_round = round;
+        (entries, soft.work.reporters())
+    };
+    let reporters = u32::try_from(reporters).unwrap_or(u32::MAX);
+    sent.work_sequence = 0;
+    // The first message is sent even without entries, because it replaces the state.
+    let mut chunks = entries.chunks(work::MAX_ENTRIES);
+    let first = chunks.next().unwrap_or_default();
+    for chunk in std::iter::once(first).chain(chunks) {
+        send_summary(stream, reporters, chunk, sent).await?;
+    }
+    Ok(())
+}
+
+/// Sends the changes of a round of the work table, unless the entry VM knows them.
+async fn send_work(
+    stream: &mut Stream,
+    listener: &Listener,
+    round: &Round,
+    sent: &mut SentState,
+) -> Result<(), End> {
+    if round.number <= sent.work_round {
+        return Ok(());
+    }
+    sent.work_round = round.number;
+    let changes = round.changes.get(&listener.reporter.domain);
+    let entries = changes.map_or(&[][..], |entries| entries);
+    send_summary(stream, round.reporters, entries, sent).await
+}
+
+async fn send_summary(
+    stream: &mut Stream,
+    reporters: u32,
+    entries: &[work::Entry],
+    sent: &mut SentState,
+) -> Result<(), End> {
+    sent.work_sequence += 1;
+    let summary = Summary {
+        sequence: sent.work_sequence,
+        reporters,
+        entries: entries.to_vec(),
+    };
+    stream.sender.send(&ToEntry::Work(summary)).await?;
+    Ok(())
+}
+
+/// Publishes a round of the work table each second until `token` is cancelled, and logs refusals.
+pub async fn publish_rounds(state: State, token: CancellationToken) {
+    let mut interval = tokio::time::interval(Duration::from_millis(work_table::ROUND_MS));
+    interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        tokio::select! {
+            () = token.cancelled() => return,
+            _ = interval.tick() => {}
+        }
+        let round = state.publish_work();
+        metrics::gauge!("oriole_work_reporters").set(round.reporters);
+        metrics::gauge!("oriole_work_upstreams")
+            .set(u32::try_from(round.upstreams).unwrap_or(u32::MAX));
+        metrics::counter!("oriole_work_refused_total").increment(round.refused as u64);
+        metrics::counter!("oriole_work_reporters_expired_total").increment(round.expired as u64);
+        if let Some((vm, fault)) = &round.fault {
+            log::warn!(
+                target: "routing",
+                "event=work-refused entries={} vm={vm} reason=\"{fault}\"", round.refused
+            );
+        }
+        if round.expired > 0 {
+            log::info!(target: "routing", "event=work-expired reporters={}", round.expired);
+        }
+    }
+}
+
 /// Collects all queued updates.
 fn drain_queue(
     first: Result<ProbeUpdate, RecvError>,
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -18,6 +18,7 @@
     announcement_table, candidates, lease,
     probe_reports::{ProbeUpdate, ReportRelay, Reporter},
     replica::Handle,
+    work_table,
 };
 
 /// State that streams write and that the RPC, the maintenance task and the dump read; clones share
@@ -39,6 +40,8 @@
     announcement_revision: watch::Sender<u64>,
     /// Probe results of entry VMs, for the streams of the other entry VMs.
     probes: broadcast::Sender<ProbeUpdate>,
+    /// Rounds of the work table, for the streams of all entry VMs.
+    rounds: broadcast::Sender<Arc<work_table::Round>>,
     /// Failure domain of this control VM.
     pub domain: Name,
     /// Port at which control VMs accept streams of entry VMs, the same on all control VMs.
@@ -58,8 +61,14 @@
     pub last_leader_ms: Option<u64>,
     /// Relayed probe results and connected entry VMs.
     pub relay: ReportRelay,
+    /// Flows and work that entry VMs have placed on upstreams.
+    pub work: work_table::Table,
 }
 
+/// Maximum number of rounds of the work table queued for a stream; a stream that lags behind gets the
+/// full state.
+const MAX_QUEUED_ROUNDS: usize = 4;
+
 /// Time without a leader after which upstreams are sent to another control VM, in milliseconds.
 const MAX_LEADERLESS_MS: u64 = 2_500;
 
@@ -86,10 +95,12 @@
                 ),
                 last_leader_ms: None,
                 relay: ReportRelay::default(),
+                work: work_table::Table::default(),
             })),
             started: Instant::now(),
             announcement_revision: watch::Sender::new(0),
             probes: broadcast::Sender::new(MAX_QUEUED_PROBES),
+            rounds: broadcast::Sender::new(MAX_QUEUED_ROUNDS),
             domain: Name::unknown(),
             delivery_port: 0,
         }
@@ -164,6 +175,21 @@
         self.probes.subscribe()
     }
 
+    /// Queues the next round of the work table for the streams of entry VMs. Returns the round.
+    pub fn publish_work(&self) -> Arc<work_table::Round> {
+        let now_ms = self.now_ms();
+        let round = Arc::new(self.soft_state().work.next_round(now_ms));
+        // Sending fails when no entry VM is connected.
+        drop(self.rounds.send(Arc::clone(&round)));
+        round
+    }
+
+    /// Returns a receiver of the rounds of the work table.
+    #[must_use]
+    pub fn watch_work(&self) -> broadcast::Receiver<Arc<work_table::Round>> {
+        self.rounds.subscribe()
+    }
+
     /// Returns a receiver of the announcement table's revision.
     #[must_use]
     pub fn watch_revision(&self) -> watch::Receiver<u64> {
--- a/crates/entry/src/gateway/control_streams.rs
+++ b/crates/entry/src/gateway/control_streams.rs
@@ -15,11 +15,14 @@
 };
 use displaydoc::Display;
 use log::info;
-use model::routing::{ALIVE_MS, SILENCE_MS, ToControl, ToEntry, Version};
+use model::{
+    routing::{ALIVE_MS, SILENCE_MS, ToControl, ToEntry, Version},
+    work,
+};
 use settings::gateway::Entry;
 use tokio::{
     sync::broadcast::{Receiver, error::RecvError},
-    time::{Instant, sleep, timeout, timeout_at},
+    time::{Instant, sleep, sleep_until, timeout, timeout_at},
 };
 use tokio_util::sync::CancellationToken;
 
@@ -205,6 +208,8 @@
         let mut reports = self.driver.subscribe_reports();
         let mut sent_at = Instant::now();
         let mut received_at = Instant::now();
+        let mut digest_sequence = 0;
+        let mut digest_at = Instant::now() + digest_interval();
         loop {
             let silence_deadline = received_at + Duration::from_millis(SILENCE_MS);
             let received = tokio::select! {
@@ -217,6 +222,15 @@
                     }
                     continue;
                 }
+                () = sleep_until(digest_at), if version >= Version::Third => {
+                    digest_at = Instant::now() + digest_interval();
+                    if let Some(digest) = self.driver.take_digest(control, digest_sequence) {
+                        digest_sequence = digest.sequence;
+                        stream.sender.send(&ToControl::Work(digest)).await?;
+                        sent_at = Instant::now();
+                    }
+                    continue;
+                }
             };
             let message: ToEntry = received.map_err(|_| StreamEnd::Silent)??;
             received_at = Instant::now();
@@ -233,6 +247,14 @@
     }
 }
 
+/// Returns the time until the next digest of work, with jitter, so that the digests of all entry VMs
+/// are spread.
+fn digest_interval() -> Duration {
+    let jitter_ms = work::INTERVAL_MS / 10;
+    let random_ms = random_seed() % (2 * jitter_ms + 1);
+    Duration::from_millis(work::INTERVAL_MS - jitter_ms + random_ms)
+}
+
 /// Returns `first` and all further reports that wait.
 fn drain_reports(
     first: Result<TimedReport, RecvError>,
--- a/crates/entry/src/gateway/driver.rs
+++ b/crates/entry/src/gateway/driver.rs
@@ -11,7 +11,10 @@
 };
 
 use log::{info, warn};
-use model::routing::{ProbeOutcome, ProbeReport};
+use model::{
+    routing::{ProbeOutcome, ProbeReport},
+    work::Digest,
+};
 use platform::packet;
 use policy::{
     time::Instant,
@@ -291,6 +294,7 @@
             "streams_open": open,
             "streams_complete": complete,
             "flows": state.gateway.flows(),
+            "work": work_dump(&state.gateway, state.now()),
             "upstreams": upstreams.collect::<Vec<_>>(),
         })
     }
@@ -318,6 +322,18 @@
         self.state.borrow().gateway.reports_to(control)
     }
 
+    /// Returns the digest of work for the control VM at `control`, if this VM reports to it; see
+    /// [`Gateway::take_digest`].
+    #[must_use]
+    pub fn take_digest(&self, control: SocketAddr, previous: u64) -> Option<Digest> {
+        let mut state = self.state.borrow_mut();
+        let now = state.now();
+        let is_receiver = state.gateway.reports_to(control);
+        let digest = is_receiver.then(|| state.gateway.take_digest(now, control, previous))?;
+        metrics::counter!("oriole_work_digests_total").increment(1);
+        Some(digest)
+    }
+
     /// Returns the known addresses at which control VMs accept streams.
     #[must_use]
     pub fn control_addresses(&self) -> Vec<SocketAddr> {
@@ -446,3 +462,31 @@
         }
     }
 }
+
+/// Returns the state of the shared view of work as JSON.
+fn work_dump(gateway: &Gateway, now: Instant) -> serde_json::Value {
+    let sources = gateway.view().sources(now);
+    let sources = sources.map(|(control, age_ms, sequence, reporters)| {
+        serde_json::json!({
+            "control": control,
+            "age_ms": age_ms,
+            "sequence": sequence,
+            "reporters": reporters,
+        })
+    });
+    let loads = gateway.directory().all().filter_map(|u| {
+        let load = gateway.view().load(now, u.token)?;
+        Some(serde_json::json!({
+            "id": format!("{:x}", u.announced.incarnation.id),
+            "flows": load.flows,
+            "demand": load.demand,
+            "slowness": load.slowness,
+            "refused_share": load.refused_share,
+            "age_ms": load.age_ms,
+        }))
+    });
+    serde_json::json!({
+        "sources": sources.collect::<Vec<_>>(),
+        "upstreams": loads.collect::<Vec<_>>(),
+    })
+}
--- a/crates/entry/src/gateway/driver/control_messages.rs
+++ b/crates/entry/src/gateway/driver/control_messages.rs
@@ -6,6 +6,7 @@
 use model::{
     plan::Plan,
     routing::{Agreed, Announced, ControlList, Group, Report, ToEntry},
+    work::Summary,
 };
 use policy::token::gateway::reachability::ReportSummary;
 
@@ -74,8 +75,9 @@
                 state.send_pending_resets(&self.socket);
             }
             ToEntry::Controls(controls) => self.apply_controls(state, control, controls),
-            // The gateway has no use for terms and work yet.
-            ToEntry::Terms(_) | ToEntry::Work(_) => {}
+            // The gateway has no use for terms yet.
+            ToEntry::Terms(_) => {}
+            ToEntry::Work(summary) => state.apply_work(control, summary),
             ToEntry::Peers(peers) => state.gateway.set_peer_count(control, peers),
             ToEntry::Complete => state.gateway.mark_control_stream_synced(now, control),
             ToEntry::Alive => {
@@ -190,6 +192,25 @@
         }
     }
 
+    /// Applies a summary of work, and counts and logs what was refused.
+    fn apply_work(&mut self, control: SocketAddr, summary: Summary) {
+        let now = self.now();
+        let sequence = summary.sequence;
+        let applied = self.gateway.apply_work(now, control, summary);
+        metrics::counter!("oriole_work_summaries_total").increment(1);
+        metrics::counter!("oriole_work_entries_total").increment(applied.entries as u64);
+        metrics::counter!("oriole_work_refused_total").increment(applied.refused as u64);
+        if let Some(fault) = applied.fault
+            && self.decision_log.may_log(now)
+        {
+            warn!(
+                target: "sources",
+                "event=work-refused entries={} sequence={sequence} control={control} reason=\"{fault}\"",
+                applied.refused
+            );
+        }
+    }
+
     fn apply_plan(&mut self, control: SocketAddr, plan: Arc<Plan>) {
         let (version, routes) = (plan.version, plan.routes.len());
         let held = self.gateway.plan_version();
--- a/crates/model/src/work.rs
+++ b/crates/model/src/work.rs
@@ -4,8 +4,28 @@
 //! which sends the sums as a [`Summary`] to its entry VMs. Both contain only upstreams whose values
 //! have changed.
 
+use displaydoc::Display;
 use serde::{Deserialize, Serialize};
 
+mod sums;
+
+pub use sums::Sums;
+
+/// Maximum number of entries in a message.
+pub const MAX_ENTRIES: usize = 64;
+
+/// Interval between two messages on a stream, in milliseconds.
+pub const INTERVAL_MS: u64 = 1_000;
+
+/// Time without a message of a sender after which its values count as unknown, in milliseconds.
+pub const EXPIRY_MS: u64 = 3_000;
+
+/// Largest plausible demand at one upstream, in thousandths of a slot.
+pub const MAX_DEMAND_MILLI: u32 = 1_000_000;
+
+/// Largest plausible wait of a request, in milliseconds.
+const MAX_WAIT_MS: u32 = 60_000;
+
 /// Flows and work at one upstream.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Entry {
@@ -46,3 +66,73 @@
     /// Changed upstreams.
     pub entries: Vec<Entry>,
 }
+
+/// The reason why an entry or a message is refused.
+#[derive(Debug, Display, Clone, Copy, PartialEq, Eq)]
+pub enum Fault {
+    /// an entry has token 0
+    NoToken,
+    /// demand of {0} thousandths of a slot
+    Demand(u32),
+    /// {0} refused of {1} requests
+    Refused(u16, u16),
+    /// {0} ms waited for {1} requests
+    Wait(u32, u16),
+    /// {0} entries in a message
+    TooLong(usize),
+    /// sequence {0} after {1}
+    Sequence(u64, u64),
+}
+
+impl std::error::Error for Fault {}
+
+impl Entry {
+    /// Checks that the values are possible.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first impossible value.
+    pub fn check(&self) -> Result<(), Fault> {
+        if self.token == 0 {
+            return Err(Fault::NoToken);
+        }
+        if self.demand_milli > MAX_DEMAND_MILLI {
+            return Err(Fault::Demand(self.demand_milli));
+        }
+        if self.refused > self.requests {
+            return Err(Fault::Refused(self.refused, self.requests));
+        }
+        let longest_ms = MAX_WAIT_MS.saturating_mul(u32::from(self.requests));
+        let wait_ms = self.waited_ms.max(self.usual_ms);
+        if wait_ms > longest_ms {
+            return Err(Fault::Wait(wait_ms, self.requests));
+        }
+        Ok(())
+    }
+
+    /// Reports whether the entry contains no flow, no work and no request.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        *self
+            == Self {
+                token: self.token,
+                ..Self::default()
+            }
+    }
+}
+
+/// Checks the number and the length of a message that follows message `previous` of its stream.
+/// Number 1 begins a new state and is always in order.
+///
+/// # Errors
+///
+/// Returns the fault of the message.
+pub fn check_message(previous: u64, sequence: u64, entries: usize) -> Result<(), Fault> {
+    if entries > MAX_ENTRIES {
+        return Err(Fault::TooLong(entries));
+    }
+    if sequence != 1 && sequence <= previous {
+        return Err(Fault::Sequence(sequence, previous));
+    }
+    Ok(())
+}
--- a/crates/policy/src/token/flow.rs
+++ b/crates/policy/src/token/flow.rs
@@ -36,6 +36,9 @@
     /// Acknowledgement number of the client when the last request began; none if the end of the
     /// request was recorded already or its beginning was not seen.
     request_ack: Option<u32>,
+    /// Time that the client waited for the answer to the last request, in milliseconds, if an
+    /// acknowledgement showed that.
+    answer_wait_ms: Option<u64>,
     /// Sequence number after the last byte that the client sent.
     sent_end: u32,
     /// Last acknowledgement number of the client.
@@ -55,6 +58,13 @@
     pub(super) starts_request: bool,
     /// End of the previous request.
     pub(super) request_end: Option<RequestEnd>,
+    /// Time that the client had waited for the answer when an earlier packet, or this one, showed the
+    /// answer to the request that has ended, in milliseconds.
+    pub(super) ended_wait_ms: Option<u64>,
+    /// Time since the previous packet of the flow, in milliseconds.
+    pub(super) open_ms: u64,
+    /// Whether the packet begins a request, the first one included.
+    pub(super) begins_request: bool,
 }
 
 impl Flow {
@@ -80,6 +90,7 @@
             is_before_first_request: true,
             request_sent_at: now,
             request_ack: None,
+            answer_wait_ms: None,
             sent_end: 0,
             acknowledged: 0,
         }
@@ -87,6 +98,7 @@
 
     /// Applies a packet other than an opening packet.
     pub(super) fn apply_segment(&mut self, now: Instant, segment: &Segment) -> SegmentSignal {
+        let open_ms = now.ms_since(self.seen_at);
         self.seen_at = now;
         self.is_over |= matches!(segment.kind, Kind::Finish | Kind::Reset);
         let end = segment.sequence.wrapping_add(u32::from(segment.length));
@@ -99,10 +111,15 @@
             self.sent_end = end;
             return SegmentSignal {
                 is_answer: self.is_placed,
+                open_ms,
+                begins_request: self.has_pending_request,
                 ..SegmentSignal::default()
             };
         }
-        let mut signal = SegmentSignal::default();
+        let mut signal = SegmentSignal {
+            open_ms,
+            ..SegmentSignal::default()
+        };
         if is_after(segment.acknowledged, self.acknowledged) {
             self.acknowledged = segment.acknowledged;
             signal.is_answer = true;
@@ -110,11 +127,13 @@
             // acknowledgement.
             if self.has_pending_request && segment.length == 0 {
                 signal.answer_wait_ms = Some(now.ms_since(self.request_sent_at));
+                self.answer_wait_ms = signal.answer_wait_ms;
             }
             self.has_pending_request = false;
         }
         if self.is_over {
             signal.request_end = self.finish_request();
+            signal.ended_wait_ms = self.answer_wait_ms.take();
         }
         if segment.length == 0 {
             return signal;
@@ -130,6 +149,8 @@
         self.sent_end = end;
         if !self.has_pending_request {
             signal.request_end = signal.request_end.or(self.finish_request());
+            signal.ended_wait_ms = signal.ended_wait_ms.or(self.answer_wait_ms.take());
+            signal.begins_request = true;
             self.has_pending_request = true;
             self.request_sent_at = now;
             self.request_ack = Some(self.acknowledged);
@@ -152,6 +173,12 @@
         self.is_open && !self.is_over && self.has_pending_request
     }
 
+    /// Returns the time that the pending request has taken so far, in milliseconds.
+    pub(super) fn request_age_ms(&self, now: Instant) -> Option<u64> {
+        self.is_waiting()
+            .then(|| now.ms_since(self.request_sent_at))
+    }
+
     /// Returns the header fields of the client's last packet on the flow, without its data.
     pub(super) fn last_segment(&self, key: Key) -> Segment {
         Segment {
--- a/crates/policy/src/token/gateway.rs
+++ b/crates/policy/src/token/gateway.rs
@@ -20,6 +20,7 @@
 use super::{
     backoff,
     cache::TtlCache,
+    cost,
     directory::{Directory, Upstream},
     flow::Flow,
     health::{HealthChange, HealthStatus, HealthTable, Probe, ProbeResult},
@@ -27,11 +28,13 @@
     outlier::{OutlierChange, OutlierDetector},
     placement::Selector,
     segment::{Key, Segment},
+    work,
 };
 use crate::time::Instant;
 
 mod packet;
 pub mod reachability;
+mod shared_work;
 
 /// Time in milliseconds without a packet after which a flow is no longer counted, if there is no
 /// plan.
@@ -73,6 +76,12 @@
     health: HealthTable,
     latencies: LatencyTable,
     outliers: OutlierDetector,
+    /// Costs of the requests of each route.
+    costs: cost::Table,
+    /// Flows and work that this VM has placed.
+    ledger: work::Ledger,
+    /// Flows and work that all VMs have placed.
+    view: work::View,
     selector: Selector,
     /// For each service, whether most of its upstreams have yet to announce themselves.
     gathering: TtlCache<bool>,
@@ -98,6 +107,7 @@
     pub fn new(settings: Settings) -> Self {
         Self {
             random: Pcg64Mcg::seed_from_u64(settings.seed),
+            ledger: work::Ledger::new(settings.seed),
             settings,
             plan: None,
             routes: BTreeMap::new(),
@@ -107,6 +117,8 @@
             health: HealthTable::default(),
             latencies: LatencyTable::default(),
             outliers: OutlierDetector::default(),
+            costs: cost::Table::default(),
+            view: work::View::default(),
             selector: Selector::default(),
             gathering: TtlCache::default(),
             flows: BTreeMap::new(),
@@ -193,6 +205,7 @@
         self.gathering = TtlCache::default();
         let routes = &self.routes;
         self.outliers.retain_routes(|r| routes.contains_key(&r));
+        self.costs.retain(|r| routes.contains_key(&r));
         self.plan = Some(plan);
         true
     }
@@ -294,6 +307,9 @@
         let directory = &self.directory;
         self.latencies.retain(|id| directory.get(id).is_some());
         self.outliers.retain(|id| directory.get(id).is_some());
+        self.ledger.retain(|t| directory.by_token(t).is_some());
+        self.view
+            .tick(now, |token| directory.by_token(token).is_some());
         self.expire_requests(now);
         let idle_ms = self.plan.as_ref().map_or(DEFAULT_IDLE_MS, |p| p.idle_ms);
         self.flows
--- a/crates/policy/src/token/gateway/packet.rs
+++ b/crates/policy/src/token/gateway/packet.rs
@@ -134,6 +134,7 @@
                 let id = upstream.announced.incarnation.id;
                 let action = forward_to(upstream);
                 self.health.record_request(now, id);
+                self.record_placed(now, key.service, id);
                 if self.flows.len() < MAX_COUNTED_FLOWS {
                     self.flows.insert(key, Flow::placed(now, id));
                 }
@@ -199,9 +200,16 @@
             self.health.record_request(now, id);
         }
         self.record_latency(now, id, signal.answer_wait_ms);
-        if let Some(ended) = signal.request_end {
-            self.record_request_end(now, segment.key, id, ended);
-        }
+        let is_failure = signal
+            .request_end
+            .map(|ended| self.record_request_end(now, segment.key, id, ended));
+        self.record_work(
+            now,
+            segment.key.service,
+            id,
+            &signal,
+            is_failure == Some(true),
+        );
         signal.answer_wait_ms
     }
 
@@ -218,13 +226,14 @@
         }
     }
 
-    /// Records the end of a request.
-    fn record_request_end(&mut self, now: Instant, key: Key, id: u64, ended: RequestEnd) {
-        if let Some(upstream) = self.directory.get(id) {
-            let service = &upstream.announced.service;
-            self.outliers
-                .record_end(now, key.service, id, service, ended);
-        }
+    /// Records the end of a request. Returns whether the request counts as failed.
+    fn record_request_end(&mut self, now: Instant, key: Key, id: u64, ended: RequestEnd) -> bool {
+        let Some(upstream) = self.directory.get(id) else {
+            return false;
+        };
+        let service = &upstream.announced.service;
+        self.outliers
+            .record_end(now, key.service, id, service, ended)
     }
 
     /// Records the time of an answer, or the time waited so far, in milliseconds.
--- a/crates/policy/src/token/work.rs
+++ b/crates/policy/src/token/work.rs
@@ -1,11 +1,15 @@
 //! Flows and work at upstreams: what this VM has placed, and what all entry VMs have placed, as far
 //! as control VMs have told.
+//!
+//! The intended load is a hundred or more entry VMs before upstreams with few slots: what one VM
+//! sees of an upstream says little about the load there. [`Ledger`] collects what this VM sees, for
+//! a digest a second to one control VM; [`View`] adds up the summaries of all control VMs.
 
-use std::net::SocketAddr;
+mod ledger;
+mod view;
 
-use model::work::Summary;
-
-use crate::time::Instant;
+pub use ledger::{Ledger, OpenFlow, Response};
+pub use view::{Applied, View};
 
 /// Flows and work at one upstream, over all entry VMs.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -21,21 +25,3 @@
     /// Age of the oldest value that the others are based on, in milliseconds.
     pub age_ms: u64,
 }
-
-/// Flows and work at all upstreams, summed over the summaries of all control VMs.
-#[derive(Debug, Clone, Default)]
-pub struct View {}
-
-impl View {
-    /// Applies a summary of the control VM `source`.
-    pub fn apply_summary(&mut self, _now: Instant, _source: SocketAddr, _summary: Summary) {}
-
-    /// Removes what the control VM `source` has told.
-    pub fn remove_source(&mut self, _source: SocketAddr) {}
-
-    /// Returns flows and work at the upstream with `token`; none if nothing recent is known.
-    #[must_use]
-    pub fn load(&self, _now: Instant, _token: u32) -> Option<Load> {
-        None
-    }
-}
