Admission of new flows by class while the capacity of a service is short, and caps on open flows

New flows are admitted by a share for each class, which follows the refusals that clients get from upstreams. Upstreams at the limit of the plan get no new flows.

--- a/crates/policy/src/token.rs
+++ b/crates/policy/src/token.rs
@@ -14,10 +14,12 @@
 //! - [`backoff`]: random waits, so that few VMs probe the same upstream.
 //! - [`latency`]: response times of upstreams.
 //! - [`outlier`]: upstreams that fail more requests than the others of their service.
+//! - [`admission`]: admits or refuses new flows while capacity is short.
 //! - [`placement`]: choice of the upstream for a new flow.
 //! - [`pace`]: pacing of outgoing packets to the rate of the link.
 //! - [`gateway`]: decides what to do with each packet and returns a [`decision`] with its reason.
 
+pub mod admission;
 pub mod backoff;
 mod budget;
 mod cache;
--- a/crates/policy/src/token/gateway.rs
+++ b/crates/policy/src/token/gateway.rs
@@ -11,13 +11,14 @@
 
 use model::{
     name::Name,
-    plan::{Plan, Target},
+    plan::{Plan, Target, Terms},
     routing::{self, Agreed, Announced, ControlList, Incarnation, Peers, ProbeOutcome},
 };
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 
 use super::{
+    admission::{Controller, caps::Caps},
     backoff,
     cache::TtlCache,
     directory::{Directory, Upstream},
@@ -27,9 +28,11 @@
     outlier::{OutlierChange, OutlierDetector},
     placement::Selector,
     segment::{Key, Segment},
+    work::View,
 };
 use crate::time::Instant;
 
+mod admit;
 mod packet;
 pub mod reachability;
 
@@ -65,6 +68,8 @@
 pub struct Gateway {
     settings: Settings,
     plan: Option<Arc<Plan>>,
+    /// Terms of the plan in force, if they are known.
+    terms: Option<Arc<Terms>>,
     routes: BTreeMap<SocketAddrV4, Route>,
     agreed: Agreed,
     /// The control VMs of the cluster; version 0 if no list with a version was received.
@@ -74,6 +79,10 @@
     latencies: LatencyTable,
     outliers: OutlierDetector,
     selector: Selector,
+    admission: Controller,
+    caps: Caps,
+    /// Flows and work at upstreams over all entry VMs.
+    view: View,
     /// For each service, whether most of its upstreams have yet to announce themselves.
     gathering: TtlCache<bool>,
     flows: BTreeMap<Key, Flow>,
@@ -100,6 +109,7 @@
             random: Pcg64Mcg::seed_from_u64(settings.seed),
             settings,
             plan: None,
+            terms: None,
             routes: BTreeMap::new(),
             agreed: Agreed::default(),
             controls: ControlList::default(),
@@ -108,6 +118,9 @@
             latencies: LatencyTable::default(),
             outliers: OutlierDetector::default(),
             selector: Selector::default(),
+            admission: Controller::default(),
+            caps: Caps::default(),
+            view: View::default(),
             gathering: TtlCache::default(),
             flows: BTreeMap::new(),
             probe_reports: Vec::new(),
@@ -194,6 +207,7 @@
         let routes = &self.routes;
         self.outliers.retain_routes(|r| routes.contains_key(&r));
         self.plan = Some(plan);
+        self.expire_terms();
         true
     }
 
@@ -295,6 +309,7 @@
         self.latencies.retain(|id| directory.get(id).is_some());
         self.outliers.retain(|id| directory.get(id).is_some());
         self.expire_requests(now);
+        self.admission.tick(now);
         let idle_ms = self.plan.as_ref().map_or(DEFAULT_IDLE_MS, |p| p.idle_ms);
         self.flows
             .retain(|_, flow| !flow.is_over && now.ms_since(flow.seen_at) < idle_ms);
--- /dev/null
+++ b/crates/policy/src/token/gateway/admit.rs
@@ -0,0 +1,178 @@
+//! Connects admission and the caps on open flows with the state of an entry VM.
+
+use std::{collections::BTreeMap, net::SocketAddrV4, sync::Arc};
+
+use model::plan::Terms;
+
+use super::Gateway;
+use crate::{
+    time::Instant,
+    token::{
+        admission::{self, Controller, Outcome, Request, Sample, Shared, Verdict, caps::Caps},
+        directory::Directory,
+        outlier::RequestEnd,
+        segment::Key,
+        work::View,
+    },
+};
+
+/// Maximum number of upstreams of a service whose shared load is read for a decision.
+const MAX_SHARED_UPSTREAMS: usize = 64;
+
+/// Refused share from which on an upstream counts as refusing.
+const REFUSING_SHARE: f32 = 0.02;
+
+impl Gateway {
+    /// Applies terms, unless they belong to another plan than the one in force. Returns whether they
+    /// were applied.
+    pub fn apply_terms(&mut self, terms: Arc<Terms>) -> bool {
+        let Some(plan) = self.plan.as_ref().filter(|p| p.version == terms.version) else {
+            return false;
+        };
+        self.admission.apply_terms(plan, &terms);
+        self.caps.apply_terms(&terms);
+        self.terms = Some(terms);
+        true
+    }
+
+    /// Returns the terms of the plan in force, if they are known.
+    #[must_use]
+    pub fn terms(&self) -> Option<&Terms> {
+        self.terms.as_deref()
+    }
+
+    /// Removes the terms of a plan that is no longer in force. Classes stay until the terms of the
+    /// new plan arrive, so that a new plan during a shortage doesn't admit everything.
+    pub(super) fn expire_terms(&mut self) {
+        self.terms = None;
+    }
+
+    /// Returns the state of admission.
+    #[must_use]
+    pub fn admission(&self) -> &Controller {
+        &self.admission
+    }
+
+    /// Returns the state of admission, for changes and counts that are taken from it.
+    pub fn admission_mut(&mut self) -> &mut Controller {
+        &mut self.admission
+    }
+
+    /// Returns the state of the caps on open flows.
+    #[must_use]
+    pub fn caps(&self) -> &Caps {
+        &self.caps
+    }
+
+    /// Decides whether a new flow to `service` is admitted.
+    pub(super) fn admit_flow(&mut self, now: Instant, key: Key, service: &Arc<str>) -> Verdict {
+        let request = Request {
+            service,
+            route: key.service,
+            client: *key.client.ip(),
+        };
+        let (directory, view) = (&self.directory, &self.view);
+        self.admission.admit(now, request, || {
+            shared_refusals(now, directory, view, service)
+        })
+    }
+
+    /// Counts the flows of upstreams again if the caps on them require that.
+    pub(super) fn update_caps(&mut self, now: Instant, service: &Arc<str>) {
+        if !self.caps.is_due(now, service) {
+            return;
+        }
+        let mut own: BTreeMap<u64, u32> = BTreeMap::new();
+        for flow in self.flows.values().filter(|flow| !flow.is_over) {
+            *own.entry(flow.upstream).or_default() += 1;
+        }
+        let view = &self.view;
+        let counts = self.directory.all().map(|upstream| {
+            let id = upstream.announced.incarnation.id;
+            let shared = view.load(now, upstream.token).map(|load| load.flows);
+            let own = own.get(&id).copied().unwrap_or_default();
+            (id, &upstream.announced.service, own, shared)
+        });
+        self.caps.recount(now, counts);
+    }
+
+    /// Reports whether upstreams of `service` would accept a new flow if they were not at the cap.
+    pub(super) fn has_room_but_for_cap(&self, now: Instant, service: &Arc<str>) -> bool {
+        let mut all = self.directory.of_service(service);
+        all.any(|u| self.caps.is_full(u.announced.incarnation.id) && self.accepts_flows(now, u))
+    }
+
+    /// Records the first bytes of an answer that a client received after `waited_ms`.
+    pub(super) fn record_answered(
+        &mut self,
+        now: Instant,
+        route: SocketAddrV4,
+        id: u64,
+        waited_ms: u64,
+    ) {
+        self.record_outcome(now, route, id, Outcome::Answered(waited_ms));
+    }
+
+    /// Records the end of a request, where `is_failure` is the judgement of the outlier detector.
+    pub(super) fn record_refusal(
+        &mut self,
+        now: Instant,
+        route: SocketAddrV4,
+        id: u64,
+        end: RequestEnd,
+        is_failure: bool,
+    ) {
+        // A request without any answer shows a failure or a client that left, not a full queue.
+        if is_failure && matches!(end, RequestEnd::Answered(_)) {
+            self.record_outcome(now, route, id, Outcome::Refused);
+        }
+    }
+
+    /// Records an opening packet that a live upstream left without an answer.
+    pub(super) fn record_ignored(&mut self, now: Instant, route: SocketAddrV4, id: u64) {
+        self.record_outcome(now, route, id, Outcome::Ignored);
+    }
+
+    fn record_outcome(&mut self, now: Instant, route: SocketAddrV4, id: u64, outcome: Outcome) {
+        let Some(upstream) = self.directory.get(id) else {
+            return;
+        };
+        let sample = Sample {
+            service: &upstream.announced.service,
+            route,
+            upstream: id,
+            outcome,
+        };
+        self.admission.record(now, sample);
+    }
+}
+
+/// Returns the refusals at upstreams of `service` according to the shared view; none if the view
+/// contains nothing recent. Of many upstreams, only some are read.
+fn shared_refusals(
+    now: Instant,
+    directory: &Directory,
+    view: &View,
+    service: &Arc<str>,
+) -> Option<Shared> {
+    let ids = directory.members(service)?.all();
+    let stride = ids.len().div_ceil(MAX_SHARED_UPSTREAMS).max(1);
+    let loads = ids.iter().step_by(stride).filter_map(|id| {
+        let upstream = directory.get(*id)?;
+        let load = view.load(now, upstream.token)?;
+        let is_valid = (0.0..=1.0).contains(&load.refused_share);
+        is_valid.then_some(load)
+    });
+    let (mut count, mut refused, mut refusing, mut age_ms) = (0.0, 0.0, 0.0, 0);
+    for load in loads {
+        count += 1.0;
+        refused += load.refused_share;
+        refusing += f32::from(u8::from(load.refused_share >= REFUSING_SHARE));
+        age_ms = load.age_ms.max(age_ms);
+    }
+    (count > 0.0).then_some(admission::Shared {
+        refused_share: refused / count,
+        spread: refusing / count,
+        age_ms,
+    })
+}
--- a/crates/policy/src/token/gateway/packet.rs
+++ b/crates/policy/src/token/gateway/packet.rs
@@ -12,6 +12,7 @@
 use crate::{
     time::Instant,
     token::{
+        admission::Verdict,
         decision::{Action, Decision, Reason},
         directory::Upstream,
         flow::Flow,
@@ -75,7 +76,11 @@
         let has_answered = flow.is_open || self.health.has_answered_since(id, flow.opened_at);
         match upstream {
             Some(upstream) if upstream_accepts && has_answered => {
-                Decision::new(forward_to(upstream), Reason::Repeated)
+                let decision = Decision::new(forward_to(upstream), Reason::Repeated);
+                if !flow.is_open {
+                    self.record_ignored(now, key.service, id);
+                }
+                decision
             }
             _ => {
                 self.health.record_unanswered(now, id, flow.opened_at);
@@ -116,9 +121,16 @@
             return Decision::new(Action::Hold, Reason::Gathering);
         }
         let mut remaining: Vec<&Target> = targets.iter().collect();
+        let mut is_capped = false;
         while let Some(position) = draw_target(&remaining, &mut self.random) {
+            let service = &remaining[position].service;
+            // A flow that moves on was admitted before.
+            if tried.is_none() && self.admit_flow(now, key, service) == Verdict::Refused {
+                return Decision::new(Action::Reset, Reason::NoRoom);
+            }
+            self.update_caps(now, service);
             let request = PlacementRequest {
-                service: &remaining[position].service,
+                service,
                 domain: &self.settings.domain,
                 out: &self.agreed.domains_out,
                 tried,
@@ -128,21 +140,28 @@
                 health: &self.health,
                 latencies: &self.latencies,
                 outliers: &self.outliers,
+                caps: &self.caps,
             };
             let chosen = self.selector.choose(now, request, inputs, &mut self.random);
             if let Some(upstream) = chosen {
                 let id = upstream.announced.incarnation.id;
                 let action = forward_to(upstream);
                 self.health.record_request(now, id);
+                self.caps.record_placed(service, id);
                 if self.flows.len() < MAX_COUNTED_FLOWS {
                     self.flows.insert(key, Flow::placed(now, id));
                 }
                 return Decision::new(action, reason);
             }
+            is_capped |= self.has_room_but_for_cap(now, service);
             remaining.remove(position);
         }
         self.flows.remove(&key);
-        Decision::new(Action::Reset, Reason::NoUpstream)
+        let reason = match is_capped {
+            true => Reason::FlowCap,
+            false => Reason::NoUpstream,
+        };
+        Decision::new(Action::Reset, reason)
     }
 
     /// Decides on a packet of an open flow.
@@ -191,6 +210,9 @@
         let signal = flow.apply_segment(now, segment);
         if signal.is_answer {
             self.health.record_answer(now, id);
+            if let Some(waited_ms) = signal.answer_wait_ms {
+                self.record_answered(now, segment.key.service, id, waited_ms);
+            }
         }
         if let Some(since) = signal.unanswered_since {
             self.health.record_unanswered(now, id, since);
@@ -222,8 +244,10 @@
     fn record_request_end(&mut self, now: Instant, key: Key, id: u64, ended: RequestEnd) {
         if let Some(upstream) = self.directory.get(id) {
             let service = &upstream.announced.service;
-            self.outliers
+            let is_failure = self
+                .outliers
                 .record_end(now, key.service, id, service, ended);
+            self.record_refusal(now, key.service, id, ended, is_failure);
         }
     }
 
--- a/crates/policy/src/token/placement.rs
+++ b/crates/policy/src/token/placement.rs
@@ -16,6 +16,7 @@
 use rand::Rng;
 
 use super::{
+    admission::caps::Caps,
     cache::TtlCache,
     directory::{Directory, Members, Upstream},
     health::HealthTable,
@@ -81,6 +82,8 @@
     pub latencies: &'a LatencyTable,
     /// Failure rates of upstreams.
     pub outliers: &'a OutlierDetector,
+    /// Upstreams that hold as many flows as they can.
+    pub caps: &'a Caps,
 }
 
 impl<'a> PlacementInputs<'a> {
@@ -92,6 +95,7 @@
     ) -> bool {
         request.accepts_flows(now, upstream)
             && request.is_untried(upstream)
+            && !self.caps.is_full(id(upstream))
             && !self.health.is_avoided(now, id(upstream))
     }
 
@@ -229,7 +233,7 @@
         .iter()
         .filter_map(|i| inputs.directory.get(*i));
     let all: Vec<&Upstream> = upstreams
-        .filter(|u| request.accepts_flows(now, u))
+        .filter(|u| request.accepts_flows(now, u) && !inputs.caps.is_full(id(u)))
         .collect();
     let is_eligible = |u: &Upstream| inputs.is_eligible(now, request, u);
     let is_preferred = |u: &Upstream| is_eligible(u) && request.is_local(u) != leaves_domain;
