--- a/crates/policy/src/token/gateway.rs
+++ b/crates/policy/src/token/gateway.rs
@@ -19,6 +19,7 @@
 use rand_pcg::Pcg64Mcg;
 
 use super::{
+    admission::{Controller, caps::Caps},
     backoff,
     cache::TtlCache,
     cost,
@@ -34,6 +35,7 @@
 use crate::time::Instant;
 use terms::TermsTable;
 
+mod admit;
 mod packet;
 pub mod reachability;
 mod shared_work;
@@ -87,6 +89,8 @@
     /// Flows and work that all VMs have placed.
     view: work::View,
     selector: Selector,
+    admission: Controller,
+    caps: Caps,
     /// For each service, whether most of its upstreams have yet to announce themselves.
     gathering: TtlCache<bool>,
     flows: BTreeMap<Key, Flow>,
@@ -125,6 +129,8 @@
             costs: cost::Table::default(),
             view: work::View::default(),
             selector: Selector::default(),
+            admission: Controller::default(),
+            caps: Caps::default(),
             gathering: TtlCache::default(),
             flows: BTreeMap::new(),
             probe_reports: Vec::new(),
@@ -213,6 +219,7 @@
         self.terms.replace_plan(&plan);
         self.costs.retain(|r| routes.contains_key(&r));
         self.plan = Some(plan);
+        self.apply_terms_in_force();
         true
     }
 
@@ -317,6 +324,7 @@
         self.view
             .tick(now, |token| directory.by_token(token).is_some());
         self.expire_requests(now);
+        self.admission.tick(now);
         let idle_ms = self.plan.as_ref().map_or(DEFAULT_IDLE_MS, |p| p.idle_ms);
         self.flows
             .retain(|_, flow| !flow.is_over && now.ms_since(flow.seen_at) < idle_ms);
--- a/crates/policy/src/token/gateway/terms.rs
+++ b/crates/policy/src/token/gateway/terms.rs
@@ -24,8 +24,8 @@
 /// Terms of the plan in force, and of a newer plan if they arrived before it.
 #[derive(Debug, Clone, Default)]
 pub(super) struct TermsTable {
-    /// Version of the plan whose terms are in force, if any.
-    version: Option<u64>,
+    /// Terms in force, as received.
+    in_force: Option<Arc<Terms>>,
     routes: BTreeMap<SocketAddrV4, RouteTerms>,
     /// Invariant: no limit is 0.
     flow_limits: BTreeMap<Arc<str>, u32>,
@@ -45,10 +45,16 @@
         }
     }
 
+    /// Returns the terms in force, if they are known.
+    pub(super) fn in_force(&self) -> Option<&Terms> {
+        self.in_force.as_deref()
+    }
+
     fn apply(&mut self, plan: Option<&Plan>, terms: Arc<Terms>) -> TermsEffect {
         match plan {
             Some(plan) if plan.version == terms.version => {
                 self.put_in_force(plan, &terms);
+                self.in_force = Some(terms);
                 TermsEffect::Applied
             }
             Some(plan) if plan.version > terms.version => TermsEffect::Ignored,
@@ -64,7 +70,6 @@
     }
 
     fn put_in_force(&mut self, plan: &Plan, terms: &Terms) {
-        self.version = Some(plan.version);
         self.routes = BTreeMap::new();
         self.flow_limits = BTreeMap::new();
         self.unknown = 0;
@@ -93,20 +98,25 @@
     /// Applies the terms of the plan in force, or keeps terms of a newer plan until that plan
     /// arrives.
     pub fn apply_terms(&mut self, terms: Arc<Terms>) -> TermsEffect {
-        self.terms.apply(self.plan.as_deref(), terms)
+        let effect = self.terms.apply(self.plan.as_deref(), terms);
+        if effect == TermsEffect::Applied {
+            self.apply_terms_in_force();
+        }
+        effect
     }
 
     /// Returns the version of the plan in force if its terms are known.
     #[must_use]
     pub fn terms_version(&self) -> Option<u64> {
-        self.terms.version
+        self.terms.in_force.as_ref().map(|terms| terms.version)
     }
 
     /// Returns the version of the plan in force if its terms have not arrived. A control VM of the
     /// build before sends a plan without terms.
     #[must_use]
     pub fn plan_version_without_terms(&self) -> Option<u64> {
-        self.plan_version().filter(|_| self.terms.version.is_none())
+        self.plan_version()
+            .filter(|_| self.terms.in_force.is_none())
     }
 
     /// Returns the number of entries of the terms in force that were left out because the plan
