Terms of a plan reach entry VMs; announcements that reach no entry VM are refused

platform::plan decodes kind, priority and goal of routes and the flow limit of services. Control VMs send the terms after the plan on streams of Version::Third, derived once from the plan's text. An entry VM whose plan came without terms requests it once from each control VM that can send them.

Tests with real processes and streams: the list of control VMs after a learner joins and a voter is replaced, the refusal, and the terms on each version of the stream.

--- a/crates/control/src/api.rs
+++ b/crates/control/src/api.rs
@@ -62,9 +62,7 @@
     }
 
     fn announce(&self, announced: Announced) -> Result<(), Unavailable> {
-        if !self.can_reach_cluster() {
-            return Err(Unavailable::Isolated);
-        }
+        self.check_reach()?;
         let shown = announced.clone();
         let outcome = self
             .update_announcements(|announcements, now_ms| announcements.record(now_ms, announced));
@@ -81,9 +79,7 @@
     }
 
     fn leave(&self, id: u64) -> Result<(), Unavailable> {
-        if !self.can_reach_cluster() {
-            return Err(Unavailable::Isolated);
-        }
+        self.check_reach()?;
         self.update_announcements(|announcements, now_ms| announcements.record_stop(now_ms, id));
         log::info!(target: "desk", "event=upstream id={id:x} phase=Gone");
         Ok(())
@@ -91,6 +87,17 @@
 }
 
 impl State {
+    /// Checks that an announcement or a stop reaches other VMs.
+    fn check_reach(&self) -> Result<(), Unavailable> {
+        if !self.can_reach_cluster() {
+            return Err(Unavailable::Isolated);
+        }
+        if !self.can_reach_entry_vms() {
+            return Err(Unavailable::NoEntryVm);
+        }
+        Ok(())
+    }
+
     /// Takes a failure domain out or in, and repeats until the configuration shows the wanted
     /// state. Each command is valid only for the configuration version that was read before it, so
     /// that a delayed command can't undo a later call.
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -7,8 +7,9 @@
 //! with the other control VMs. [`generations`] plans the leader's own commands, which
 //! [`maintenance`] proposes. [`api`] answers the HTTP calls of the platform. [`announcement_table`]
 //! stores the upstreams that announce themselves there, [`announcement_cache`] keeps them on disk,
-//! and [`routing_stream`] sends plan and upstreams to entry VMs. [`process`] builds and runs all
-//! parts.
+//! and [`routing_stream`] sends plan and upstreams to entry VMs, with the terms of the plan from
+//! [`plan_terms`]. [`audience`] tells whether announcements reach an entry VM. [`process`] builds and
+//! runs all parts.
 //!
 //! ```
 //! use control::{lease::LeaseTable, generations::GenerationPlanner};
@@ -21,6 +22,7 @@
 pub mod announcement_cache;
 pub mod announcement_table;
 pub mod api;
+pub mod audience;
 pub mod candidates;
 pub mod config_stream;
 pub mod dump;
@@ -29,6 +31,7 @@
 pub mod maintenance;
 pub mod operator;
 pub mod peer;
+pub mod plan_terms;
 pub mod probe_reports;
 pub mod process;
 pub mod read;
--- a/crates/control/src/maintenance.rs
+++ b/crates/control/src/maintenance.rs
@@ -53,6 +53,9 @@
     };
     let silent =
         state.update_announcements(|announcements, now_ms| announcements.expire_silent(now_ms));
+    let announced = state.soft_state().announcements.active().count();
+    let announced = u32::try_from(announced).unwrap_or(u32::MAX);
+    metrics::gauge!("oriole_upstreams_announced").set(announced);
     if silent > 0 {
         log::info!(target: "steps", "event=upstreams-silent count={silent}");
     }
--- a/crates/control/src/routing_stream.rs
+++ b/crates/control/src/routing_stream.rs
@@ -20,7 +20,7 @@
 
 use crate::{
     probe_reports::{self, ProbeUpdate, Reporter},
-    state::State,
+    state::{SoftState, State},
 };
 
 /// Time for which changes are collected before they are sent to entry VMs.
@@ -67,7 +67,12 @@
 
 impl Listener {
     fn new(state: &State, reporter: Reporter) -> Self {
-        state.soft_state().relay.add_listener(&reporter.domain);
+        {
+            let mut soft = state.soft_state();
+            soft.relay.add_listener(&reporter.domain);
+            soft.audience.add_stream();
+            publish_stream_count(&soft);
+        }
         Self {
             state: state.clone(),
             reporter: Arc::new(reporter),
@@ -92,13 +97,19 @@
 
 impl Drop for Listener {
     fn drop(&mut self) {
-        self.state
-            .soft_state()
-            .relay
-            .remove_listener(&self.reporter.domain);
+        let now_ms = self.state.now_ms();
+        let mut soft = self.state.soft_state();
+        soft.relay.remove_listener(&self.reporter.domain);
+        soft.audience.remove_stream(now_ms);
+        publish_stream_count(&soft);
     }
 }
 
+fn publish_stream_count(soft: &SoftState) {
+    let streams = u32::try_from(soft.audience.streams()).unwrap_or(u32::MAX);
+    metrics::gauge!("oriole_entry_streams").set(streams);
+}
+
 /// Serves the stream of an entry VM until it ends.
 ///
 /// Entry VMs of the previous build use [`Version::First`].
@@ -150,7 +161,7 @@
         tokio::select! {
             received = stream.receiver.receive() => {
                 last_message_at = tokio::time::Instant::now();
-                handle_message(stream, state, &listener, received?).await?;
+                handle_message(stream, state, version, &listener, received?).await?;
             }
             first = probes.recv() => {
                 sleep(BATCH_DELAY).await;
@@ -197,6 +208,7 @@
 async fn handle_message(
     stream: &mut Stream,
     state: &State,
+    version_of_stream: Version,
     listener: &Listener,
     message: ToControl,
 ) -> Result<(), End> {
@@ -206,8 +218,14 @@
             // If this replica's plan is older than the requested version, the entry VM asks another
             // control VM.
             if let Some(plan) = plan.filter(|plan| plan.version >= version) {
+                let terms = (version_of_stream >= Version::Third)
+                    .then(|| state.terms.terms(&plan))
+                    .flatten();
                 let plan = Arc::new(plan.without_text());
                 stream.sender.send(&ToEntry::Plan(plan)).await?;
+                if let Some(terms) = terms {
+                    stream.sender.send(&ToEntry::Terms(terms)).await?;
+                }
             }
         }
         ToControl::Down { id } => {
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -15,7 +15,10 @@
 use tokio::sync::{Notify, broadcast, watch};
 
 use crate::{
-    announcement_table, candidates, lease,
+    announcement_table,
+    audience::Audience,
+    candidates, lease,
+    plan_terms::TermsCache,
     probe_reports::{ProbeUpdate, ReportRelay, Reporter},
     replica::Handle,
 };
@@ -41,6 +44,8 @@
     probes: broadcast::Sender<ProbeUpdate>,
     /// Failure domain of this control VM.
     pub domain: Name,
+    /// Terms of the plan in force, as sent to entry VMs.
+    pub terms: TermsCache,
     /// Port at which control VMs accept streams of entry VMs, the same on all control VMs.
     delivery_port: u16,
 }
@@ -58,6 +63,8 @@
     pub last_leader_ms: Option<u64>,
     /// Relayed probe results and connected entry VMs.
     pub relay: ReportRelay,
+    /// Streams of entry VMs, which decide whether announcements are accepted.
+    pub audience: Audience,
 }
 
 /// Time without a leader after which upstreams are sent to another control VM, in milliseconds.
@@ -86,11 +93,13 @@
                 ),
                 last_leader_ms: None,
                 relay: ReportRelay::default(),
+                audience: Audience::default(),
             })),
             started: Instant::now(),
             announcement_revision: watch::Sender::new(0),
             probes: broadcast::Sender::new(MAX_QUEUED_PROBES),
             domain: Name::unknown(),
+            terms: TermsCache::default(),
             delivery_port: 0,
         }
     }
@@ -181,6 +190,13 @@
         self.knows_leader() || now_ms < last_leader_ms + MAX_LEADERLESS_MS
     }
 
+    /// Reports whether announcements received here reach an entry VM; see [`Audience`].
+    #[must_use]
+    pub fn can_reach_entry_vms(&self) -> bool {
+        let now_ms = self.now_ms();
+        self.soft_state().audience.is_reached(now_ms)
+    }
+
     /// Returns the control VMs of the cluster, with the addresses at which they accept streams of
     /// entry VMs.
     #[must_use]
--- /dev/null
+++ b/crates/control/tests/gateway_streams.rs
@@ -0,0 +1,428 @@
+//! Control VMs on the platform as real processes, with real streams of entry VMs.
+//!
+//! Guards against entry VMs that don't learn of a control VM which joined while the configuration
+//! doesn't change, against announcements that a control VM without entry VMs keeps to itself, and
+//! against a plan whose terms don't reach entry VMs, or reach those of an older build.
+
+#![expect(clippy::unwrap_used, reason = "a test ends at the first error")]
+
+use std::{
+    cell::Cell,
+    fs,
+    net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener},
+    process::{Child, Command, Stdio},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicU8, Ordering},
+    },
+    time::Duration,
+};
+
+use delivery::{SECOND_ROUTING_PATH, THIRD_ROUTING_PATH, dial};
+use model::{
+    plan::Kind,
+    routing::{ControlList, ToControl, ToEntry},
+};
+use tempfile::TempDir;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+    time::{sleep, timeout},
+};
+
+/// Maximum wait for anything that must happen eventually.
+const TEST_TIMEOUT: Duration = Duration::from_secs(60);
+
+/// Port of the HTTP API of control VMs, and first of the ports for traffic between VMs, as offsets
+/// from the cluster's port.
+const API: u16 = 0;
+const FIRST: u16 = 1;
+
+/// Control VMs on loopback addresses of their own. Dropping the cluster kills the processes.
+struct Cluster {
+    folder: TempDir,
+    net: u8,
+    port: u16,
+    founders: u8,
+    children: Vec<(u8, Child)>,
+}
+
+impl Cluster {
+    /// Starts a cluster of control VMs with the numbers from 1 to `founders`.
+    fn start(founders: u8) -> Self {
+        static NEXT: AtomicU8 = AtomicU8::new(0);
+        let seed = std::process::id();
+        // Addresses differ between test processes in most cases, and between tests of a process.
+        let net =
+            u8::try_from(100 + seed % 20).unwrap() + 20 * NEXT.fetch_add(1, Ordering::Relaxed);
+        let ports = (0..400).map(|step| 21_000 + u16::try_from(seed % 1_000).unwrap() + 8 * step);
+        let is_free = |port: &u16| {
+            let own = (1..5).flat_map(|n| (0..5).map(move |step| (n, port + step)));
+            own.map(|(n, port)| SocketAddr::from((Ipv4Addr::new(127, 0, net, n), port)))
+                .all(|address| TcpListener::bind(address).is_ok())
+        };
+        let mut cluster = Self {
+            folder: tempfile::tempdir().unwrap(),
+            net,
+            port: ports.into_iter().find(is_free).unwrap(),
+            founders,
+            children: Vec::new(),
+        };
+        for number in 1..=founders {
+            cluster.run(number);
+        }
+        cluster
+    }
+
+    fn address(&self, number: u8, offset: u16) -> SocketAddr {
+        let ip = Ipv4Addr::new(127, 0, self.net, number);
+        SocketAddr::from((ip, self.port + offset))
+    }
+
+    /// Starts control VM `number`.
+    fn run(&mut self, number: u8) {
+        let seeds: Vec<String> = (1..=self.founders)
+            .map(|n| format!("\"{}\"", self.address(n, API)))
+            .collect();
+        let path = self.folder.path().join(format!("control-{number}.yaml"));
+        let settings = format!(
+            "name: control-{number}\ndomain: north\ndata_folder: {}\ndesk_listen: \"{}\"\n\
+             first_port: {}\nseeds: [{}]\nfound: true\nannounce_ms: 200\ntolerated: {}\n",
+            self.folder.path().join(format!("data-{number}")).display(),
+            self.address(number, API),
+            self.port + FIRST,
+            seeds.join(", "),
+            self.founders / 2,
+        );
+        fs::write(&path, settings).unwrap();
+        let child = Command::new(env!("CARGO_BIN_EXE_oriole-control"))
+            .args(["--gateway", "--settings"])
+            .arg(path)
+            .stdout(Stdio::null())
+            .stderr(Stdio::null())
+            .spawn();
+        self.children.push((number, child.unwrap()));
+    }
+
+    fn kill(&mut self, number: u8) {
+        let position = self.children.iter().position(|(n, _)| *n == number);
+        let (_, mut child) = self.children.remove(position.unwrap());
+        child.kill().unwrap();
+        child.wait().unwrap();
+    }
+
+    /// Opens a stream of an entry VM to control VM `number`, waiting until it accepts streams.
+    async fn open(&self, number: u8, path: &'static str) -> dial::Stream {
+        let control = self.address(number, FIRST);
+        let mut stream = eventually("a stream opens", async || {
+            dial::open(control, path).await.ok()
+        })
+        .await;
+        let join = ToControl::Join {
+            vm: "entry-1".into(),
+            domain: "north".parse().unwrap(),
+        };
+        stream.sender.send(&join).await.unwrap();
+        stream
+    }
+
+    /// Calls the HTTP API of control VM `number`. Returns the status and the body.
+    async fn call(
+        &self,
+        number: u8,
+        method: &str,
+        path: &str,
+        body: &str,
+    ) -> Option<(u16, String)> {
+        call(self.address(number, API), method, path, body).await
+    }
+
+    /// Returns the metrics of control VM `number`.
+    async fn metrics(&self, number: u8) -> Option<String> {
+        let answer = call(self.address(number, FIRST + 3), "GET", "/metrics", "").await;
+        answer
+            .filter(|(status, _)| *status == 200)
+            .map(|(_, text)| text)
+    }
+}
+
+impl Drop for Cluster {
+    fn drop(&mut self) {
+        for (_, child) in &mut self.children {
+            drop(child.kill());
+            drop(child.wait());
+        }
+    }
+}
+
+/// Polls until there is a result, and fails the test after [`TEST_TIMEOUT`].
+async fn eventually<T>(what: &str, poll: impl AsyncFn() -> Option<T>) -> T {
+    let asked = async {
+        loop {
+            if let Some(answer) = poll().await {
+                return answer;
+            }
+            sleep(Duration::from_millis(20)).await;
+        }
+    };
+    let answer = timeout(TEST_TIMEOUT, asked).await;
+    answer.unwrap_or_else(|_| panic!("{what}: not within {TEST_TIMEOUT:?}"))
+}
+
+async fn call(to: SocketAddr, method: &str, path: &str, body: &str) -> Option<(u16, String)> {
+    let exchange = async {
+        let mut stream = TcpStream::connect(to).await.ok()?;
+        let request = format!(
+            "{method} {path} HTTP/1.1\r\nHost: {to}\r\nConnection: close\r\nContent-Length: {}\r\n\r\n{body}",
+            body.len()
+        );
+        stream.write_all(request.as_bytes()).await.ok()?;
+        let mut answer = String::new();
+        stream.read_to_string(&mut answer).await.ok()?;
+        let status = answer.split(' ').nth(1)?.parse().ok()?;
+        Some((status, answer))
+    };
+    timeout(Duration::from_secs(5), exchange).await.ok()?
+}
+
+async fn receive(stream: &mut dial::Stream) -> ToEntry {
+    let message = timeout(TEST_TIMEOUT, stream.receiver.receive()).await;
+    message.unwrap().unwrap()
+}
+
+/// Keeps a stream open and gives the messages on it to `record`.
+fn follow(mut stream: dial::Stream, record: impl Fn(ToEntry) + 'static) {
+    tokio::task::spawn_local(async move {
+        while let Ok(message) = stream.receiver.receive().await {
+            record(message);
+            // The control VM ends a stream from which it hears nothing for 2.5 s.
+            if stream.sender.send(&ToControl::Alive).await.is_err() {
+                return;
+            }
+        }
+    });
+}
+
+fn block_on(test: impl Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build();
+    let local = tokio::task::LocalSet::new();
+    local.block_on(&runtime.unwrap(), test);
+}
+
+/// What an entry VM has received.
+#[derive(Default)]
+struct Received {
+    list: ControlList,
+    /// Index of the agreed state, and the version of its plan.
+    index: u64,
+    plan: Option<u64>,
+    /// Number of keep-alive messages, which come once a second.
+    alive: usize,
+    /// Number of keep-alive messages before the newest list.
+    alive_before_list: usize,
+}
+
+impl Received {
+    fn record(&mut self, message: ToEntry) {
+        match message {
+            ToEntry::Controls(list) => {
+                assert!(
+                    list.version > self.list.version,
+                    "{list:?} after {:?}",
+                    self.list
+                );
+                self.list = list;
+                self.alive_before_list = self.alive;
+            }
+            ToEntry::Agreed(agreed) => (self.index, self.plan) = (agreed.index, agreed.plan),
+            ToEntry::Alive => self.alive += 1,
+            _ => {}
+        }
+    }
+
+    fn ips(&self) -> Vec<IpAddr> {
+        self.list.addresses.iter().map(SocketAddr::ip).collect()
+    }
+}
+
+#[test]
+fn entry_vms_learn_of_control_vms_that_join_or_are_replaced_without_a_change_of_the_configuration()
+{
+    block_on(async {
+        let mut cluster = Cluster::start(3);
+        let ips: Vec<IpAddr> = (0..5).map(|n| cluster.address(n, 0).ip()).collect();
+        let received = Arc::<Mutex<Received>>::default();
+        let shared = Arc::clone(&received);
+        let stream = cluster.open(1, THIRD_ROUTING_PATH).await;
+        follow(stream, move |message| {
+            shared.lock().unwrap().record(message)
+        });
+        let has = |wanted: &[IpAddr]| received.lock().unwrap().ips() == wanted;
+        eventually("the founders are listed", async || {
+            has(&ips[1..4]).then_some(())
+        })
+        .await;
+        // The last change of the configuration.
+        put_plan(&cluster).await;
+        eventually("the plan is agreed on", async || {
+            (received.lock().unwrap().plan == Some(3)).then_some(())
+        })
+        .await;
+        let index = received.lock().unwrap().index;
+
+        cluster.run(4);
+        let newcomer = cluster.address(4, FIRST + 1).to_string();
+        eventually("control VM 4 is a learner", async || {
+            let dump = call(cluster.address(1, FIRST + 3), "GET", "/dump", "").await?;
+            let replica = dump.1.split("\"replica\"").nth(1)?;
+            let learners = replica.split("\"learners\":[").nth(1)?.split(']').next()?;
+            learners.contains(&newcomer).then_some(())
+        })
+        .await;
+        let alive = received.lock().unwrap().alive;
+        eventually("the learner is listed", async || {
+            has(&ips[1..5]).then_some(())
+        })
+        .await;
+        {
+            let received = received.lock().unwrap();
+            // Fewer than two keep-alive messages: less than a second, by the clock of the sender.
+            assert!(received.alive_before_list <= alive + 1);
+            assert_eq!(received.index, index, "the configuration did not change");
+        }
+
+        cluster.kill(2);
+        let wanted = [ips[1], ips[3], ips[4]];
+        eventually("the replaced VM is not listed", async || {
+            has(&wanted).then_some(())
+        })
+        .await;
+        assert_eq!(received.lock().unwrap().index, index);
+        // An entry VM that connects now, to any control VM, gets the same list.
+        let newest = received.lock().unwrap().list.clone();
+        for number in [3, 4] {
+            let mut late = cluster.open(number, THIRD_ROUTING_PATH).await;
+            loop {
+                if let ToEntry::Controls(list) = receive(&mut late).await
+                    && list.version >= newest.version
+                {
+                    assert_eq!(list.addresses, newest.addresses);
+                    break;
+                }
+            }
+        }
+    });
+}
+
+const ANNOUNCEMENT: &str = r#"{"service":"booking","address":"10.128.0.9:8080","zone":"north",
+  "version":"v1","concurrency":2,"state":"ready","warmupRemainingMs":0,"sequence":SEQUENCE,"born":5}"#;
+
+#[test]
+fn announcements_that_reach_no_entry_vm_are_refused_until_a_stream_opens() {
+    block_on(async {
+        let cluster = Cluster::start(1);
+        let sequence = Cell::new(0);
+        let announce = || {
+            sequence.set(sequence.get() + 1);
+            let body = ANNOUNCEMENT.replace("SEQUENCE", &sequence.get().to_string());
+            let cluster = &cluster;
+            async move { cluster.call(1, "PUT", "/api/instances/i-7", &body).await }
+        };
+        let stop = || cluster.call(1, "DELETE", "/api/instances/i-7", "");
+        eventually("the call is refused", async || {
+            let (status, body) = announce().await?;
+            (status == 503 && body.contains("no entry VM")).then_some(())
+        })
+        .await;
+        assert_eq!(stop().await.unwrap().0, 503);
+
+        let mut stream = cluster.open(1, THIRD_ROUTING_PATH).await;
+        eventually("the call is accepted", async || {
+            (announce().await?.0 == 200).then_some(())
+        })
+        .await;
+        loop {
+            if let ToEntry::AnnouncedGroups(groups) = receive(&mut stream).await {
+                assert_eq!(groups.len(), 1);
+                break;
+            }
+        }
+        eventually("the stream is counted", async || {
+            let metrics = cluster.metrics(1).await?;
+            let counts = ["oriole_entry_streams 1", "oriole_upstreams_announced 1"];
+            counts.iter().all(|c| metrics.contains(c)).then_some(())
+        })
+        .await;
+
+        drop(stream);
+        eventually("the call is refused again", async || {
+            (announce().await?.0 == 503).then_some(())
+        })
+        .await;
+        let metrics = cluster.metrics(1).await.unwrap();
+        assert!(metrics.contains("oriole_entry_streams 0"), "{metrics}");
+    });
+}
+
+const PLAN: &str = r#"{"version":3,"routes":[{"name":"r-a","host":"198.18.0.1","prefix":"/443/",
+  "timeoutMs":800,"targetLatencyMs":400,"priority":1,"routeType":"safe","service":"booking"}],
+  "services":[{"name":"booking","maxFlows":150}]}"#;
+
+/// Puts [`PLAN`] in force.
+async fn put_plan(cluster: &Cluster) {
+    eventually("the plan is acknowledged", async || {
+        let (status, _) = cluster.call(1, "PUT", "/api/config", PLAN).await?;
+        (status == 200).then_some(())
+    })
+    .await;
+}
+
+#[test]
+fn a_plan_is_followed_by_its_terms_on_streams_that_know_them() {
+    block_on(async {
+        let cluster = Cluster::start(1);
+        put_plan(&cluster).await;
+        let wrong = PLAN
+            .replace("150", "\"150\"")
+            .replace("\"version\":3", "\"version\":4");
+        let (status, body) = cluster.call(1, "PUT", "/api/config", &wrong).await.unwrap();
+        assert_eq!(status, 400);
+        assert!(
+            body.contains("booking") && body.contains("maxFlows"),
+            "{body}"
+        );
+
+        let mut stream = cluster.open(1, THIRD_ROUTING_PATH).await;
+        stream
+            .sender
+            .send(&ToControl::Want { version: 3 })
+            .await
+            .unwrap();
+        while !matches!(receive(&mut stream).await, ToEntry::Plan(plan) if plan.version == 3) {}
+        let ToEntry::Terms(terms) = receive(&mut stream).await else {
+            panic!("the terms don't follow the plan");
+        };
+        assert_eq!((terms.version, terms.routes.len()), (3, 1));
+        let route = &terms.routes[0];
+        assert_eq!((route.kind, route.priority), (Kind::Safe, 1));
+        assert_eq!(route.goal_ms, Some(400));
+        assert_eq!(terms.services[0].max_flows, Some(150));
+
+        let mut older = cluster.open(1, SECOND_ROUTING_PATH).await;
+        older
+            .sender
+            .send(&ToControl::Want { version: 3 })
+            .await
+            .unwrap();
+        while !matches!(receive(&mut older).await, ToEntry::Plan(_)) {}
+        // The terms would come before the next keep-alive message.
+        loop {
+            match receive(&mut older).await {
+                ToEntry::Alive => break,
+                message => assert!(!matches!(message, ToEntry::Terms(_))),
+            }
+        }
+    });
+}
--- a/crates/entry/src/gateway/control_streams.rs
+++ b/crates/entry/src/gateway/control_streams.rs
@@ -203,6 +203,8 @@
         self.driver.add_control_stream(control);
         *is_open = true;
         let mut reports = self.driver.subscribe_reports();
+        // Version of the plan whose terms were requested on this stream.
+        let mut terms_requested = None;
         let mut sent_at = Instant::now();
         let mut received_at = Instant::now();
         loop {
@@ -220,7 +222,13 @@
             };
             let message: ToEntry = received.map_err(|_| StreamEnd::Silent)??;
             received_at = Instant::now();
-            if let Some(version) = self.driver.handle_message(control, message) {
+            let mut wanted = self.driver.handle_message(control, message);
+            // The plan may have come from a control VM of an older build, which sends no terms.
+            if wanted.is_none() && version >= Version::Third {
+                wanted = self.driver.terms_to_request(terms_requested);
+                terms_requested = wanted.or(terms_requested);
+            }
+            if let Some(version) = wanted {
                 stream.sender.send(&ToControl::Want { version }).await?;
                 sent_at = Instant::now();
             }
--- a/crates/entry/src/gateway/driver.rs
+++ b/crates/entry/src/gateway/driver.rs
@@ -249,6 +249,7 @@
         }
         let flows = state.gateway.flows();
         state.decision_log.publish_metrics(flows);
+        publish_control_metrics(&state.gateway);
     }
 
     /// Reports whether the fabric should send packets to this VM.
@@ -336,6 +337,7 @@
         let mut state = self.state.borrow_mut();
         let now = state.now();
         state.gateway.remove_control_stream(now, control);
+        metrics::gauge!("oriole_upstreams_claimed", "control" => control.to_string()).set(0);
     }
 }
 
@@ -446,3 +448,16 @@
         }
     }
 }
+
+/// Publishes the number of control VMs that are known and connected, and the number of upstreams that
+/// each connected control VM has announced.
+fn publish_control_metrics(gateway: &Gateway) {
+    let gauge = |count: usize| f64::from(u32::try_from(count).unwrap_or(u32::MAX));
+    let (open, _) = gateway.directory().control_stream_counts();
+    metrics::gauge!("oriole_controls_known").set(gauge(gateway.control_addresses().len()));
+    metrics::gauge!("oriole_controls_connected").set(gauge(open));
+    for (control, count) in gateway.directory().claim_counts() {
+        metrics::gauge!("oriole_upstreams_claimed", "control" => control.to_string())
+            .set(gauge(count));
+    }
+}
--- a/crates/entry/src/gateway/driver/control_messages.rs
+++ b/crates/entry/src/gateway/driver/control_messages.rs
@@ -23,6 +23,18 @@
         })
     }
 
+    /// Returns the version of the plan in force if its terms are missing, so that the plan is to be
+    /// requested once more from a control VM that can send terms; none if `asked` is that version,
+    /// which this control VM has then been asked for.
+    #[must_use]
+    pub fn terms_to_request(&self, asked: Option<u64>) -> Option<u64> {
+        let mut state = self.state.borrow_mut();
+        if state.gateway.plan_version_without_terms() == asked {
+            return None;
+        }
+        state.claim_terms_request()
+    }
+
     fn apply_message(
         &self,
         state: &mut State,
@@ -226,6 +238,18 @@
         );
     }
 
+    /// Returns the version of the plan in force to request it again because its terms are missing,
+    /// and records the request, unless a plan was requested within [`PLAN_RETRY_INTERVAL`].
+    fn claim_terms_request(&mut self) -> Option<u64> {
+        let version = self.gateway.plan_version_without_terms()?;
+        let is_recent = |(_, at): (u64, Clock)| at.elapsed() < PLAN_RETRY_INTERVAL;
+        if self.requested_plan.is_some_and(is_recent) {
+            return None;
+        }
+        self.requested_plan = Some((version, Clock::now()));
+        Some(version)
+    }
+
     /// Returns the version of a plan to request and records the request, unless that version was
     /// requested within [`PLAN_RETRY_INTERVAL`].
     fn claim_plan_request(&mut self, agreed_version: Option<u64>) -> Option<u64> {
--- a/crates/entry/tests/gateway_driver.rs
+++ b/crates/entry/tests/gateway_driver.rs
@@ -1,5 +1,5 @@
-//! Tests how the gateway driver holds packets, decides on them again, and sends them at the rate of
-//! the link.
+//! Tests how the gateway driver holds packets, decides on them again, sends them at the rate of
+//! the link, and requests missing terms of a plan.
 
 #![expect(clippy::unwrap_used, reason = "a test ends at the first error")]
 
@@ -7,7 +7,7 @@
 
 use entry::gateway::driver::GatewayDriver;
 use model::{
-    plan::{Plan, Route, Service, Target},
+    plan::{Plan, Route, Service, Target, Terms},
     routing::{Agreed, Announced, Incarnation, Phase, ToEntry},
 };
 use settings::gateway::Entry;
@@ -163,3 +163,39 @@
         assert_eq!(received[8..], opening);
     });
 }
+
+/// Guards against a plan that stays without its priorities and limits because it came from a control
+/// VM of the build before, which sends no terms.
+#[test]
+fn missing_terms_are_requested_once_from_each_control_vm_until_they_arrive() {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build();
+    runtime.unwrap().block_on(async {
+        let driver = driver(1_000.0).await;
+        assert_eq!(driver.terms_to_request(None), None, "there is no plan");
+        let control: SocketAddr = "127.0.0.1:7".parse().unwrap();
+        let plan = Plan {
+            version: 4,
+            ..Plan::default()
+        };
+        driver.handle_message(control, ToEntry::Plan(Arc::new(plan)));
+        assert_eq!(driver.terms_to_request(None), Some(4));
+        assert_eq!(
+            driver.terms_to_request(None),
+            None,
+            "they may be on the way"
+        );
+        // The interval after which a plan is requested again.
+        tokio::time::sleep(Duration::from_millis(650)).await;
+        assert_eq!(driver.terms_to_request(Some(4)), None, "asked already");
+        assert_eq!(driver.terms_to_request(Some(3)), Some(4));
+        let terms = Terms {
+            version: 4,
+            ..Terms::default()
+        };
+        driver.handle_message(control, ToEntry::Terms(Arc::new(terms)));
+        tokio::time::sleep(Duration::from_millis(650)).await;
+        assert_eq!(driver.terms_to_request(None), None);
+    });
+}
--- a/crates/policy/src/token/directory.rs
+++ b/crates/policy/src/token/directory.rs
@@ -220,6 +220,21 @@
         synced.map(|(source, _)| *source)
     }
 
+    /// Returns the number of upstreams that each control VM with an open stream claims.
+    #[must_use]
+    pub fn claim_counts(&self) -> BTreeMap<SocketAddr, usize> {
+        let open = self.control_streams.keys();
+        let mut counts: BTreeMap<SocketAddr, usize> = open.map(|control| (*control, 0)).collect();
+        for upstream in self.upstreams.values() {
+            for control in &upstream.claims {
+                if let Some(count) = counts.get_mut(control) {
+                    *count += 1;
+                }
+            }
+        }
+        counts
+    }
+
     /// Applies an announcement that `source` received `age_ms` ago. Returns whether the phase or
     /// the incarnation of the upstream changed.
     pub fn announce(
