--- a/crates/settings/src/gateway.rs
+++ b/crates/settings/src/gateway.rs
@@ -250,7 +250,7 @@
 }
 
 fn check_ports(key: &'static str, first: u16, advice: &'static str) -> Result<u16, Fault> {
-    if first == 0 || first > u16::MAX - PORTS_PER_VM {
+    if first == 0 || first > u16::MAX - (PORTS_PER_VM - 1) {
         let reason = "there is no room for 4 consecutive ports";
         return Err(Fault::new(key, first.to_string(), reason, advice));
     }
--- a/crates/settings/tests/gateway.rs
+++ b/crates/settings/tests/gateway.rs
@@ -38,9 +38,17 @@
     assert_eq!(bound, wanted);
 }
 
+/// Guards against a range that ends at the highest port and is refused.
+#[test]
+fn the_highest_four_ports_are_accepted() {
+    let text = control("bind_port: 65532\n").replace("7720", "65532");
+    let settings: Control = settings::parse("control.yaml", &text).unwrap();
+    assert_eq!(settings.daemon().http_listen.port(), 65_535);
+}
+
 #[test]
 fn a_port_range_without_room_is_reported_with_its_key() {
-    for port in ["0", "65534"] {
+    for port in ["0", "65533", "65534"] {
         let text = control(&format!("bind_port: {port}\n"));
         assert!(fault(&text).contains("`bind_port`"), "{}", fault(&text));
         let text = control("").replace("7720", port);
