--- a/crates/control/src/routing_stream.rs
+++ b/crates/control/src/routing_stream.rs
@@ -23,7 +23,7 @@
 
 use crate::{
     probe_reports::{self, ProbeUpdate, Reporter},
-    state::State,
+    state::{SoftState, State},
     work_table::{self, Round},
 };
 
@@ -80,6 +80,8 @@
         let mut soft = state.soft_state();
         soft.relay.add_listener(&reporter.domain);
         let member = soft.work.open(&reporter.vm, &reporter.domain);
+        soft.audience.add_stream();
+        publish_stream_count(&soft);
         drop(soft);
         Self {
             member,
@@ -106,12 +108,20 @@
 
 impl Drop for Listener {
     fn drop(&mut self) {
+        let now_ms = self.state.now_ms();
         let mut soft = self.state.soft_state();
         soft.relay.remove_listener(&self.reporter.domain);
         soft.work.close(&self.member);
+        soft.audience.remove_stream(now_ms);
+        publish_stream_count(&soft);
     }
 }
 
+fn publish_stream_count(soft: &SoftState) {
+    let streams = u32::try_from(soft.audience.streams()).unwrap_or(u32::MAX);
+    metrics::gauge!("oriole_entry_streams").set(streams);
+}
+
 /// Serves the stream of an entry VM until it ends.
 ///
 /// Entry VMs of the previous build use [`Version::First`].
@@ -170,7 +180,7 @@
         tokio::select! {
             received = stream.receiver.receive() => {
                 last_message_at = tokio::time::Instant::now();
-                handle_message(stream, state, &listener, received?).await?;
+                handle_message(stream, state, version, &listener, received?).await?;
             }
             first = probes.recv() => {
                 sleep(BATCH_DELAY).await;
@@ -226,6 +236,7 @@
 async fn handle_message(
     stream: &mut Stream,
     state: &State,
+    version_of_stream: Version,
     listener: &Listener,
     message: ToControl,
 ) -> Result<(), End> {
@@ -235,8 +246,14 @@
             // If this replica's plan is older than the requested version, the entry VM asks another
             // control VM.
             if let Some(plan) = plan.filter(|plan| plan.version >= version) {
+                let terms = (version_of_stream >= Version::Third)
+                    .then(|| state.terms.terms(&plan))
+                    .flatten();
                 let plan = Arc::new(plan.without_text());
                 stream.sender.send(&ToEntry::Plan(plan)).await?;
+                if let Some(terms) = terms {
+                    stream.sender.send(&ToEntry::Terms(terms)).await?;
+                }
             }
         }
         ToControl::Down { id } => {
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -15,7 +15,10 @@
 use tokio::sync::{Notify, broadcast, watch};
 
 use crate::{
-    announcement_table, candidates, lease,
+    announcement_table,
+    audience::Audience,
+    candidates, lease,
+    plan_terms::TermsCache,
     probe_reports::{ProbeUpdate, ReportRelay, Reporter},
     replica::Handle,
     work_table,
@@ -44,6 +47,8 @@
     rounds: broadcast::Sender<Arc<work_table::Round>>,
     /// Failure domain of this control VM.
     pub domain: Name,
+    /// Terms of the plan in force, as sent to entry VMs.
+    pub terms: TermsCache,
     /// Port at which control VMs accept streams of entry VMs, the same on all control VMs.
     delivery_port: u16,
 }
@@ -63,6 +68,8 @@
     pub relay: ReportRelay,
     /// Flows and work that entry VMs have placed on upstreams.
     pub work: work_table::Table,
+    /// Streams of entry VMs, which decide whether announcements are accepted.
+    pub audience: Audience,
 }
 
 /// Maximum number of rounds of the work table queued for a stream; a stream that lags behind gets the
@@ -96,12 +103,14 @@
                 last_leader_ms: None,
                 relay: ReportRelay::default(),
                 work: work_table::Table::default(),
+                audience: Audience::default(),
             })),
             started: Instant::now(),
             announcement_revision: watch::Sender::new(0),
             probes: broadcast::Sender::new(MAX_QUEUED_PROBES),
             rounds: broadcast::Sender::new(MAX_QUEUED_ROUNDS),
             domain: Name::unknown(),
+            terms: TermsCache::default(),
             delivery_port: 0,
         }
     }
@@ -207,6 +216,13 @@
         self.knows_leader() || now_ms < last_leader_ms + MAX_LEADERLESS_MS
     }
 
+    /// Reports whether announcements received here reach an entry VM; see [`Audience`].
+    #[must_use]
+    pub fn can_reach_entry_vms(&self) -> bool {
+        let now_ms = self.now_ms();
+        self.soft_state().audience.is_reached(now_ms)
+    }
+
     /// Returns the control VMs of the cluster, with the addresses at which they accept streams of
     /// entry VMs.
     #[must_use]
