--- /dev/null
+++ b/crates/policy/tests/token_shared_work.rs
@@ -0,0 +1,66 @@
+//! Simulation of a load with four ways to know what other entry VMs place, without a network.
+//!
+//! 90 entry VMs in three failure domains stand in front of 150 upstreams with two slots and a queue of
+//! eight requests. A tenth of the upstreams is three times as slow and doesn't say so. The load is 0.7
+//! of the capacity, and 1.3 times as much for three seconds. The table in docs/design/load.md comes from
+//! `cargo test -p policy --test token_shared_work -- --nocapture`.
+
+#![expect(clippy::unwrap_used, reason = "a test ends at the first error")]
+
+mod token_support;
+
+/// The table of a control VM, from its source: the crate `control` has many dependencies, and this
+/// module needs none of them.
+#[path = "../../control/src"]
+#[allow(dead_code, reason = "the simulation uses a part")]
+#[allow(unreachable_pub, reason = "the module is public in its crate")]
+mod control {
+    pub mod work_table;
+}
+
+#[path = "shared_work/mod.rs"]
+mod shared_work;
+
+use shared_work::{Fault, Simulation, Way};
+
+/// Runs one way without and with each fault, and prints a line of the table.
+fn run(way: Way) -> shared_work::Results {
+    let plain = Simulation::new(way, None).run();
+    let faults = [
+        Fault::Partition,
+        Fault::FrozenVm,
+        Fault::LostControl,
+        Fault::NewVms,
+    ];
+    let shares = faults.map(|fault| {
+        let results = Simulation::new(way, Some(fault)).run();
+        format!("{:.3}", results.in_time_share())
+    });
+    eprintln!(
+        "| {way:?} | {:.3} | {} | {:.2} | {:.0} | {:.0} | {:.3} | {} |",
+        plain.in_time_share(),
+        plain.refused,
+        plain.busiest,
+        plain.bytes_per_s,
+        plain.age_ms,
+        plain.herd,
+        shares.join(" | ")
+    );
+    plain
+}
+
+/// Guards against a shared view that costs more than its budget, or steers worse than what each VM
+/// sees by itself.
+#[test]
+fn digests_serve_more_requests_than_what_each_vm_sees() {
+    let today = run(Way::Today);
+    let digests = run(Way::Digests);
+    run(Way::Probes);
+    run(Way::Subsets);
+    assert!(digests.bytes_per_s < 512.0, "{digests:?}");
+    assert!(digests.refused < today.refused, "{digests:?}");
+    assert!(
+        digests.in_time_share() > today.in_time_share(),
+        "{digests:?}"
+    );
+}
