--- a/crates/policy/benches/token.rs
+++ b/crates/policy/benches/token.rs
@@ -10,7 +10,10 @@
 
 use std::time::Instant;
 
-use model::routing::{Announced, Incarnation};
+use model::{
+    routing::{Announced, Incarnation},
+    work::{Entry, Summary},
+};
 use policy::token::gateway::Gateway;
 use token_support::{
     SETTLED_MS, agreed_state, announcement, at, chosen_upstream, control_vm, data_packet,
@@ -23,7 +26,9 @@
 const DOMAINS: [&str; 4] = ["a", "b", "c", "d"];
 
 fn main() {
-    println!("upstreams  opening us  data us  announced us  replaced us  repeated us");
+    println!(
+        "upstreams  opening us  with view us  data us  announced us  replaced us  repeated us"
+    );
     for count in [18, 150, 1_000, 6_500] {
         let mut gateway = empty_gateway();
         gateway.apply_plan(plan(1));
@@ -37,22 +42,47 @@
             let ms = SETTLED_MS + n / 40;
             chosen_upstream(gateway.decide(at(ms), &opening_packet(port, 0))).unwrap();
         });
+        // All upstreams are in the view. The packets of half a second share a summary.
+        gateway.apply_summary(at(SETTLED_MS + 1_000), control_vm(1), summary(1, count));
+        let opened_with_view = micros(PACKETS.into(), |n| {
+            let port = u16::try_from(n).unwrap() + PACKETS;
+            let ms = SETTLED_MS + 1_000 + n / 40;
+            chosen_upstream(gateway.decide(at(ms), &opening_packet(port, 0))).unwrap();
+        });
         let forwarded = micros(PACKETS.into(), |n| {
             let port = u16::try_from(n).unwrap();
             let token = u32::try_from(1 + n % count).unwrap();
-            let ms = SETTLED_MS + 1_000 + n / 400;
+            let ms = SETTLED_MS + 2_000 + n / 400;
             gateway.decide(at(ms), &data_packet(port, token, 101, 50, 1));
         });
         // Other upstreams start at the same addresses, as after a power loss of a failure domain.
         let replaced = micros(count, |n| announce(&mut gateway, count + n, n, 9_000));
         let repeated = micros(count, |n| announce(&mut gateway, count + n, n, 9_000));
         println!(
-            "{count:>9}  {opened:>10.2}  {forwarded:>7.2}  {announced:>12.2}  {replaced:>11.2}  \
-             {repeated:>11.2}"
+            "{count:>9}  {opened:>10.2}  {opened_with_view:>12.2}  {forwarded:>7.2}  \
+             {announced:>12.2}  {replaced:>11.2}  {repeated:>11.2}"
         );
     }
 }
 
+/// Returns a summary of all upstreams with different loads.
+fn summary(sequence: u64, upstreams: u64) -> Summary {
+    let entries = (1..=upstreams).map(|id| Entry {
+        token: u32::try_from(id).unwrap(),
+        flows: 40,
+        demand_milli: 300 + u32::try_from(id % 10).unwrap() * 100,
+        requests: 80,
+        refused: 0,
+        waited_ms: 2_000,
+        usual_ms: 1_600,
+    });
+    Summary {
+        sequence,
+        reporters: 100,
+        entries: entries.collect(),
+    }
+}
+
 /// Announces upstream `id` at the address of number `position`.
 fn announce(gateway: &mut Gateway, id: u64, position: u64, started_ms: u64) {
     let domain = DOMAINS[usize::try_from(position % 4).unwrap()];
--- a/crates/policy/src/token/cache.rs
+++ b/crates/policy/src/token/cache.rs
@@ -14,7 +14,7 @@
     }
 }
 
-impl<T: Copy> TtlCache<T> {
+impl<T> TtlCache<T> {
     /// Returns the value for `service`. Calls `compute` if the cached value is `ttl_ms` old or
     /// missing.
     pub(super) fn get(
@@ -23,14 +23,12 @@
         ttl_ms: u64,
         service: &Arc<str>,
         compute: impl FnOnce() -> T,
-    ) -> T {
-        if let Some((computed_at, value)) = self.0.get(service)
-            && now.ms_since(*computed_at) < ttl_ms
-        {
-            return *value;
+    ) -> &T {
+        let is_cached = |(computed_at, _): &(Instant, T)| now.ms_since(*computed_at) < ttl_ms;
+        if !self.0.get(service).is_some_and(is_cached) {
+            let value = compute();
+            self.0.insert(Arc::clone(service), (now, value));
         }
-        let value = compute();
-        self.0.insert(Arc::clone(service), (now, value));
-        value
+        &self.0[service].1
     }
 }
--- a/crates/policy/src/token/gateway.rs
+++ b/crates/policy/src/token/gateway.rs
@@ -13,6 +13,7 @@
     name::Name,
     plan::{Plan, Target},
     routing::{self, Agreed, Announced, ControlList, Incarnation, Peers, ProbeOutcome},
+    work::Summary,
 };
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
@@ -20,6 +21,7 @@
 use super::{
     backoff,
     cache::TtlCache,
+    cost,
     directory::{Directory, Upstream},
     flow::Flow,
     health::{HealthChange, HealthStatus, HealthTable, Probe, ProbeResult},
@@ -27,6 +29,7 @@
     outlier::{OutlierChange, OutlierDetector},
     placement::Selector,
     segment::{Key, Segment},
+    work,
 };
 use crate::time::Instant;
 
@@ -74,6 +77,10 @@
     latencies: LatencyTable,
     outliers: OutlierDetector,
     selector: Selector,
+    /// Flows and work at upstreams, over all entry VMs.
+    view: work::View,
+    /// Costs of requests.
+    costs: cost::Table,
     /// For each service, whether most of its upstreams have yet to announce themselves.
     gathering: TtlCache<bool>,
     flows: BTreeMap<Key, Flow>,
@@ -108,6 +115,8 @@
             latencies: LatencyTable::default(),
             outliers: OutlierDetector::default(),
             selector: Selector::default(),
+            view: work::View::default(),
+            costs: cost::Table::default(),
             gathering: TtlCache::default(),
             flows: BTreeMap::new(),
             probe_reports: Vec::new(),
@@ -189,7 +198,7 @@
             )
         });
         self.routes = by_address.collect();
-        self.selector = Selector::default();
+        self.selector.clear_surveys();
         self.gathering = TtlCache::default();
         let routes = &self.routes;
         self.outliers.retain_routes(|r| routes.contains_key(&r));
@@ -241,6 +250,11 @@
         }
     }
 
+    /// Applies a summary of the control VM `source`; see [`work::View::apply_summary`].
+    pub fn apply_summary(&mut self, now: Instant, source: SocketAddr, summary: Summary) {
+        self.view.apply_summary(now, source, summary);
+    }
+
     /// Applies an announcement; see [`Directory::announce`].
     pub fn announce(
         &mut self,
--- a/crates/policy/src/token/gateway/packet.rs
+++ b/crates/policy/src/token/gateway/packet.rs
@@ -95,7 +95,8 @@
     /// Returns the cached result of `Directory::is_gathering`, which iterates over all upstreams.
     fn is_gathering(&mut self, now: Instant, service: &Arc<str>) -> bool {
         let compute = || self.directory.is_gathering(now, service);
-        self.gathering
+        *self
+            .gathering
             .get(now, GATHERING_CACHE_MS, service, compute)
     }
 
@@ -119,6 +120,7 @@
         while let Some(position) = draw_target(&remaining, &mut self.random) {
             let request = PlacementRequest {
                 service: &remaining[position].service,
+                route: key.service,
                 domain: &self.settings.domain,
                 out: &self.agreed.domains_out,
                 tried,
@@ -128,6 +130,8 @@
                 health: &self.health,
                 latencies: &self.latencies,
                 outliers: &self.outliers,
+                view: &self.view,
+                costs: &self.costs,
             };
             let chosen = self.selector.choose(now, request, inputs, &mut self.random);
             if let Some(upstream) = chosen {
--- a/crates/policy/src/token/placement.rs
+++ b/crates/policy/src/token/placement.rs
@@ -9,21 +9,40 @@
 //! random, and the cheapest gets the flow. The cost is the number of this VM's requests per slot,
 //! weighted by the slowness and failure rate of the upstream. Random draws keep VMs with little
 //! information from choosing the same upstream at once, such as one that has just become ready.
+//!
+//! Where the shared view knows the load of upstreams, candidates are drawn by their free capacity
+//! instead, and the share that leaves the domain follows from the levels of the domains; see
+//! [`candidates`] and [`levels`].
 
-use std::{collections::BTreeSet, sync::Arc};
+use std::{collections::BTreeMap, net::SocketAddrV4, sync::Arc};
 
 use model::name::Name;
 use rand::Rng;
 
 use super::{
     cache::TtlCache,
+    cost,
     directory::{Directory, Members, Upstream},
     health::HealthTable,
     latency::LatencyTable,
     outlier::{OUTLIER_COST, OutlierDetector},
+    work,
 };
 use crate::time::Instant;
 
+pub mod candidates;
+pub mod levels;
+mod pool_draw;
+mod recent;
+mod search;
+mod survey;
+
+use levels::Balance;
+use pool_draw::PoolDraw;
+use recent::Recent;
+use search::choose_from_all;
+use survey::Survey;
+
 /// Number of candidates that are compared for a flow.
 const CANDIDATES: usize = 3;
 
@@ -34,20 +53,17 @@
 /// Assumed number of requests per slot from other VMs at each upstream.
 const BACKGROUND_LOAD: f32 = 1.0;
 
-/// Factor by which a failure domain may fall short of its even share of the slots. A domain with
-/// fewer slots than its even share divided by this factor sends flows to other domains from the
-/// start.
-const HEADROOM: f32 = 2.0;
-
-/// Time in milliseconds for which the count of a service's slots per failure domain is reused.
-/// Counting iterates over all upstreams.
-const LACKING_SHARE_CACHE_MS: u64 = 100;
+/// Time in milliseconds for which the survey of a service's upstreams is reused. A survey iterates
+/// over all upstreams.
+const SURVEY_CACHE_MS: u64 = 100;
 
 /// Parameters of a placement.
 #[derive(Debug, Clone, Copy)]
 pub struct PlacementRequest<'a> {
     /// Service of the flow.
     pub service: &'a Arc<str>,
+    /// Route of the flow.
+    pub route: SocketAddrV4,
     /// Failure domain of this VM.
     pub domain: &'a Name,
     /// Failure domains that get no new flows.
@@ -81,6 +97,10 @@
     pub latencies: &'a LatencyTable,
     /// Failure rates of upstreams.
     pub outliers: &'a OutlierDetector,
+    /// Flows and work at upstreams, over all entry VMs.
+    pub view: &'a work::View,
+    /// Costs of requests.
+    pub costs: &'a cost::Table,
 }
 
 impl<'a> PlacementInputs<'a> {
@@ -113,6 +133,31 @@
         load * slowness * slowness * self.failure_cost(now, upstream)
     }
 
+    /// Returns the slots that a new flow is expected to occupy in its first second. The first
+    /// request of a flow follows at once, also where further requests are rare.
+    fn expected_demand(&self, request: PlacementRequest<'_>) -> f32 {
+        let first_request = self.costs.mean_ms(request.route) / 1_000.0;
+        self.costs.flow_demand(request.route).max(first_request)
+    }
+
+    /// Returns `preferred`, or a cheaper upstream of any failure domain if `preferred` is an
+    /// outlier.
+    fn avoid_outlier(
+        &self,
+        now: Instant,
+        request: PlacementRequest<'_>,
+        members: &Members,
+        preferred: &'a Upstream,
+        random: &mut impl Rng,
+    ) -> Option<&'a Upstream> {
+        if self.failure_cost(now, preferred) < OUTLIER_COST {
+            return Some(preferred);
+        }
+        let is_eligible = |u: &Upstream| self.is_eligible(now, request, u);
+        let any = self.draw_cheapest(now, members.all(), is_eligible, random);
+        self.cheapest(now, [Some(preferred), any].into_iter().flatten())
+    }
+
     /// Returns the cheapest of a few upstreams that are drawn from `ids` and satisfy `fits`; none
     /// if no draw does.
     fn draw_cheapest(
@@ -146,11 +191,19 @@
 /// Chooses upstreams for new flows.
 #[derive(Debug, Default)]
 pub struct Selector {
-    /// For each service, the share of new flows for which the own failure domain has too few slots.
-    lacking_share: TtlCache<f32>,
+    /// Recent survey of the upstreams of each service.
+    surveys: TtlCache<Survey>,
+    /// Balance between failure domains of each service, with the time of its last step.
+    balances: BTreeMap<Arc<str>, (Instant, Balance)>,
+    recent: Recent,
 }
 
 impl Selector {
+    /// Discards everything that was derived from the plan.
+    pub fn clear_surveys(&mut self) {
+        self.surveys = TtlCache::default();
+    }
+
     /// Chooses an upstream for a new flow. Returns none if no upstream accepts new flows.
     pub fn choose<'a>(
         &mut self,
@@ -160,92 +213,59 @@
         random: &mut impl Rng,
     ) -> Option<&'a Upstream> {
         let members = inputs.directory.members(request.service)?;
-        let compute = || compute_lacking_share(now, request, inputs);
-        let lacking_share =
-            self.lacking_share
-                .get(now, LACKING_SHARE_CACHE_MS, request.service, compute);
-        let slower = inputs
-            .latencies
-            .leaving_share(now, request.service, request.domain);
-        let leaving_share = lacking_share.max(slower);
-        let leaves_domain = leaving_share > 0.0 && random.random::<f32>() < leaving_share;
-        let ids = match leaves_domain {
-            true => members.all(),
-            false => members.in_domain(request.domain),
-        };
-        let is_eligible = |u: &Upstream| inputs.is_eligible(now, request, u);
-        let is_preferred = |u: &Upstream| is_eligible(u) && request.is_local(u) != leaves_domain;
-        let Some(preferred) = inputs.draw_cheapest(now, ids, is_preferred, random) else {
-            return choose_from_all(now, request, inputs, members, leaves_domain, random);
+        self.recent.expire(now);
+        let Self {
+            surveys,
+            balances,
+            recent,
+        } = self;
+        let compute = || Survey::new(now, request, inputs, recent, balances);
+        let survey = surveys.get(now, SURVEY_CACHE_MS, request.service, compute);
+        let chosen = match &survey.pool {
+            Some(pool) => {
+                let draw = PoolDraw {
+                    now,
+                    request,
+                    inputs,
+                    members,
+                    pool,
+                    recent,
+                };
+                let share = survey
+                    .leaving_share
+                    .unwrap_or_else(|| survey.leaving_share_without_view(now, request, inputs));
+                draw.choose(share, random)
+            }
+            None => choose_without_view(now, request, inputs, members, survey, random),
         };
-        if inputs.failure_cost(now, preferred) < OUTLIER_COST {
-            return Some(preferred);
-        }
-        let any = inputs.draw_cheapest(now, members.all(), is_eligible, random);
-        inputs.cheapest(now, [Some(preferred), any].into_iter().flatten())
-    }
-}
-
-/// Returns the share of new flows for which the own failure domain has too few slots, assuming that
-/// each domain gets the same number of flows.
-fn compute_lacking_share(
-    now: Instant,
-    request: PlacementRequest<'_>,
-    inputs: PlacementInputs<'_>,
-) -> f32 {
-    let all = inputs.directory.of_service(request.service);
-    let (mut own, mut others) = (0.0, 0.0);
-    let mut domains: BTreeSet<&Name> = BTreeSet::from([request.domain]);
-    for upstream in all.filter(|u| inputs.is_eligible(now, request, u)) {
-        // Slots are far below the precision of f32.
-        #[expect(clippy::cast_precision_loss)]
-        let slots = upstream.announced.slots as f32;
-        match request.is_local(upstream) {
-            true => own += slots,
-            false => others += slots,
+        if let Some(upstream) = chosen {
+            recent.add(id(upstream), inputs.expected_demand(request));
         }
-        domains.insert(&upstream.announced.domain);
-    }
-    if own == 0.0 || others == 0.0 {
-        return 0.0;
+        chosen
     }
-    #[expect(clippy::cast_precision_loss)]
-    let domains = domains.len() as f32;
-    (1.0 - HEADROOM * domains * own / (own + others)).max(0.0)
 }
 
-/// Chooses an upstream after a search over all of them. Upstreams that were tried before or are
-/// avoided for their health are a last resort.
-fn choose_from_all<'a>(
+/// Chooses an upstream by what this VM sees.
+fn choose_without_view<'a>(
     now: Instant,
     request: PlacementRequest<'_>,
     inputs: PlacementInputs<'a>,
     members: &Members,
-    leaves_domain: bool,
+    survey: &Survey,
     random: &mut impl Rng,
 ) -> Option<&'a Upstream> {
-    let upstreams = members
-        .all()
-        .iter()
-        .filter_map(|i| inputs.directory.get(*i));
-    let all: Vec<&Upstream> = upstreams
-        .filter(|u| request.accepts_flows(now, u))
-        .collect();
+    let leaving_share = survey.leaving_share_without_view(now, request, inputs);
+    let leaves_domain = leaving_share > 0.0 && random.random::<f32>() < leaving_share;
+    let ids = match leaves_domain {
+        true => members.all(),
+        false => members.in_domain(request.domain),
+    };
     let is_eligible = |u: &Upstream| inputs.is_eligible(now, request, u);
     let is_preferred = |u: &Upstream| is_eligible(u) && request.is_local(u) != leaves_domain;
-    let ranks: [&dyn Fn(&Upstream) -> bool; 4] = [
-        &is_preferred,
-        &is_eligible,
-        &|u| request.is_untried(u),
-        &|_| true,
-    ];
-    let pools = ranks.into_iter().map(|fits| {
-        let pool = all.iter().copied().filter(|u| fits(u));
-        pool.collect::<Vec<&Upstream>>()
-    });
-    let pool = pools.into_iter().find(|p| !p.is_empty())?;
-    let drawn = (0..CANDIDATES).map(|_| pool[random.random_range(0..pool.len())]);
-    inputs.cheapest(now, drawn)
+    let Some(preferred) = inputs.draw_cheapest(now, ids, is_preferred, random) else {
+        return choose_from_all(now, request, inputs, members, leaves_domain, random);
+    };
+    inputs.avoid_outlier(now, request, members, preferred, random)
 }
 
 fn id(upstream: &Upstream) -> u64 {
