--- a/crates/policy/src/token/cache.rs
+++ b/crates/policy/src/token/cache.rs
@@ -34,3 +34,21 @@
         value
     }
 }
+
+impl<T> TtlCache<T> {
+    /// Returns the value for `service`. Calls `compute` if the cached value is missing or as old as
+    /// `ttl_ms` returns for it.
+    pub(super) fn get_ref(
+        &mut self,
+        now: Instant,
+        ttl_ms: impl Fn(&T) -> u64,
+        service: &Arc<str>,
+        compute: impl FnOnce() -> T,
+    ) -> &T {
+        let is_cached = |(at, value): &(Instant, T)| now.ms_since(*at) < ttl_ms(value);
+        if !self.0.get(service).is_some_and(is_cached) {
+            self.0.insert(Arc::clone(service), (now, compute()));
+        }
+        &self.0[service].1
+    }
+}
--- a/crates/policy/src/token/gateway.rs
+++ b/crates/policy/src/token/gateway.rs
@@ -212,7 +212,7 @@
             )
         });
         self.routes = by_address.collect();
-        self.selector = Selector::default();
+        self.selector.clear_surveys();
         self.gathering = TtlCache::default();
         let routes = &self.routes;
         self.outliers.retain_routes(|r| routes.contains_key(&r));
--- a/crates/policy/src/token/gateway/packet.rs
+++ b/crates/policy/src/token/gateway/packet.rs
@@ -131,6 +131,7 @@
             self.update_caps(now, service);
             let request = PlacementRequest {
                 service,
+                route: key.service,
                 domain: &self.settings.domain,
                 out: &self.agreed.domains_out,
                 tried,
@@ -141,6 +142,8 @@
                 latencies: &self.latencies,
                 outliers: &self.outliers,
                 caps: &self.caps,
+                view: &self.view,
+                costs: &self.costs,
             };
             let chosen = self.selector.choose(now, request, inputs, &mut self.random);
             if let Some(upstream) = chosen {
--- a/crates/policy/src/token/work/view.rs
+++ b/crates/policy/src/token/work/view.rs
@@ -188,10 +188,11 @@
 
     /// Returns flows and work at the upstream with `token`; none if nothing recent is known.
     ///
-    /// An upstream that no recent summary names has no flows: control VMs send all upstreams with
-    /// flows first. This holds only while some control VM has reporters.
+    /// Nothing is known of an upstream that no summary has named: it may be idle, or only out of the
+    /// reach of the VMs that report.
     #[must_use]
     pub fn load(&self, now: Instant, token: u32) -> Option<Load> {
+        let values = self.upstreams.get(&token)?;
         let mut load = Load {
             flows: 0,
             demand: 0.0,
@@ -199,10 +200,6 @@
             refused_share: 0.0,
             age_ms: 0,
         };
-        let Some(values) = self.upstreams.get(&token) else {
-            load.age_ms = self.empty_age_ms(now)?;
-            return Some(load);
-        };
         let mut sums = Sums::default();
         let mut is_known = false;
         for value in values {
@@ -227,13 +224,6 @@
         is_known.then_some(load)
     }
 
-    /// Returns the age of the newest summary of a control VM with reporters, if it is recent.
-    fn empty_age_ms(&self, now: Instant) -> Option<u64> {
-        let reporting = self.sources.values().filter(|s| s.reporters > 0);
-        let ages = reporting.map(|s| now.ms_since(s.heard_at));
-        ages.min().filter(|age_ms| *age_ms < EXPIRY_MS)
-    }
-
     /// Returns the control VMs whose summaries are known, each with the age of the last one in
     /// milliseconds, its number, and the entry VMs that report to the control VM.
     pub fn sources(&self, now: Instant) -> impl Iterator<Item = (SocketAddr, u64, u64, u32)> {
