--- a/crates/control/src/work_table.rs
+++ b/crates/control/src/work_table.rs
@@ -27,6 +27,10 @@
 const MIN_ENTRIES: usize = 22;
 const MAX_MEAN_ENTRIES: usize = 40;
 
+/// Smallest mean number of entries of one control VM. When its last reporter has left, entry VMs must
+/// still learn that the flows are gone.
+const MIN_OWN_ENTRIES: usize = 2;
+
 /// Divisor of the entries for the share that is distributed over all control VMs by the number of their
 /// reporters, whatever the failure domain.
 const FAR_SHARE: usize = 4;
@@ -293,7 +297,7 @@
             let is_counted = |r: &&Reporter| !r.is_expired && r.domain == *domain;
             let reporters = self.reporters.values().filter(is_counted).count();
             let near = all * (FAR_SHARE - 1) * reporters / (FAR_SHARE * (*members).max(1));
-            (domain.clone(), near + far)
+            (domain.clone(), (near + far).max(MIN_OWN_ENTRIES))
         });
         of_domain.collect()
     }
--- a/crates/control/tests/work_table.rs
+++ b/crates/control/tests/work_table.rs
@@ -146,6 +146,11 @@
             table.apply(0, member, &digest(sequence, &entries));
         }
     }
-    let rounds = (1..=6).map(|second| changes(&table.next_round(second * 1_000), "a").len());
+    let rounds = (1..=6).map(|second| {
+        for member in &members[..30] {
+            table.apply(second * 1_000, member, &digest(101 + second, &[]));
+        }
+        changes(&table.next_round(second * 1_000), "a").len()
+    });
     assert_eq!(rounds.collect::<Vec<_>>(), [64, 64, 40, 14, 14, 14]);
 }
