The shared view is compared with the placement that reads it: digests serve more than each VM's own sight

Cause: the simulation drew by a stand-in that treats single requests as flows that last. Upstreams that no control VM names counted as empty, and routes with few requests per flow as routes of long flows, so that placement oscillated with the real view (left_domain 13,891 of 73,795 flows).

Change: an unnamed upstream is unknown; a route has long flows if most of its flows last for 2 s.

--- a/crates/policy/src/token/cost.rs
+++ b/crates/policy/src/token/cost.rs
@@ -41,6 +41,10 @@
 const PRIOR_FLOW_REQUESTS: f32 = 1.0;
 const PRIOR_FLOWS: f32 = 1.0;
 
+/// Share of long flows from which on a route counts as one of long flows. If single requests are
+/// placed like long flows, placement oscillates; the opposite only spreads long flows less evenly.
+const LONG_SHARE: f32 = 0.5;
+
 /// Number of samples up to which samples are taken under load as well.
 const FEW_SAMPLES: f32 = 8.0;
 
@@ -73,6 +77,8 @@
     requests: f32,
     /// Flows that were opened.
     flows: f32,
+    /// Flows among them that lasted for [`HORIZON_MS`] and longer.
+    long_flows: f32,
     decayed_at: Instant,
 }
 
@@ -87,6 +93,7 @@
             flow_ms: 0.0,
             requests: 0.0,
             flows: 0.0,
+            long_flows: 0.0,
             decayed_at: now,
         }
     }
@@ -105,6 +112,7 @@
         self.flow_ms *= left;
         self.requests *= left;
         self.flows *= left;
+        self.long_flows *= left;
     }
 
     fn mean_ms(&self) -> f32 {
@@ -213,6 +221,19 @@
         self.route(now, route).flows += 1.0;
     }
 
+    /// Records that an opened flow of `route` has lasted for [`HORIZON_MS`].
+    pub fn record_long_flow(&mut self, now: Instant, route: SocketAddrV4) {
+        self.route(now, route).long_flows += 1.0;
+    }
+
+    /// Reports whether most flows of `route` last for [`HORIZON_MS`] and longer, so that the shared
+    /// view shows them before they end.
+    #[must_use]
+    pub fn has_long_flows(&self, route: SocketAddrV4) -> bool {
+        let route = self.routes.get(&route);
+        route.is_some_and(|r| r.long_flows > LONG_SHARE * (r.flows + PRIOR_FLOWS))
+    }
+
     /// Records that a flow of `route` was open for another `open_ms` milliseconds, in which its
     /// client began `requests` requests.
     pub fn record_request(
--- a/crates/policy/src/token/flow.rs
+++ b/crates/policy/src/token/flow.rs
@@ -11,6 +11,9 @@
 /// repeat data after 200 ms; earlier repetitions are packets that were reordered on the way.
 const MIN_REPEAT_MS: u64 = 150;
 
+/// Time in milliseconds from which on a flow counts as long; the horizon of [`super::cost`].
+const LONG_FLOW_MS: u64 = 2_000;
+
 /// State of a flow.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Flow {
@@ -63,6 +66,8 @@
     pub(super) ended_wait_ms: Option<u64>,
     /// Time since the previous packet of the flow, in milliseconds.
     pub(super) open_ms: u64,
+    /// Whether the packet shows that a flow placed by this VM has lasted for [`LONG_FLOW_MS`].
+    pub(super) became_long: bool,
     /// Whether the packet begins a request, the first one included.
     pub(super) begins_request: bool,
 }
@@ -99,6 +104,9 @@
     /// Applies a packet other than an opening packet.
     pub(super) fn apply_segment(&mut self, now: Instant, segment: &Segment) -> SegmentSignal {
         let open_ms = now.ms_since(self.seen_at);
+        let became_long = self.is_placed
+            && self.seen_at.ms_since(self.opened_at) < LONG_FLOW_MS
+            && now.ms_since(self.opened_at) >= LONG_FLOW_MS;
         self.seen_at = now;
         self.is_over |= matches!(segment.kind, Kind::Finish | Kind::Reset);
         let end = segment.sequence.wrapping_add(u32::from(segment.length));
@@ -112,12 +120,14 @@
             return SegmentSignal {
                 is_answer: self.is_placed,
                 open_ms,
+                became_long,
                 begins_request: self.has_pending_request,
                 ..SegmentSignal::default()
             };
         }
         let mut signal = SegmentSignal {
             open_ms,
+            became_long,
             ..SegmentSignal::default()
         };
         if is_after(segment.acknowledged, self.acknowledged) {
--- a/crates/policy/src/token/gateway/shared_work.rs
+++ b/crates/policy/src/token/gateway/shared_work.rs
@@ -114,6 +114,9 @@
         let requests = u8::from(signal.begins_request);
         self.costs
             .record_request(now, route, signal.open_ms, requests);
+        if signal.became_long {
+            self.costs.record_long_flow(now, route);
+        }
         if signal.begins_request {
             let demand = self.costs.request_demand(route);
             self.ledger.record_request(now, token, demand);
--- a/crates/policy/src/token/placement.rs
+++ b/crates/policy/src/token/placement.rs
@@ -55,11 +55,6 @@
 /// Assumed number of requests per slot from other VMs at each upstream.
 const BACKGROUND_LOAD: f32 = 1.0;
 
-/// Requests per second of an open flow up to which the flows of a route count as long. A flow with a
-/// single request is open for little longer than the request, so its rate is high; as a long flow it
-/// would be placed by a view that it outdates.
-const MAX_LONG_FLOW_RATE: f32 = 2.0;
-
 /// Parameters of a placement.
 #[derive(Debug, Clone, Copy)]
 pub struct PlacementRequest<'a> {
@@ -140,9 +135,7 @@
     }
 
     fn flow_kind(&self, request: PlacementRequest<'_>) -> FlowKind {
-        let demand = self.costs.flow_demand(request.route);
-        let most = self.costs.mean_ms(request.route) / 1_000.0 * MAX_LONG_FLOW_RATE;
-        match demand > 0.0 && demand <= most {
+        match self.costs.has_long_flows(request.route) {
             true => FlowKind::Long,
             false => FlowKind::Single,
         }
--- a/crates/policy/tests/shared_work/mod.rs
+++ b/crates/policy/tests/shared_work/mod.rs
@@ -79,7 +79,7 @@
 pub(crate) enum Way {
     /// Placement by what each VM sees.
     Today,
-    /// Draws weighted by the free capacity in the shared view.
+    /// Placement by the shared view.
     Digests,
     /// A pool of probes that upstreams have answered.
     Probes,
@@ -174,8 +174,6 @@
     received: Vec<u64>,
     /// Own open flows at each upstream.
     open: BTreeMap<u32, u32>,
-    /// Own flows and their demand that the view doesn't contain.
-    placed: BTreeMap<u32, f32>,
     /// Upstream, load and time of each probe.
     probes: VecDeque<(u32, u32, u64)>,
 }
@@ -280,7 +278,6 @@
                     .collect(),
                 received: vec![0; controls.len()],
                 open: BTreeMap::new(),
-                placed: BTreeMap::new(),
                 probes: VecDeque::new(),
             }
         });
@@ -425,7 +422,7 @@
             let entry = &mut self.vms[index(vm)];
             entry.gateway = new_gateway(vm, ms - 1_000);
             entry.sequence = 0;
-            (entry.placed, entry.open) = (BTreeMap::new(), BTreeMap::new());
+            entry.open = BTreeMap::new();
             entry.probes.clear();
             for control in 0..DOMAINS {
                 self.vms[index(vm)].received[index(control)] = 0;
@@ -452,7 +449,6 @@
         let address = control_address(control);
         let digest = entry.gateway.take_digest(at(ms), address, entry.sequence);
         entry.sequence = digest.sequence;
-        entry.placed.clear();
         let applied =
             self.controls[index(control)].apply(ms, &entry.members[index(control)], &digest);
         assert_eq!(applied.refused, 0, "{applied:?}");
@@ -541,11 +537,11 @@
             length: 0,
         };
         let decision = self.vms[index(vm)].gateway.decide(at(ms), &opening);
-        let today = u32::try_from(chosen_upstream(decision).unwrap()).unwrap();
+        let chosen = u32::try_from(chosen_upstream(decision).unwrap()).unwrap();
+        self.count_ages(ms, vm);
         let upstream = match self.way {
-            Way::Today => today,
-            Way::Digests => self.choose_by_view(ms, vm, is_feed).unwrap_or(today),
-            Way::Probes => self.choose_by_probe(ms, vm).unwrap_or(today),
+            Way::Today | Way::Digests => chosen,
+            Way::Probes => self.choose_by_probe(ms, vm).unwrap_or(chosen),
             Way::Subsets => self.choose_in_subset(vm),
         };
         let ends_ms = ms + self.draw_ms(FEED_LENGTH_MS);
@@ -573,35 +569,15 @@
         (1..=UPSTREAMS).filter(move |u| domain_of_upstream(*u) == domain_of_vm(vm))
     }
 
-    fn choose_by_view(&mut self, ms: u64, vm: u32, is_feed: bool) -> Option<u32> {
-        let entry = &self.vms[index(vm)];
-        let mut weights = Vec::new();
+    /// Counts the ages of the loads that the gateway of `vm` has placed by.
+    fn count_ages(&mut self, ms: u64, vm: u32) {
+        let view = self.vms[index(vm)].gateway.view();
         for upstream in Self::own_upstreams(vm) {
-            let load = entry.gateway.view().load(at(ms), upstream)?;
-            let placed = entry.placed.get(&upstream).copied().unwrap_or_default();
-            let free = 2.0 / load.slowness - load.demand - placed;
-            // With a fixed floor, slow upstreams would get as many flows as others in an overload.
-            let speed = 1.0 / (load.slowness * load.slowness);
-            let floor = 0.5 * speed / (load.demand + placed).max(1.0);
-            weights.push((upstream, free.max(floor)));
-            self.ages.0 += f64::from(u32::try_from(load.age_ms).unwrap());
-            self.ages.1 += 1.0;
+            if let Some(load) = view.load(at(ms), upstream) {
+                self.ages.0 += f64::from(u32::try_from(load.age_ms).unwrap());
+                self.ages.1 += 1.0;
+            }
         }
-        let total: f32 = weights.iter().map(|(_, w)| w).sum();
-        let mut draw = || {
-            let mut offset = self.random.random_range(0.0..total);
-            let drawn = weights.iter().find(|(_, weight)| {
-                offset -= weight;
-                offset < 0.0
-            });
-            drawn.map_or(weights[0].0, |(upstream, _)| *upstream)
-        };
-        let drawn = [draw(), draw()];
-        let own = |u: &u32| entry.open.get(u).copied().unwrap_or_default();
-        let chosen = drawn.into_iter().min_by_key(own)?;
-        let demand = entry.gateway.costs().flow_demand(route(is_feed));
-        *self.vms[index(vm)].placed.entry(chosen).or_default() += demand;
-        Some(chosen)
     }
 
     fn choose_by_probe(&mut self, ms: u64, vm: u32) -> Option<u32> {
--- a/crates/policy/tests/token_shared_work.rs
+++ b/crates/policy/tests/token_shared_work.rs
@@ -59,17 +59,26 @@
     assert!(results.bytes_per_s < 512.0, "{results:?}");
 }
 
-/// Guards against a shared view that steers worse than what each VM sees. Prints the table.
+/// Guards against a shared view that steers worse than what each VM sees.
 #[test]
-#[ignore = "see KNOWN-RED.txt"]
 fn digests_serve_more_requests_than_what_each_vm_sees() {
-    let today = run(Way::Today);
-    let digests = run(Way::Digests);
-    run(Way::Probes);
-    run(Way::Subsets);
+    let [today, digests] = std::thread::scope(|scope| {
+        let runs = [Way::Today, Way::Digests]
+            .map(|way| scope.spawn(move || Simulation::new(way, None).run()));
+        runs.map(|run| run.join().unwrap())
+    });
     assert!(digests.refused < today.refused, "{digests:?}");
     assert!(
         digests.in_time_share() > today.in_time_share(),
         "{digests:?}"
     );
 }
+
+/// Prints the table of docs/design/load.md.
+#[test]
+#[ignore = "takes 45 s and checks nothing beyond the test above"]
+fn table_of_four_ways() {
+    for way in [Way::Today, Way::Digests, Way::Probes, Way::Subsets] {
+        run(way);
+    }
+}
--- a/crates/policy/tests/token_work.rs
+++ b/crates/policy/tests/token_work.rs
@@ -215,8 +215,9 @@
     assert_eq!((load.flows, load.demand, load.age_ms), (14, 1.0, 1_000));
     assert!((2.5..3.0).contains(&load.slowness), "{load:?}");
     assert!((0.15..0.25).contains(&load.refused_share), "{load:?}");
-    // An upstream that no control VM names has no flows.
-    assert_eq!(view.load(at(1_000), 6).unwrap().flows, 0);
+    // Nothing is known of an upstream that no control VM names: it may be out of the reach of the
+    // VMs that report.
+    assert_eq!(view.load(at(1_000), 6), None);
 }
 
 /// Guards against a slow upstream that counts as slow for long after it has recovered.
@@ -270,7 +271,7 @@
     view.apply_summary(at(4_000), control_vm(1), summary(1, &[entry(6, 1, 0)]));
     assert_eq!(view.load(at(4_000), 5).unwrap().flows, 3);
     view.remove_source(control_vm(2));
-    assert_eq!(view.load(at(4_000), 5).unwrap().flows, 0);
+    assert_eq!(view.load(at(4_000), 5), None);
 }
 
 /// Failure "a value is impossible": guards against values that steer all flows away from an upstream
