store: drop writes torn by a power loss, refuse what may have been acknowledged

A power loss in the middle of a write left a record of full length with sectors that were never written, and each later start was refused. The synced length is now synced itself, in two files that take turns, before anything is acknowledged. Damage at or behind it is dropped; any other damage is refused. The tests of the fake disk lose sectors, writes and names independently.

A replica that keeps the voter set by itself and whose state is lost begins as a new one.

--- a/crates/store/src/error.rs
+++ b/crates/store/src/error.rs
@@ -43,6 +43,26 @@
         /// Length of the valid records, in bytes.
         valid_length: u64,
     },
+    /// file {file} is damaged at byte {offset}, {reason}, and whether these bytes were acknowledged is unknown (synced up to byte {synced_length} at least): empty the folder and replace this replica
+    Doubtful {
+        /// Name of the file.
+        file: String,
+        /// Offset of the damage from the start of the file, in bytes.
+        offset: u64,
+        /// Description of the damage.
+        reason: String,
+        /// Lower bound of the synced length, in bytes.
+        synced_length: u64,
+    },
+    /// file snapshot ends with entry {snapshot_index}, but file {log} begins after entry {log_snapshot_index}: restore the snapshot that belongs to the log, or empty the folder and replace this replica
+    OldSnapshot {
+        /// Index of the last entry that the snapshot includes.
+        snapshot_index: u64,
+        /// Name of the log file.
+        log: String,
+        /// Index of the last entry before those of the log file.
+        log_snapshot_index: u64,
+    },
     /// file {0} is missing: restore the file, or empty the folder and replace this replica
     MissingFile(String),
     /// data folder belongs to replica {found}, not to {wanted}: correct the name or the data folder in the settings
@@ -61,6 +81,34 @@
 impl std::error::Error for Error {}
 
 impl Error {
+    /// Reports whether state that this replica has acknowledged is lost, or may be. A start can't
+    /// continue then, however often it is repeated.
+    #[must_use]
+    pub fn is_lost_state(&self) -> bool {
+        match self {
+            Self::Corrupt { .. }
+            | Self::SyncedDataLost { .. }
+            | Self::Doubtful { .. }
+            | Self::OldSnapshot { .. }
+            | Self::MissingFile(_) => true,
+            Self::InUse(_)
+            | Self::Full { .. }
+            | Self::Io { .. }
+            | Self::ReplicaNameMismatch { .. }
+            | Self::EarlierWriteFailed
+            | Self::Encode(_) => false,
+        }
+    }
+
+    /// Returns the text of the error without its last part, which says what to do.
+    pub(crate) fn without_advice(&self) -> String {
+        let text = self.to_string();
+        match text.rsplit_once(": ") {
+            Some((cause, _)) => cause.to_owned(),
+            None => text,
+        }
+    }
+
     /// Wraps an I/O error; a full disk or an exhausted quota becomes [`Error::Full`].
     pub(crate) fn io(action: &'static str, file: &str, error: &io::Error) -> Self {
         let file = file.to_owned();
--- a/crates/store/src/store.rs
+++ b/crates/store/src/store.rs
@@ -12,11 +12,14 @@
 
 const IDENTITY_FILE: &str = "identity";
 const SNAPSHOT_FILE: &str = "snapshot";
-const SYNCED_LENGTH_FILE: &str = "mark";
 const LOG_FILE_PREFIX: &str = "log-";
 /// Suffix of files that aren't completely written.
 const TEMP_FILE_SUFFIX: &str = ".tmp";
 
+mod recovery;
+mod rejoin;
+mod synced_length;
+
 /// Identity of the replica, written once.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 struct Identity {
@@ -24,15 +27,6 @@
     id: ReplicaId,
 }
 
-/// Lower bound of the synced length of the log.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-struct SyncedLength {
-    /// Number of the log file; the fixed width lets each value overwrite the previous one in place.
-    sequence: [u8; 8],
-    /// Synced length of the log file, in bytes.
-    length: [u8; 8],
-}
-
 /// State that was recovered from a folder when it was opened.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct RecoveredState {
@@ -40,6 +34,23 @@
     pub stored: PersistentState,
     /// Notices for the log of the process, such as repairs and a new identity.
     pub notices: Vec<String>,
+    /// Number of bytes of a write cut short by a crash that were dropped from the log; 0 if none.
+    pub dropped_bytes: u64,
+    /// Whether the state of the replica was lost, and this start set it aside and began as a new
+    /// replica.
+    pub has_rejoined: bool,
+}
+
+impl RecoveredState {
+    /// Returns the state of a new replica.
+    fn empty(notice: String) -> Self {
+        Self {
+            stored: PersistentState::default(),
+            notices: vec![notice],
+            dropped_bytes: 0,
+            has_rejoined: false,
+        }
+    }
 }
 
 /// The store of one replica.
@@ -52,6 +63,10 @@
     /// Length of the log file, in bytes.
     length: u64,
     hard_state: HardState,
+    /// Slot that holds the older synced length, to be overwritten next.
+    next_slot: usize,
+    /// Whether this replica replaces one in the same folder whose state was lost.
+    is_successor: bool,
     /// Whether a write failed. The content of the file is then unknown until the file is read
     /// again.
     has_failed: bool,
@@ -65,43 +80,77 @@
     ///
     /// Fails if a file can't be read, is missing or damaged, or belongs to another replica.
     pub fn open(disk: D, name: &str, new_id: ReplicaId) -> Result<(Self, RecoveredState), Error> {
-        let names = disk
-            .list()
-            .map_err(|e| Error::io("listing", "data folder", &e))?;
-        let mut store = Self {
+        let mut store = Self::new(disk, new_id);
+        let opened = store.open_files(name)?;
+        Ok((store, opened))
+    }
+
+    /// Opens the folder like [`Store::open`]; if the state of the replica is lost, sets its files
+    /// aside and begins as a new replica with the id `new_id`, which no replica may have had before.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a file can't be read or written, or belongs to another replica.
+    pub fn open_or_rejoin(
+        disk: D,
+        name: &str,
+        new_id: ReplicaId,
+    ) -> Result<(Self, RecoveredState), Error> {
+        let mut store = Self::new(disk, new_id);
+        let opened = match store.open_files(name) {
+            Err(error) if error.is_lost_state() => store.rejoin(name, new_id, &error)?,
+            opened => opened?,
+        };
+        Ok((store, opened))
+    }
+
+    fn new(disk: D, new_id: ReplicaId) -> Self {
+        Self {
             disk,
             id: new_id,
             sequence: 0,
             length: 0,
             hard_state: HardState::default(),
+            next_slot: 0,
+            is_successor: false,
             has_failed: false,
-        };
-        store.sequence = names
+        }
+    }
+
+    fn open_files(&mut self, name: &str) -> Result<RecoveredState, Error> {
+        let names = self.list_files()?;
+        self.sequence = names
             .iter()
             .filter_map(|n| parse_log_sequence(n))
             .max()
             .unwrap_or(0);
         for temp_name in names.iter().filter(|n| n.ends_with(TEMP_FILE_SUFFIX)) {
-            store.remove_file(temp_name)?;
+            self.remove_file(temp_name)?;
         }
-        let identity: Option<Identity> = store.read_single_record(IDENTITY_FILE)?;
-        match identity {
-            Some(identity) if identity.name != name => Err(Error::ReplicaNameMismatch {
-                found: identity.name,
+        let succession = self.read_succession()?;
+        let identity: Option<Identity> = self.read_single_record(IDENTITY_FILE)?;
+        if let Some(identity) = &identity
+            && identity.name != name
+        {
+            return Err(Error::ReplicaNameMismatch {
+                found: identity.name.clone(),
                 wanted: name.to_owned(),
-            }),
-            Some(identity) => {
-                store.id = identity.id;
-                let opened = store.recover()?;
-                Ok((store, opened))
-            }
-            None => {
-                store.create_replica_files(name)?;
-                let stored = PersistentState::default();
-                let notices = vec![format!("data folder is empty: new replica {new_id:016x}")];
-                Ok((store, RecoveredState { stored, notices }))
+            });
+        }
+        let id = identity.map(|i| i.id);
+        if let Some(succession) = succession {
+            self.is_successor = true;
+            if id != Some(succession.id) {
+                return self.finish_rejoin(name, &succession);
             }
         }
+        if let Some(id) = id {
+            self.id = id;
+            return self.recover();
+        }
+        self.create_replica_files(name)?;
+        let notice = format!("data folder is empty: new replica {:016x}", self.id);
+        Ok(RecoveredState::empty(notice))
     }
 
     /// Returns the id of the replica.
@@ -110,6 +159,13 @@
         self.id
     }
 
+    /// Reports whether this replica replaces one in the same folder whose state was lost. Such a
+    /// replica must not take part in founding a cluster: the lost state may be that of a member.
+    #[must_use]
+    pub fn is_successor(&self) -> bool {
+        self.is_successor
+    }
+
     /// Returns the length of the log file, in bytes.
     #[must_use]
     pub fn log_len(&self) -> u64 {
@@ -243,20 +299,6 @@
         self.write_synced_length()
     }
 
-    fn write_synced_length(&mut self) -> Result<(), Error> {
-        let synced_length = SyncedLength {
-            sequence: self.sequence.to_le_bytes(),
-            length: self.length.to_le_bytes(),
-        };
-        let mut bytes = Vec::new();
-        record::encode(&synced_length, &mut bytes)?;
-        // Not synced: an older value is a valid lower bound, and a second sync would double the
-        // time of each commit.
-        self.disk
-            .overwrite(SYNCED_LENGTH_FILE, &bytes)
-            .map_err(|e| Error::io("writing", SYNCED_LENGTH_FILE, &e))
-    }
-
     /// Writes a file that holds a single record.
     fn write_single_record(&mut self, name: &str, value: &impl Serialize) -> Result<(), Error> {
         let mut bytes = Vec::new();
@@ -283,6 +325,16 @@
         removed.map_err(|e| Error::io("removing", name, &e))
     }
 
+    fn list_files(&self) -> Result<Vec<String>, Error> {
+        let listed = self.disk.list();
+        listed.map_err(|e| Error::io("listing", "data folder", &e))
+    }
+
+    fn sync_folder_of(&mut self, name: &str) -> Result<(), Error> {
+        let synced = self.disk.sync_folder();
+        synced.map_err(|e| Error::io("syncing the folder of", name, &e))
+    }
+
     fn read_file(&self, name: &str) -> Result<Option<Vec<u8>>, Error> {
         let read = self.disk.read(name);
         read.map_err(|e| Error::io("reading", name, &e))
@@ -318,7 +370,7 @@
         if has_data
             || self
                 .read_log(&log_file_name(1))?
-                .is_some_and(|log| log.has_content())
+                .is_some_and(|log| log.has_content() || log.damage.is_some())
         {
             return Err(Error::MissingFile(IDENTITY_FILE.to_owned()));
         }
@@ -326,195 +378,13 @@
             self.remove_file(&log_file_name(1))?;
         }
         self.write_new_log(1, 0, &[])?;
+        self.restore_synced_lengths()?;
         let identity = Identity {
             name: name.to_owned(),
             id: self.id,
         };
         self.write_single_record(IDENTITY_FILE, &identity)
     }
-
-    fn recover(&mut self) -> Result<RecoveredState, Error> {
-        let file = log_file_name(self.sequence);
-        let missing = || Error::MissingFile(file.clone());
-        let log = self.read_log(&file)?.ok_or_else(missing)?;
-        let mut notices = log.notices.clone();
-        self.check_synced_length(&file, log.length, &mut notices)?;
-        let snapshot: Option<Snapshot> = self.read_single_record(SNAPSHOT_FILE)?;
-        if snapshot.as_ref().map_or(0, |s| s.index) < log.snapshot_index {
-            return Err(Error::MissingFile(SNAPSHOT_FILE.to_owned()));
-        }
-        self.length = log.length;
-        self.hard_state = log.hard_state;
-        let entries = match &snapshot {
-            Some(snapshot) => entries_after(snapshot, log.entries),
-            None => log.entries,
-        };
-        match &snapshot {
-            // A crash interrupted the replacement after the snapshot and before the log.
-            Some(snapshot) if snapshot.index > log.snapshot_index => {
-                self.write_new_log(self.sequence + 1, snapshot.index, &entries)?;
-            }
-            _ => self.truncate_and_sync_log(&file, log.is_torn)?,
-        }
-        for number in 1..self.sequence {
-            let old = log_file_name(number);
-            if self.read_file(&old)?.is_some() {
-                self.remove_file(&old)?;
-            }
-        }
-        let stored = PersistentState {
-            hard_state: log.hard_state,
-            snapshot,
-            entries,
-        };
-        Ok(RecoveredState { stored, notices })
-    }
-
-    /// Truncates a log file after its last complete record if the file `is_torn`, and syncs the
-    /// file: a process that died before its sync may have left the records only in the page cache.
-    fn truncate_and_sync_log(&mut self, file: &str, is_torn: bool) -> Result<(), Error> {
-        if is_torn {
-            let truncated = self.disk.truncate(file, self.length);
-            truncated.map_err(|e| Error::io("truncating", file, &e))?;
-        }
-        let synced = self.disk.sync(file);
-        synced.map_err(|e| Error::io("syncing", file, &e))?;
-        let synced = self.disk.sync_folder();
-        synced.map_err(|e| Error::io("syncing the folder of", file, &e))?;
-        self.write_synced_length()
-    }
-
-    /// Checks that the log holds at least the bytes that were synced.
-    fn check_synced_length(
-        &self,
-        file: &str,
-        valid_length: u64,
-        notices: &mut Vec<String>,
-    ) -> Result<(), Error> {
-        let bytes = self.read_file(SYNCED_LENGTH_FILE)?.unwrap_or_default();
-        let Decoded::Complete(lower_bound, _) = record::decode::<SyncedLength>(&bytes, 0) else {
-            notices
-                .push("file mark with the synced length can't be read and is ignored".to_owned());
-            return Ok(());
-        };
-        let sequence = u64::from_le_bytes(lower_bound.sequence);
-        let synced_length = u64::from_le_bytes(lower_bound.length);
-        if sequence > self.sequence {
-            return Err(Error::MissingFile(log_file_name(sequence)));
-        }
-        if sequence == self.sequence && valid_length < synced_length {
-            return Err(Error::SyncedDataLost {
-                file: file.to_owned(),
-                synced_length,
-                valid_length,
-            });
-        }
-        Ok(())
-    }
-
-    /// Reads a log file; returns `None` if the file doesn't exist.
-    fn read_log(&self, file: &str) -> Result<Option<LogContents>, Error> {
-        let Some(bytes) = self.read_file(file)? else {
-            return Ok(None);
-        };
-        let mut log = LogContents::default();
-        loop {
-            let offset = log.length;
-            let corrupt = |reason: String| Error::Corrupt {
-                file: file.to_owned(),
-                offset,
-                reason,
-            };
-            let start = usize::try_from(offset).unwrap_or(usize::MAX);
-            match record::decode(&bytes, start) {
-                Decoded::Complete(record, end) => {
-                    log.apply_record(record).map_err(corrupt)?;
-                    log.length = end as u64;
-                }
-                Decoded::EndOfFile if log.length == 0 => {
-                    return Err(corrupt("file is empty".to_owned()));
-                }
-                Decoded::EndOfFile => return Ok(Some(log)),
-                Decoded::Torn if log.length == 0 => {
-                    return Err(corrupt("file is cut short".to_owned()));
-                }
-                Decoded::Torn => {
-                    log.is_torn = true;
-                    let lost = bytes.len() as u64 - offset;
-                    log.notices.push(format!(
-                        "{file}: dropped {lost} bytes at byte {offset}: a crash cut short a record"
-                    ));
-                    return Ok(Some(log));
-                }
-                Decoded::Corrupt(reason) => return Err(corrupt(reason)),
-            }
-        }
-    }
-}
-
-/// Contents of a log file.
-#[derive(Debug, Default)]
-struct LogContents {
-    snapshot_index: u64,
-    /// Whether the file-start record was read.
-    has_file_start: bool,
-    hard_state: HardState,
-    /// Invariant: without gaps.
-    entries: Vec<Entry>,
-    /// Length of the complete records, in bytes.
-    length: u64,
-    is_torn: bool,
-    notices: Vec<String>,
-}
-
-impl LogContents {
-    fn apply_record(&mut self, record: Record) -> Result<(), String> {
-        match record {
-            Record::FileStart { snapshot_index, .. } if !self.has_file_start => {
-                self.snapshot_index = snapshot_index;
-                self.has_file_start = true;
-            }
-            Record::FileStart { .. } => return Err("a second file-start record".to_owned()),
-            _ if !self.has_file_start => return Err("first record is not a file start".to_owned()),
-            Record::HardState(state) => self.hard_state = state,
-            Record::Entry(entry) => {
-                while self.entries.last().is_some_and(|e| e.index >= entry.index) {
-                    self.entries.pop();
-                }
-                let expected = self.entries.last().map_or(self.snapshot_index, |e| e.index) + 1;
-                if entry.index != expected {
-                    return Err(format!(
-                        "entry {} follows entry {}",
-                        entry.index,
-                        expected - 1
-                    ));
-                }
-                self.entries.push(entry);
-            }
-        }
-        Ok(())
-    }
-
-    fn has_content(&self) -> bool {
-        !self.entries.is_empty() || self.hard_state != HardState::default()
-    }
-}
-
-/// Returns the entries that follow `snapshot`.
-///
-/// A snapshot from a leader may be newer than the log. Entries after the snapshot's last index are
-/// kept only if the log holds the snapshot's last entry with the same term, or begins directly
-/// after the snapshot; otherwise these entries were never committed.
-fn entries_after(snapshot: &Snapshot, entries: Vec<Entry>) -> Vec<Entry> {
-    let first = entries.first().map_or(u64::MAX, |e| e.index);
-    let holds_snapshot_entry = entries
-        .iter()
-        .any(|e| e.index == snapshot.index && e.term == snapshot.term);
-    if !holds_snapshot_entry && first != snapshot.index + 1 {
-        return Vec::new();
-    }
-    let rest = entries.into_iter().filter(|e| e.index > snapshot.index);
-    rest.collect()
 }
 
 fn log_file_name(sequence: u64) -> String {
--- a/crates/store/tests/fake/files.rs
+++ b/crates/store/tests/fake/files.rs
@@ -19,8 +19,7 @@
     pub(crate) fn put_synced(&self, name: &str, contents: Vec<u8>) {
         let mut state = self.state();
         let node = state.node(name);
-        state.nodes[node].synced.clone_from(&contents);
-        state.nodes[node].current = contents;
+        state.nodes[node].set_synced(contents);
         state.synced_names = state.names.clone();
     }
 
--- a/crates/store/tests/fake/mod.rs
+++ b/crates/store/tests/fake/mod.rs
@@ -1,7 +1,7 @@
 //! An in-memory disk that loses unsynced data in a crash and injects planned faults.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     io,
     sync::{Arc, Mutex, MutexGuard},
 };
@@ -19,10 +19,24 @@
     Full,
 }
 
+/// Size of the unit that a disk writes whole, in bytes.
+const SECTOR_BYTES: usize = 512;
+
 #[derive(Debug, Clone, Default)]
 pub(crate) struct Node {
     pub(crate) synced: Vec<u8>,
     pub(crate) current: Vec<u8>,
+    /// Lengths of the file before each write since the last sync.
+    write_starts: Vec<usize>,
+}
+
+impl Node {
+    /// Replaces the contents by synced contents.
+    pub(crate) fn set_synced(&mut self, contents: Vec<u8>) {
+        self.synced.clone_from(&contents);
+        self.current = contents;
+        self.write_starts.clear();
+    }
 }
 
 #[derive(Debug, Default)]
@@ -60,19 +74,27 @@
         self.state().ignores_syncs = ignores_syncs;
     }
 
-    /// Simulates a power loss: of the unsynced changes, anything from none to all remains.
+    /// Simulates a power loss: each unsynced write, and each name that was created, renamed or
+    /// removed since the folder was synced, is kept or lost independently of the others.
     pub(crate) fn crash(&self, rng: &mut Pcg64Mcg) {
         let mut state = self.state();
         state.is_killed = false;
         state.planned_fault = None;
-        if rng.random() {
-            state.names = state.synced_names.clone();
-        } else {
-            state.synced_names = state.names.clone();
+        let mut names = state.synced_names.clone();
+        let changed: BTreeSet<String> = names.keys().chain(state.names.keys()).cloned().collect();
+        for name in changed {
+            if rng.random() {
+                match state.names.get(&name) {
+                    Some(node) => names.insert(name, *node),
+                    None => names.remove(&name),
+                };
+            }
         }
+        state.names.clone_from(&names);
+        state.synced_names = names;
         for node in &mut state.nodes {
-            node.current = partially_written(&node.synced, &node.current, rng);
-            node.synced = node.current.clone();
+            let left = contents_after_power_loss(node, rng);
+            node.set_synced(left);
         }
     }
 
@@ -84,14 +106,48 @@
     }
 }
 
-/// Returns what remains of a file whose last change wasn't synced.
-fn partially_written(synced: &[u8], current: &[u8], rng: &mut Pcg64Mcg) -> Vec<u8> {
-    if let Some(added) = current.strip_prefix(synced) {
-        let kept = rng.random_range(0..=added.len());
-        return [synced, &added[..kept]].concat();
+/// Returns what a power loss leaves of a file.
+fn contents_after_power_loss(node: &Node, rng: &mut Pcg64Mcg) -> Vec<u8> {
+    let (synced, current) = (&node.synced, &node.current);
+    if synced == current {
+        return current.clone();
+    }
+    if !current.starts_with(synced) {
+        // The file was truncated or overwritten in place.
+        return match rng.random_range(0..3) {
+            0 => synced.clone(),
+            1 => current.clone(),
+            _ if current.len() < synced.len() => current.clone(),
+            _ => {
+                let mut torn = current.clone();
+                let from = rng.random_range(0..torn.len());
+                rng.fill(&mut torn[from..]);
+                torn
+            }
+        };
+    }
+    let mut left = current.clone();
+    let mut starts = node.write_starts.clone();
+    starts.push(current.len());
+    for write in starts.windows(2) {
+        let (start, end) = (write[0].max(synced.len()), write[1]);
+        // The write is present, missing or torn.
+        let mode = rng.random_range(0..3);
+        let mut from = start;
+        while from < end {
+            let to = end.min((from / SECTOR_BYTES + 1) * SECTOR_BYTES);
+            match (mode, rng.random_range(0..3)) {
+                (0, _) | (2, 0) => {}
+                (1, _) | (2, 1) => left[from..to].fill(0),
+                _ => rng.fill(&mut left[from..to]),
+            }
+            from = to;
+        }
+    }
+    if rng.random() {
+        left.truncate(rng.random_range(synced.len()..=current.len()));
     }
-    // The file was truncated or overwritten in place.
-    if rng.random() { current } else { synced }.to_vec()
+    left
 }
 
 impl State {
@@ -157,7 +213,9 @@
             Some(_) if was_killed => &[],
             Some(_) => &bytes[..bytes.len() / 2],
         };
-        state.nodes[node].current.extend_from_slice(written);
+        let node = &mut state.nodes[node];
+        node.write_starts.push(node.current.len());
+        node.current.extend_from_slice(written);
         fault.map_or(Ok(()), |f| Err(fault_to_error(f)))
     }
 
@@ -175,7 +233,9 @@
         let mut state = self.state();
         state.fail_if_planned()?;
         let node = state.node(name);
-        state.nodes[node].current.truncate(len as usize);
+        let node = &mut state.nodes[node];
+        node.current.truncate(len as usize);
+        node.write_starts.retain(|start| *start < len as usize);
         Ok(())
     }
 
@@ -186,7 +246,8 @@
             return Ok(());
         }
         let node = state.node(name);
-        state.nodes[node].synced = state.nodes[node].current.clone();
+        let contents = state.nodes[node].current.clone();
+        state.nodes[node].set_synced(contents);
         Ok(())
     }
 
--- a/crates/store/tests/store.rs
+++ b/crates/store/tests/store.rs
@@ -2,9 +2,15 @@
 
 #![expect(clippy::unwrap_used, reason = "a test ends at the first error")]
 
+#[path = "cases/earlier_build.rs"]
+mod earlier_build;
 mod fake;
 #[path = "fake/files.rs"]
 mod files;
+#[path = "cases/power_loss.rs"]
+mod power_loss;
+#[path = "cases/rejoin.rs"]
+mod rejoin;
 
 use consensus::{Entry, HardState, Membership, Payload, PersistentState, Ready, Snapshot};
 use fake::{Fault, Memory};
@@ -267,7 +273,7 @@
         disk.remove_permanently(&name);
         assert_error_or_intact(&disk, &format!("missing {name}"));
         let is_error = open(&disk).is_err();
-        assert_eq!(is_error, name != "mark", "{name}");
+        assert_eq!(is_error, !name.starts_with("synced-"), "{name}");
     }
 }
 
@@ -331,3 +337,19 @@
     };
     assert!((0..8).any(is_detected));
 }
+
+/// Guards against a message that sends the operator to look for a file that is there.
+#[test]
+fn snapshot_older_than_the_log_is_reported_as_such() {
+    let disk = disk_after_workload();
+    let older = Memory::default();
+    let (mut store, _) = open(&older).unwrap();
+    store
+        .save(&ready((1..=3).map(|i| entry(i, 1)).collect(), 1, 5))
+        .unwrap();
+    store.compact(&snapshot(2, 1), &[entry(3, 1)]).unwrap();
+    disk.put_synced("snapshot", older.contents("snapshot"));
+    let error = open(&disk).unwrap_err().to_string();
+    assert!(error.contains("ends with entry 2"), "{error}");
+    assert!(error.contains("begins after entry 9"), "{error}");
+}
