--- a/crates/control/src/replica/driver.rs
+++ b/crates/control/src/replica/driver.rs
@@ -112,8 +112,7 @@
     let listener = listener.map_err(|e| start_error(&format!("can't listen on {listen}: {e}")))?;
     let folder = Folder::open(&settings.folder).map_err(|e| start_error(&e))?;
     let machine_settings = machine_settings(&settings);
-    let machine =
-        StateMachine::open(folder, machine_settings.clone()).map_err(|e| start_error(&e))?;
+    let machine = open_machine(folder, machine_settings.clone()).map_err(|e| start_error(&e))?;
     let (sender, inputs) = mpsc::sync_channel(MAX_QUEUED_INPUTS);
     let sender = Sender(sender);
     // The transport runs until the leadership transfer has finished, after `token` is cancelled.
@@ -168,6 +167,27 @@
     Ok(sender)
 }
 
+/// Opens the state machine, and records what that did to the stored state.
+fn open_machine(
+    folder: Folder,
+    settings: state_machine::Settings,
+) -> Result<StateMachine<Folder>, Fault> {
+    let machine = StateMachine::open(folder, settings).inspect_err(|fault| {
+        if matches!(fault, Fault::Store(e) if e.is_lost_state()) {
+            metrics::counter!("oriole_control_store_refused_total").increment(1);
+            log::error!(target: "replica", "event=start-refused reason=\"{fault}\"");
+        }
+    })?;
+    let recovery = machine.recovery();
+    if recovery.dropped_bytes > 0 {
+        metrics::counter!("oriole_control_store_dropped_writes_total").increment(1);
+    }
+    if recovery.has_rejoined {
+        metrics::counter!("oriole_control_store_rejoins_total").increment(1);
+    }
+    Ok(machine)
+}
+
 fn machine_settings(settings: &Settings) -> state_machine::Settings {
     let peers = settings.peers.iter();
     state_machine::Settings {
@@ -296,8 +316,12 @@
             }
             let folder = Folder::open(&self.folder).map_err(|e| e.to_string());
             let opened = folder.and_then(|folder| {
-                let settings = self.settings.clone();
-                StateMachine::open(folder, settings).map_err(|e| e.to_string())
+                // A replica that begins anew must not take the id that this process used before.
+                let settings = state_machine::Settings {
+                    random_ids: (random_nonzero(), random_nonzero()),
+                    ..self.settings.clone()
+                };
+                open_machine(folder, settings).map_err(|e| e.to_string())
             });
             match opened {
                 Ok(machine) => return Some(machine),
--- a/crates/control/src/replica/state_machine.rs
+++ b/crates/control/src/replica/state_machine.rs
@@ -12,6 +12,10 @@
 //! A replica that was a member never reports an empty disk as long as it keeps its data. A replica
 //! that lost its disk can't found a second cluster, because the other replicas do not report empty
 //! disks: it waits until operators replace it.
+//!
+//! With [`Settings::target_voters`], a replica whose stored state is lost begins as a new replica
+//! in the same folder, since no operator would replace it. It never reports an empty disk: if all
+//! disks are damaged at once, that must not look like a new beginning.
 
 use std::{collections::BTreeMap, sync::Arc};
 
@@ -152,6 +156,16 @@
     requests: request::PendingRequests,
     members: membership::MembershipTable,
     output: Output,
+    recovery: Recovery,
+}
+
+/// What opening the store did to the stored state.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Recovery {
+    /// Number of bytes of a write cut short by a crash that were dropped; 0 if none.
+    pub dropped_bytes: u64,
+    /// Whether the state was lost and the replica began as a new one.
+    pub has_rejoined: bool,
 }
 
 impl<D: Disk> StateMachine<D> {
@@ -160,8 +174,17 @@
     /// # Errors
     ///
     /// Fails when the store can't be opened or its contents can't be used, and says why.
-    pub fn open(disk: D, settings: Settings) -> Result<Self, Fault> {
-        let (store, opened) = Store::open(disk, &settings.name, settings.random_ids.0)?;
+    pub fn open(disk: D, mut settings: Settings) -> Result<Self, Fault> {
+        let id = settings.random_ids.0;
+        let (store, opened) = match settings.target_voters {
+            Some(_) => Store::open_or_rejoin(disk, &settings.name, id)?,
+            None => Store::open(disk, &settings.name, id)?,
+        };
+        settings.may_found_cluster &= !store.is_successor();
+        let recovery = Recovery {
+            dropped_bytes: opened.dropped_bytes,
+            has_rejoined: opened.has_rejoined,
+        };
         let config = match &opened.stored.snapshot {
             Some(snapshot) => decode_config(snapshot)?,
             None => Config::default(),
@@ -177,6 +200,7 @@
             requests: request::PendingRequests::default(),
             members: membership::MembershipTable::default(),
             output: Output::default(),
+            recovery,
         };
         machine.output.notices = opened.notices;
         Ok(machine)
@@ -270,6 +294,12 @@
         &self.store
     }
 
+    /// Returns what opening the store did to the stored state.
+    #[must_use]
+    pub fn recovery(&self) -> Recovery {
+        self.recovery
+    }
+
     /// Returns the leadership, progress and membership of this replica.
     #[must_use]
     pub fn status(&self) -> Status {
--- a/crates/control/tests/cluster/network.rs
+++ b/crates/control/tests/cluster/network.rs
@@ -20,6 +20,8 @@
     /// The running replica; `None` while its process is down.
     pub(crate) machine: Option<StateMachine<Memory>>,
     pub(crate) is_frozen: bool,
+    /// Whether the next start is expected to find lost state and to begin as a new replica.
+    pub(crate) expects_rejoin: bool,
     /// Index up to which committed entries were compared with those of the other nodes.
     checked_index: u64,
 }
@@ -97,6 +99,7 @@
             disk: Memory::default(),
             machine: None,
             is_frozen: false,
+            expects_rejoin: false,
             checked_index: 0,
         });
         self.nodes.len() - 1
@@ -114,7 +117,18 @@
         };
         started.is_frozen = false;
         match StateMachine::open(started.disk.clone(), started.settings.clone()) {
-            Ok(machine) => started.machine = Some(machine),
+            Ok(machine) => {
+                // No fault but damage of synced bytes may cost a replica its state.
+                let has_rejoined = machine.recovery().has_rejoined;
+                if has_rejoined != std::mem::take(&mut started.expects_rejoin) {
+                    let violation = format!("node {node}: has_rejoined is {has_rejoined}");
+                    self.violations.push(violation);
+                }
+                if has_rejoined {
+                    started.checked_index = 0;
+                }
+                started.machine = Some(machine);
+            }
             // The node was killed again, or its disk was full.
             Err(Fault::Store(store::Error::Io { .. } | store::Error::Full { .. })) => {
                 self.kill(node, true);
@@ -123,6 +137,21 @@
         }
     }
 
+    /// Kills the process and changes a synced byte of its log.
+    pub(crate) fn damage_disk(&mut self, node: usize) {
+        self.kill(node, true);
+        let mut state = self.nodes[node].disk.state();
+        // A power loss may leave older log files.
+        let logs = state.names.iter().filter_map(|(name, node)| {
+            let number: u64 = name.strip_prefix("log-")?.parse().ok()?;
+            Some((number, *node))
+        });
+        let (_, log) = logs.max().unwrap();
+        let mut contents = state.nodes[log].current.clone();
+        contents[14] ^= 1;
+        state.nodes[log].set_synced(contents);
+    }
+
     pub(crate) fn start_all(&mut self) {
         for node in 0..self.nodes.len() {
             if self.nodes[node].machine.is_none() {
--- a/crates/control/tests/cluster/voter_set.rs
+++ b/crates/control/tests/cluster/voter_set.rs
@@ -4,7 +4,7 @@
 
 use std::collections::BTreeMap;
 
-use control::replica::state_machine::Answer;
+use control::replica::state_machine::{Answer, Fault, StateMachine};
 use model::{
     command::{Command, Entry},
     config::DomainState,
@@ -233,3 +233,84 @@
         assert_eq!(net.violations, Vec::<String>::new(), "seed {seed}");
     }
 }
+
+/// Guards against a control VM with a damaged disk that ends at each start for ever, although no
+/// operator is there to replace it.
+#[test]
+fn a_replica_whose_disk_is_damaged_rejoins_as_a_new_one() {
+    for seed in seeds(20) {
+        for count in [3, 4] {
+            let mut net = cluster(seed, count);
+            commit(&mut net, 1);
+            let lost = net.rng.random_range(0..count);
+            let id = net.nodes[lost].machine.as_ref().unwrap().store().id();
+            net.damage_disk(lost);
+            net.nodes[lost].expects_rejoin = true;
+            for _ in 0..20 {
+                net.step();
+            }
+            net.start(lost);
+            let is_whole = |net: &mut Network| {
+                let old_is_gone = member_count(net) == count;
+                old_is_gone && voters(net).len() == 3 && all_have_applied(net, 1)
+            };
+            let what = format!("seed {seed}, {lost} of {count}");
+            assert!(net.step_until(CATCH_UP_TICKS, is_whole), "{what}:\n{net}");
+            let new_id = net.nodes[lost].machine.as_ref().unwrap().store().id();
+            assert_ne!(new_id, id, "{what}");
+            // The new replica keeps its state.
+            net.kill(lost, true);
+            net.start(lost);
+            commit(&mut net, 2);
+            assert_eq!(net.violations, Vec::<String>::new(), "{what}");
+        }
+    }
+}
+
+/// Guards against a second, empty cluster that is founded once the disks of all members are
+/// damaged, which would lose the configuration silently.
+#[test]
+fn damage_of_all_disks_founds_no_new_cluster() {
+    for seed in seeds(10) {
+        let mut net = cluster(seed, 3);
+        commit(&mut net, 1);
+        for round in 0..2 {
+            for node in 0..3 {
+                match round {
+                    0 => net.damage_disk(node),
+                    _ => net.kill(node, true),
+                }
+                net.nodes[node].expects_rejoin = round == 0;
+            }
+            net.start_all();
+            let has_leader = |net: &mut Network| net.leader().is_some();
+            assert!(
+                !net.step_until(RECOVERY_TICKS, has_leader),
+                "seed {seed}:\n{net}"
+            );
+        }
+        assert_eq!(net.violations, Vec::<String>::new(), "seed {seed}");
+    }
+}
+
+/// Guards against a replica that gives up its state by itself although operators replace
+/// replicas.
+#[test]
+fn a_damaged_disk_is_refused_where_operators_replace_replicas() {
+    let mut net = cluster(1, 3);
+    commit(&mut net, 1);
+    net.damage_disk(2);
+    let node = &mut net.nodes[2];
+    node.settings.target_voters = None;
+    for _ in 0..2 {
+        let fault = StateMachine::open(node.disk.clone(), node.settings.clone()).unwrap_err();
+        let Fault::Store(error) = fault else {
+            panic!("{fault}");
+        };
+        assert!(error.is_lost_state());
+        assert!(
+            error.to_string().contains("replace this replica"),
+            "{error}"
+        );
+    }
+}
--- a/crates/control/tests/replica.rs
+++ b/crates/control/tests/replica.rs
@@ -151,3 +151,54 @@
     put(&node.handle, 2).await;
     node.stop().await;
 }
+
+/// Flips a bit of the first byte of the record behind the file start, which is synced.
+fn damage_log(folder: &Path) {
+    let files = std::fs::read_dir(folder).unwrap().map(|f| f.unwrap());
+    let mut logs = files.filter(|f| f.file_name().to_string_lossy().starts_with("log-"));
+    let path = logs.next().unwrap().path();
+    let mut contents = std::fs::read(&path).unwrap();
+    contents[14] ^= 1;
+    std::fs::write(path, contents).unwrap();
+}
+
+/// Guards against a gateway-mode control VM that ends at each start for ever after damage, and
+/// against one with operators that gives up its state by itself.
+#[tokio::test]
+async fn a_replica_with_a_damaged_log_rejoins_only_without_operators() {
+    let dir = tempfile::tempdir().unwrap();
+    let mut all = settings(dir.path(), &["c1", "c2", "c3"]);
+    for settings in &mut all {
+        settings.target_voters = Some(3);
+        settings.retries_disk_errors = true;
+    }
+    let mut nodes = Vec::new();
+    for settings in &all {
+        nodes.push(Node::start(settings.clone()).await);
+    }
+    put(&nodes[0].handle, 1).await;
+    nodes.pop().unwrap().stop().await;
+    damage_log(&all[2].folder);
+    let with_operators = Settings {
+        target_voters: None,
+        ..all[2].clone()
+    };
+    let refused = Handle::start(with_operators, CancellationToken::new()).await;
+    let error = refused.unwrap_err().to_string();
+    assert!(error.contains("replace this replica"), "{error}");
+    let changed_at = nodes[0].handle.status().members.index;
+    nodes.push(Node::start(all[2].clone()).await);
+    let mut status = nodes[0].handle.watch_status();
+    let replaced = status.wait_for(|s| {
+        s.members.index > changed_at && s.members.names.len() == 3 && s.learners.is_empty()
+    });
+    timeout(TEST_TIMEOUT, replaced).await.unwrap().unwrap();
+    assert_eq!(read_count(&nodes[2].handle).await, 1);
+    // The quorum of the others is lost without the new replica.
+    nodes.remove(0).stop().await;
+    put(&nodes[1].handle, 2).await;
+    assert_eq!(read_count(&nodes[0].handle).await, 2);
+    for node in nodes {
+        node.stop().await;
+    }
+}
