--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -7,11 +7,14 @@
 //! | `identity` | name and id of the replica, written once |
 //! | `log-N` | records after the snapshot; only the file with the largest `N` is in use |
 //! | `snapshot` | state of the application at one index |
-//! | `mark` | lower bound of the length of the log that was synced |
+//! | `synced-0`, `synced-1` | length of the log that was synced, written in turn |
+//! | `successor` | id of the replica that replaces one whose state was lost |
+//! | `lost-*` | files of a replica whose state was lost |
 //!
-//! The driver must acknowledge nothing before [`Store::save`] has returned. An incomplete record at
-//! the end of the log was cut short by a crash and never acknowledged; it is dropped with a notice.
-//! Any other damage is an error, and the replica must be replaced by a new one.
+//! The driver must acknowledge nothing before [`Store::save`] has returned. Damage at or behind the
+//! synced length lies in a write that a crash cut short and that was never acknowledged; it is
+//! dropped with a notice. Any other damage is an error, and the replica must be replaced by a new
+//! one, which [`Store::open_or_rejoin`] does at once.
 //!
 //! ```
 //! use store::{Folder, Store};
--- a/crates/store/tests/cases/power_loss.rs
+++ b/crates/store/tests/cases/power_loss.rs
@@ -320,3 +320,32 @@
         }
     }
 }
+
+/// Guards against a start that overwrites the only readable synced length first, so that a power
+/// loss leaves none and a shortened log goes unnoticed.
+#[test]
+fn one_synced_length_stays_readable_through_a_second_power_loss() {
+    for seed in 0..200 {
+        for slot in ["synced-0", "synced-1"] {
+            let mut rng = Pcg64Mcg::seed_from_u64(seed);
+            let (disk, _) = disk_with_log_end(100);
+            // The next start stores a new length.
+            let (mut store, _) = open(&disk).unwrap();
+            store.save(&ready(vec![entry(2, 1, 30)], 2, false)).unwrap();
+            disk.put_synced(slot, vec![3; 28]);
+            // The start syncs the log and the folder, overwrites a length, and is cut off before
+            // that is synced.
+            disk.plan(3, Fault::Kill);
+            open(&disk).unwrap_err();
+            disk.crash(&mut rng);
+            let log = log_name(&disk);
+            let contents = disk.contents(&log);
+            disk.put_synced(&log, contents[..40].to_vec());
+            let error = open(&disk).unwrap_err();
+            assert!(
+                matches!(error, Error::SyncedDataLost { .. }),
+                "seed {seed}, {slot}: {error}"
+            );
+        }
+    }
+}
