store: check the name of the replica before a damaged successor file leads to a rejoin

A damaged file successor was reported before the identity was compared, so a process with the wrong data folder set aside the files of another replica. The new test failed before.

--- a/crates/store/src/store.rs
+++ b/crates/store/src/store.rs
@@ -127,7 +127,6 @@
         for temp_name in names.iter().filter(|n| n.ends_with(TEMP_FILE_SUFFIX)) {
             self.remove_file(temp_name)?;
         }
-        let succession = self.read_succession()?;
         let identity: Option<Identity> = self.read_single_record(IDENTITY_FILE)?;
         if let Some(identity) = &identity
             && identity.name != name
@@ -138,7 +137,8 @@
             });
         }
         let id = identity.map(|i| i.id);
-        if let Some(succession) = succession {
+        // Read after the name was checked: damage of this file may lead to a rejoin.
+        if let Some(succession) = self.read_succession()? {
             self.is_successor = true;
             if id != Some(succession.id) {
                 return self.finish_rejoin(name, &succession);
--- a/crates/store/tests/cases/rejoin.rs
+++ b/crates/store/tests/cases/rejoin.rs
@@ -127,3 +127,18 @@
     assert!(matches!(full, Error::Full { .. }));
     assert_eq!(open(&disk).unwrap().0.id(), 42);
 }
+
+/// Guards against a rejoin in the folder of another replica, whose files would be set aside.
+#[test]
+fn folder_of_another_replica_is_kept_when_its_successor_file_is_damaged() {
+    let disk = damaged_disk();
+    open_or_rejoin(&disk, 77).unwrap();
+    damage(&disk, "successor");
+    let names = disk.names();
+    let error = Store::open_or_rejoin(disk.clone(), "control-2", 78).unwrap_err();
+    assert!(
+        matches!(error, Error::ReplicaNameMismatch { .. }),
+        "{error}"
+    );
+    assert_eq!(disk.names(), names);
+}
