--- a/crates/store/tests/cases/power_loss.rs
+++ b/crates/store/tests/cases/power_loss.rs
@@ -90,7 +90,7 @@
     torn
 }
 
-/// Guards against a start that is refused for ever because of a write that nobody was told of, and
+/// Guards against a start that is refused forever because of a write that was never acknowledged, and
 /// against one that drops acknowledged records with it.
 #[test]
 fn torn_unsynced_write_is_dropped_at_each_byte_of_a_sector() {
--- a/crates/store/tests/fake/mod.rs
+++ b/crates/store/tests/fake/mod.rs
@@ -26,7 +26,7 @@
 pub(crate) struct Node {
     pub(crate) synced: Vec<u8>,
     pub(crate) current: Vec<u8>,
-    /// Lengths of the file before each write since the last sync.
+    /// Offset of each write since the last sync.
     write_starts: Vec<usize>,
 }
 
@@ -223,9 +223,10 @@
         let mut state = self.state();
         state.fail_if_planned()?;
         let node = state.node(name);
-        let current = &mut state.nodes[node].current;
-        let kept = current.split_off(bytes.len().min(current.len()));
-        *current = [bytes, &kept].concat();
+        let node = &mut state.nodes[node];
+        node.write_starts.push(0);
+        let kept = node.current.split_off(bytes.len().min(node.current.len()));
+        node.current = [bytes, &kept].concat();
         Ok(())
     }
 
