store: refuse records of a newer build instead of taking them for lost state

A record with valid checksums that can't be decoded was taken for damage. After a rollback of all gateway-mode control VMs each would have given up its state, and the quorum would have been lost.

A running replica whose folder is refused for good stops with the reason; it retried and logged an error every 500 ms.

--- a/crates/control/src/replica/driver.rs
+++ b/crates/control/src/replica/driver.rs
@@ -175,6 +175,8 @@
     let machine = StateMachine::open(folder, settings).inspect_err(|fault| {
         if matches!(fault, Fault::Store(e) if e.is_lost_state()) {
             metrics::counter!("oriole_control_store_refused_total").increment(1);
+        }
+        if fault.is_permanent() {
             log::error!(target: "replica", "event=start-refused reason=\"{fault}\"");
         }
     })?;
@@ -275,8 +277,8 @@
             drop(machine);
             self.fail_pending_callers();
             machine = match self.reopen(inputs) {
-                Some(machine) => machine,
-                None => return "stop requested".to_owned(),
+                Ok(machine) => machine,
+                Err(reason) => return reason,
             };
             log::info!(target: "replica", "event=reopened committed={}", machine.status().committed);
         }
@@ -301,30 +303,36 @@
         });
     }
 
-    /// Retries opening the folder until the disk works again. Returns `None` when a stop is
-    /// requested.
-    fn reopen(&self, inputs: &mpsc::Receiver<Input>) -> Option<StateMachine<Folder>> {
+    /// Retries opening the folder until the disk works again.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the reason when a stop is requested, or when no later attempt can succeed.
+    fn reopen(&self, inputs: &mpsc::Receiver<Input>) -> Result<StateMachine<Folder>, String> {
         loop {
             let until = Instant::now() + REOPEN_INTERVAL;
             loop {
                 let wait = until.saturating_duration_since(Instant::now());
                 match inputs.recv_timeout(wait) {
-                    Ok(Input::Stop) | Err(RecvTimeoutError::Disconnected) => return None,
+                    Ok(Input::Stop) | Err(RecvTimeoutError::Disconnected) => {
+                        return Err("stop requested".to_owned());
+                    }
                     Ok(input) => input.reject(),
                     Err(RecvTimeoutError::Timeout) => break,
                 }
             }
-            let folder = Folder::open(&self.folder).map_err(|e| e.to_string());
+            let folder = Folder::open(&self.folder).map_err(Fault::Store);
             let opened = folder.and_then(|folder| {
                 // A replica that begins anew must not take the id that this process used before.
                 let settings = state_machine::Settings {
                     random_ids: (random_nonzero(), random_nonzero()),
                     ..self.settings.clone()
                 };
-                open_machine(folder, settings).map_err(|e| e.to_string())
+                open_machine(folder, settings)
             });
             match opened {
-                Ok(machine) => return Some(machine),
+                Ok(machine) => return Ok(machine),
+                Err(fault) if fault.is_permanent() => return Err(fault.to_string()),
                 Err(reason) => {
                     log::debug!(target: "replica", "event=still-closed reason=\"{reason}\"");
                 }
--- a/crates/control/src/replica/state_machine.rs
+++ b/crates/control/src/replica/state_machine.rs
@@ -109,6 +109,17 @@
 
 impl std::error::Error for Fault {}
 
+impl Fault {
+    /// Reports whether opening the store again fails the same way, as opposed to a full or failing
+    /// disk.
+    pub(super) fn is_permanent(&self) -> bool {
+        match self {
+            Self::Store(error) => error.is_permanent(),
+            Self::Consensus(_) | Self::Command { .. } | Self::Snapshot(_) => true,
+        }
+    }
+}
+
 impl From<store::Error> for Fault {
     fn from(error: store::Error) -> Self {
         Self::Store(error)
--- a/crates/control/tests/replica.rs
+++ b/crates/control/tests/replica.rs
@@ -2,7 +2,14 @@
 
 #![expect(clippy::unwrap_used, reason = "a test ends at the first error")]
 
-use std::{collections::BTreeMap, net::SocketAddr, path::Path, time::Duration};
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    path::Path,
+    sync::atomic::{AtomicUsize, Ordering},
+    thread,
+    time::Duration,
+};
 
 use control::replica::{Error, Handle, Settings};
 use model::{
@@ -202,3 +209,66 @@
         node.stop().await;
     }
 }
+
+/// Counts the refusals that replica threads log when they reopen a folder. Refusals of
+/// [`Handle::start`] are logged by other threads.
+struct RefusalCounter(AtomicUsize);
+
+static REFUSALS: RefusalCounter = RefusalCounter(AtomicUsize::new(0));
+
+impl log::Log for RefusalCounter {
+    fn enabled(&self, _: &log::Metadata<'_>) -> bool {
+        true
+    }
+
+    fn log(&self, record: &log::Record<'_>) {
+        let text = record.args().to_string();
+        if thread::current().name() == Some("replica") && text.contains("event=start-refused") {
+            self.0.fetch_add(1, Ordering::SeqCst);
+        }
+    }
+
+    fn flush(&self) {}
+}
+
+/// Guards against a running replica that retries for ever, and logs an error at each try, when its
+/// folder is refused after a failure of the disk, and against one that a failing disk alone stops.
+#[tokio::test]
+async fn a_running_replica_stops_when_its_folder_is_refused() {
+    log::set_logger(&REFUSALS).unwrap();
+    log::set_max_level(log::LevelFilter::Error);
+    let dir = tempfile::tempdir().unwrap();
+    let one = Settings {
+        snapshot_every: 5,
+        retries_disk_errors: true,
+        ..settings(dir.path(), &["c1"]).remove(0)
+    };
+    let node = Node::start(one.clone()).await;
+    put(&node.handle, 0).await;
+    // The snapshot can't be written, and the folder can't be opened again, while a folder has the
+    // name of the partial file.
+    let obstacle = one.folder.join("snapshot.tmp");
+    std::fs::create_dir(&obstacle).unwrap();
+    let fail = async {
+        for number in 1.. {
+            let name = Name::new(format!("domain-{number}")).unwrap();
+            let command = Command::PutDomain { name };
+            let entry = Entry::new("op", format!("put-{number}"), None, command);
+            if node.handle.propose(entry).await.is_err() {
+                break;
+            }
+        }
+        let mut status = node.handle.watch_status();
+        status.wait_for(|s| !s.is_leader).await.unwrap();
+    };
+    timeout(TEST_TIMEOUT, fail).await.unwrap();
+    // At least one attempt to reopen the folder fails.
+    tokio::time::sleep(Duration::from_millis(1_200)).await;
+    assert_eq!(node.handle.status().stop_reason, None);
+    damage_log(&one.folder);
+    std::fs::remove_dir(&obstacle).unwrap();
+    let stopped = timeout(TEST_TIMEOUT, node.handle.wait_stopped()).await;
+    let reason = stopped.expect("the replica goes on retrying");
+    assert!(reason.contains("replace this replica"), "{reason}");
+    assert_eq!(REFUSALS.0.load(Ordering::SeqCst), 1);
+}
--- a/crates/store/src/error.rs
+++ b/crates/store/src/error.rs
@@ -34,6 +34,15 @@
         /// Description of the damage.
         reason: String,
     },
+    /// file {file}, byte {offset}: record has a format that this build doesn't know ({reason}): start a newer build
+    UnknownFormat {
+        /// Name of the file.
+        file: String,
+        /// Offset of the record from the start of the file, in bytes.
+        offset: u64,
+        /// Message of the decoder.
+        reason: String,
+    },
     /// file {file} has {valid_length} valid bytes, but at least {synced_length} bytes were synced: empty the folder and replace this replica
     SyncedDataLost {
         /// Name of the file.
@@ -82,7 +91,8 @@
 
 impl Error {
     /// Reports whether state that this replica has acknowledged is lost, or may be. A start can't
-    /// continue then, however often it is repeated.
+    /// continue then, however often it is repeated. Records of a newer build are not lost: that
+    /// build can read them.
     #[must_use]
     pub fn is_lost_state(&self) -> bool {
         match self {
@@ -91,7 +101,8 @@
             | Self::Doubtful { .. }
             | Self::OldSnapshot { .. }
             | Self::MissingFile(_) => true,
-            Self::InUse(_)
+            Self::UnknownFormat { .. }
+            | Self::InUse(_)
             | Self::Full { .. }
             | Self::Io { .. }
             | Self::ReplicaNameMismatch { .. }
@@ -100,6 +111,16 @@
         }
     }
 
+    /// Reports whether each repetition of the start by this build with these settings fails the same
+    /// way.
+    #[must_use]
+    pub fn is_permanent(&self) -> bool {
+        match self {
+            Self::UnknownFormat { .. } | Self::ReplicaNameMismatch { .. } => true,
+            _ => self.is_lost_state(),
+        }
+    }
+
     /// Returns the text of the error without its last part, which says what to do.
     pub(crate) fn without_advice(&self) -> String {
         let text = self.to_string();
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -13,7 +13,8 @@
 //!
 //! The driver must acknowledge nothing before [`Store::save`] has returned. Damage at or behind the
 //! synced length lies in a write that a crash cut short and that was never acknowledged; it is
-//! dropped with a notice. Any other damage is an error, and the replica must be replaced by a new
+//! dropped with a notice. A record of a newer build is an error that only that build
+//! resolves. Any other damage is an error, and the replica must be replaced by a new
 //! one, which [`Store::open_or_rejoin`] does at once.
 //!
 //! ```
--- a/crates/store/src/record.rs
+++ b/crates/store/src/record.rs
@@ -40,6 +40,9 @@
     Torn,
     /// Invalid bytes, with a description of the damage.
     Corrupt(String),
+    /// A complete record with valid checksums that can't be decoded, with the reason. A newer build
+    /// wrote it: damage would have changed a checksum.
+    UnknownFormat(String),
 }
 
 /// Appends one encoded record to `bytes`.
@@ -88,7 +91,7 @@
         Ok((value, used)) if used == length => {
             Decoded::Complete(value, offset + HEADER_LEN + length)
         }
-        Ok(_) => Decoded::Corrupt("record's body has trailing bytes".to_owned()),
-        Err(e) => Decoded::Corrupt(format!("record can't be decoded: {e}")),
+        Ok(_) => Decoded::UnknownFormat("its body has trailing bytes".to_owned()),
+        Err(e) => Decoded::UnknownFormat(format!("its body can't be decoded: {e}")),
     }
 }
--- a/crates/store/src/store.rs
+++ b/crates/store/src/store.rs
@@ -78,7 +78,8 @@
     ///
     /// # Errors
     ///
-    /// Fails if a file can't be read, is missing or damaged, or belongs to another replica.
+    /// Fails if a file can't be read, is missing or damaged, was written by a newer build, or belongs
+    /// to another replica.
     pub fn open(disk: D, name: &str, new_id: ReplicaId) -> Result<(Self, RecoveredState), Error> {
         let mut store = Self::new(disk, new_id);
         let opened = store.open_files(name)?;
@@ -90,7 +91,8 @@
     ///
     /// # Errors
     ///
-    /// Fails if a file can't be read or written, or belongs to another replica.
+    /// Fails if a file can't be read or written, was written by a newer build, or belongs to another
+    /// replica.
     pub fn open_or_rejoin(
         disk: D,
         name: &str,
@@ -118,6 +120,15 @@
     }
 
     fn open_files(&mut self, name: &str) -> Result<RecoveredState, Error> {
+        let opened = self.recover_or_create(name);
+        opened.map_err(|error| match error.is_lost_state() {
+            // A newer build may be able to use what looks like lost state here.
+            true => self.find_unknown_format().unwrap_or(error),
+            false => error,
+        })
+    }
+
+    fn recover_or_create(&mut self, name: &str) -> Result<RecoveredState, Error> {
         let names = self.list_files()?;
         self.sequence = names
             .iter()
@@ -357,6 +368,7 @@
                 "file has trailing bytes after the record".to_owned(),
             )),
             Decoded::Corrupt(reason) => Err(corrupt(0, reason)),
+            Decoded::UnknownFormat(reason) => Err(unknown_format(name, 0, reason)),
             Decoded::EndOfFile | Decoded::Torn => {
                 Err(corrupt(bytes.len(), "file is cut short".to_owned()))
             }
@@ -387,6 +399,14 @@
     }
 }
 
+fn unknown_format(file: &str, offset: u64, reason: String) -> Error {
+    Error::UnknownFormat {
+        file: file.to_owned(),
+        offset,
+        reason,
+    }
+}
+
 fn log_file_name(sequence: u64) -> String {
     format!("{LOG_FILE_PREFIX}{sequence}")
 }
--- a/crates/store/src/store/recovery.rs
+++ b/crates/store/src/store/recovery.rs
@@ -3,8 +3,10 @@
 use consensus::{Entry, HardState, PersistentState, Snapshot};
 
 use super::{
-    RecoveredState, SNAPSHOT_FILE, Store, log_file_name,
-    synced_length::{Known, SyncedLength},
+    IDENTITY_FILE, Identity, RecoveredState, SNAPSHOT_FILE, Store, log_file_name,
+    parse_log_sequence,
+    synced_length::{self, Known, SyncedLength},
+    unknown_format,
 };
 use crate::{
     Disk, Error,
@@ -136,7 +138,28 @@
         self.sync_folder_of(file)
     }
 
+    /// Returns the error for a record of a newer build, if a file has one. Other errors are ignored.
+    pub(super) fn find_unknown_format(&self) -> Option<Error> {
+        let names = self.list_files().unwrap_or_default();
+        let logs = names.iter().filter(|n| parse_log_sequence(n).is_some());
+        let outcomes = [
+            self.read_single_record::<Identity>(IDENTITY_FILE).err(),
+            self.read_succession().err(),
+            self.read_single_record::<Snapshot>(SNAPSHOT_FILE).err(),
+        ];
+        let lengths = synced_length::file_names().map(|n| self.read_length(n).err());
+        let logs = logs.map(|n| self.read_log(n).err());
+        let mut errors = outcomes.into_iter().chain(lengths).chain(logs).flatten();
+        errors.find(|e| matches!(e, Error::UnknownFormat { .. }))
+    }
+
     /// Reads a log file up to the first damage; returns `None` if the file doesn't exist.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the file can't be read, or if the first record that is not valid has a format that
+    /// this build doesn't know. Such a record is never dropped, also not behind the synced length: a
+    /// write that was torn has no valid checksum.
     pub(super) fn read_log(&self, file: &str) -> Result<Option<LogContents>, Error> {
         let Some(bytes) = self.read_file(file)? else {
             return Ok(None);
@@ -156,6 +179,9 @@
                 Decoded::EndOfFile => return Ok(Some(log)),
                 Decoded::Torn => (true, "the file ends within a record".to_owned()),
                 Decoded::Corrupt(reason) => (false, reason),
+                Decoded::UnknownFormat(reason) => {
+                    return Err(unknown_format(file, log.length, reason));
+                }
             };
             log.damage = Some(Damage {
                 is_cut_short,
--- a/crates/store/src/store/synced_length.rs
+++ b/crates/store/src/store/synced_length.rs
@@ -12,7 +12,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{Store, log_file_name};
+use super::{Store, log_file_name, unknown_format};
 use crate::{
     Disk, Error,
     record::{self, Decoded},
@@ -129,13 +129,15 @@
         Ok(Known::LowerBound(first.max(second)))
     }
 
-    /// Reads one file: `None` if it doesn't exist, `Some(None)` if it can't be decoded.
-    fn read_length(&self, name: &str) -> Result<Option<Option<SyncedLength>>, Error> {
+    /// Reads one file: `None` if it doesn't exist, `Some(None)` if it is damaged.
+    pub(super) fn read_length(&self, name: &str) -> Result<Option<Option<SyncedLength>>, Error> {
         let Some(bytes) = self.read_file(name)? else {
             return Ok(None);
         };
-        let Decoded::Complete(encoded, _) = record::decode::<Encoded>(&bytes, 0) else {
-            return Ok(Some(None));
+        let encoded: Encoded = match record::decode(&bytes, 0) {
+            Decoded::Complete(encoded, _) => encoded,
+            Decoded::UnknownFormat(reason) => return Err(unknown_format(name, 0, reason)),
+            Decoded::EndOfFile | Decoded::Torn | Decoded::Corrupt(_) => return Ok(Some(None)),
         };
         Ok(Some(Some(SyncedLength {
             sequence: u64::from_le_bytes(encoded.sequence),
