--- a/crates/control/src/replica/driver.rs
+++ b/crates/control/src/replica/driver.rs
@@ -112,8 +112,7 @@
     let listener = listener.map_err(|e| start_error(&format!("can't listen on {listen}: {e}")))?;
     let folder = Folder::open(&settings.folder).map_err(|e| start_error(&e))?;
     let machine_settings = machine_settings(&settings);
-    let machine =
-        StateMachine::open(folder, machine_settings.clone()).map_err(|e| start_error(&e))?;
+    let machine = open_machine(folder, machine_settings.clone()).map_err(|e| start_error(&e))?;
     let (sender, inputs) = mpsc::sync_channel(MAX_QUEUED_INPUTS);
     let sender = Sender(sender);
     // The transport runs until the leadership transfer has finished, after `token` is cancelled.
@@ -168,6 +167,29 @@
     Ok(sender)
 }
 
+/// Opens the state machine, and records what that did to the stored state.
+fn open_machine(
+    folder: Folder,
+    settings: state_machine::Settings,
+) -> Result<StateMachine<Folder>, Fault> {
+    let machine = StateMachine::open(folder, settings).inspect_err(|fault| {
+        if matches!(fault, Fault::Store(e) if e.is_lost_state()) {
+            metrics::counter!("oriole_control_store_refused_total").increment(1);
+        }
+        if fault.is_permanent() {
+            log::error!(target: "replica", "event=start-refused reason=\"{fault}\"");
+        }
+    })?;
+    let recovery = machine.recovery();
+    if recovery.dropped_bytes > 0 {
+        metrics::counter!("oriole_control_store_dropped_writes_total").increment(1);
+    }
+    if recovery.has_rejoined {
+        metrics::counter!("oriole_control_store_rejoins_total").increment(1);
+    }
+    Ok(machine)
+}
+
 fn machine_settings(settings: &Settings) -> state_machine::Settings {
     let peers = settings.peers.iter();
     state_machine::Settings {
@@ -255,8 +277,8 @@
             drop(machine);
             self.fail_pending_callers();
             machine = match self.reopen(inputs) {
-                Some(machine) => machine,
-                None => return "stop requested".to_owned(),
+                Ok(machine) => machine,
+                Err(reason) => return reason,
             };
             log::info!(target: "replica", "event=reopened committed={}", machine.status().committed);
         }
@@ -281,26 +303,36 @@
         });
     }
 
-    /// Retries opening the folder until the disk works again. Returns `None` when a stop is
-    /// requested.
-    fn reopen(&self, inputs: &mpsc::Receiver<Input>) -> Option<StateMachine<Folder>> {
+    /// Retries opening the folder until the disk works again.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the reason when a stop is requested, or when no later attempt can succeed.
+    fn reopen(&self, inputs: &mpsc::Receiver<Input>) -> Result<StateMachine<Folder>, String> {
         loop {
             let until = Instant::now() + REOPEN_INTERVAL;
             loop {
                 let wait = until.saturating_duration_since(Instant::now());
                 match inputs.recv_timeout(wait) {
-                    Ok(Input::Stop) | Err(RecvTimeoutError::Disconnected) => return None,
+                    Ok(Input::Stop) | Err(RecvTimeoutError::Disconnected) => {
+                        return Err("stop requested".to_owned());
+                    }
                     Ok(input) => input.reject(),
                     Err(RecvTimeoutError::Timeout) => break,
                 }
             }
-            let folder = Folder::open(&self.folder).map_err(|e| e.to_string());
+            let folder = Folder::open(&self.folder).map_err(Fault::Store);
             let opened = folder.and_then(|folder| {
-                let settings = self.settings.clone();
-                StateMachine::open(folder, settings).map_err(|e| e.to_string())
+                // A replica that begins anew must not take the id that this process used before.
+                let settings = state_machine::Settings {
+                    random_ids: (random_nonzero(), random_nonzero()),
+                    ..self.settings.clone()
+                };
+                open_machine(folder, settings)
             });
             match opened {
-                Ok(machine) => return Some(machine),
+                Ok(machine) => return Ok(machine),
+                Err(fault) if fault.is_permanent() => return Err(fault.to_string()),
                 Err(reason) => {
                     log::debug!(target: "replica", "event=still-closed reason=\"{reason}\"");
                 }
