--- a/crates/entry/src/gateway/decision_log.rs
+++ b/crates/entry/src/gateway/decision_log.rs
@@ -91,7 +91,11 @@
         }
         let budget = match reason {
             Reason::Token => return,
-            Reason::Placed | Reason::Repeated => &mut self.ordinary,
+            // Refusals for lack of room come by the dozen in a surge, and would take all lines of the
+            // rare class.
+            Reason::Placed | Reason::Repeated | Reason::NoRoom | Reason::FlowCap => {
+                &mut self.ordinary
+            }
             _ => &mut self.rare,
         };
         if !budget.take(now.0) {
--- a/crates/entry/tests/gateway_driver.rs
+++ b/crates/entry/tests/gateway_driver.rs
@@ -163,3 +163,14 @@
         assert_eq!(received[8..], opening);
     });
 }
+
+/// Guards against a state dump from which operators can't tell whether flows are refused.
+#[tokio::test]
+async fn dump_has_the_state_of_admission() {
+    let driver = driver(1_000.0).await;
+    configure(&driver, "127.0.0.1:9".parse().unwrap());
+    driver.tick();
+    let admission = &driver.dump()["admission"];
+    assert_eq!(admission["services"], serde_json::json!([]));
+    assert_eq!(admission["upstreams_at_cap"], 0);
+}
