Admission: a shared view with crashed upstreams no longer objects to a shortage

The view counted crashed and unreported upstreams as having no refusals. With half of the upstreams gone, less than 0.3 of the listed ones refused, so the view objected for as long as it was fresh, also at VMs that saw 22 of 28 upstreams refuse. Upstreams that are down or not announced are now left out, and the view can't object where at least five upstreams and 0.4 of those with recent requests refuse.

--- a/crates/policy/src/token/admission/signal.rs
+++ b/crates/policy/src/token/admission/signal.rs
@@ -52,6 +52,16 @@
 /// failing upstreams.
 const MIN_SHARED_SPREAD: f32 = 0.3;
 
+/// Least number of upstreams that refused requests of this VM, and their least share of the upstreams
+/// with recent requests, from which on the shared view can't object. Above the quarter that may be
+/// failing. After half of the upstreams crash, the view contains values of crashed upstreams without
+/// refusals, and objected for the whole shortage.
+const MIN_OWN_REFUSING: usize = 5;
+const MIN_OWN_SPREAD: f32 = 0.4;
+
+/// Weight from which on a request at an upstream counts as recent.
+const RECENT_WEIGHT: f32 = 0.1;
+
 /// Fraction of the goal from which on an answer counts as late. A full queue of eight requests at
 /// two slots answers within less than this.
 const LATE_GOAL_FRACTION: f32 = 0.67;
@@ -291,8 +301,8 @@
         let seen = self.upstreams.values();
         let refusing = seen.filter(|c| is_refusing(**c, now)).count();
         let upstreams = self.upstreams.len();
-        let is_spread = late_share > SHORT_LATE
-            || (!shared.is_some_and(is_concentrated) && self.is_spread(now, refusing));
+        let objects = shared.is_some_and(is_concentrated) && !self.is_evident(now, refusing);
+        let is_spread = late_share > SHORT_LATE || (!objects && self.is_spread(now, refusing));
         let expected = total * SHORT_REFUSED;
         let deviation = (expected * (1.0 - SHORT_REFUSED)).sqrt() * SHORT_DEVIATIONS;
         let has_refusals = refused >= MIN_REFUSED && refused + added_refused > expected + deviation;
@@ -311,6 +321,16 @@
         }
     }
 
+    /// Reports whether so many of the upstreams with recent requests of this VM refuse that the
+    /// shared view can't object.
+    fn is_evident(&self, now: Instant, refusing: usize) -> bool {
+        let recent = self.upstreams.values().filter(|c| is_recent(**c, now));
+        // Numbers of upstreams are far below the precision of f32.
+        #[expect(clippy::cast_precision_loss)]
+        let (recent, count) = (recent.count() as f32, refusing as f32);
+        refusing >= MIN_OWN_REFUSING && count >= recent * MIN_OWN_SPREAD
+    }
+
     /// Reports whether refusals come from several upstreams, and remain frequent if the upstreams
     /// with the most refusals are left out.
     fn is_spread(&self, now: Instant, refusing: usize) -> bool {
@@ -342,7 +362,14 @@
 }
 
 fn is_refusing(counts: Counts, now: Instant) -> bool {
-    counts.decayed(now, UPSTREAM_MEMORY_MS).refused >= 0.1
+    counts.decayed(now, UPSTREAM_MEMORY_MS).refused >= RECENT_WEIGHT
+}
+
+fn is_recent(counts: Counts, now: Instant) -> bool {
+    let Counts {
+        answered, refused, ..
+    } = counts.decayed(now, UPSTREAM_MEMORY_MS);
+    answered.max(refused) >= RECENT_WEIGHT
 }
 
 /// Reports whether the shared view shows refusals of a few upstreams only. A view without refusals
--- a/crates/policy/src/token/gateway/admit.rs
+++ b/crates/policy/src/token/gateway/admit.rs
@@ -10,6 +10,7 @@
     token::{
         admission::{self, Controller, Outcome, Request, Sample, Shared, Verdict, caps::Caps},
         directory::Directory,
+        health::HealthTable,
         outlier::RequestEnd,
         segment::Key,
         work::View,
@@ -90,9 +91,9 @@
             route: key.service,
             client: *key.client.ip(),
         };
-        let (directory, view) = (&self.directory, &self.view);
+        let (directory, view, health) = (&self.directory, &self.view, &self.health);
         self.admission.admit(now, request, || {
-            shared_refusals(now, directory, view, service)
+            shared_refusals(now, directory, view, health, service)
         })
     }
 
@@ -166,18 +167,23 @@
     }
 }
 
-/// Returns the refusals at upstreams of `service` according to the shared view; none if the view
-/// contains nothing recent. Of many upstreams, only some are read.
+/// Returns the refusals at live upstreams of `service` according to the shared view; none if the
+/// view contains nothing recent. Of many upstreams, only some are read.
 fn shared_refusals(
     now: Instant,
     directory: &Directory,
     view: &View,
+    health: &HealthTable,
     service: &Arc<str>,
 ) -> Option<Shared> {
     let ids = directory.members(service)?.all();
     let stride = ids.len().div_ceil(MAX_SHARED_UPSTREAMS).max(1);
     let loads = ids.iter().step_by(stride).filter_map(|id| {
-        let upstream = directory.get(*id)?;
+        // A crashed upstream refuses nothing, but that doesn't show that others have room.
+        let upstream = directory.get(*id).filter(|u| u.accepts_flows(now))?;
+        if health.is_down(*id) {
+            return None;
+        }
         let load = view.load(now, upstream.token)?;
         let is_valid = (0.0..=1.0).contains(&load.refused_share);
         is_valid.then_some(load)
