--- a/crates/policy/tests/token_surge/main.rs
+++ b/crates/policy/tests/token_surge/main.rs
@@ -134,3 +134,30 @@
         assert_eq!(refused, [0, 0], "{failing} failing");
     }
 }
+
+/// Guards against a shortage that isn't seen where crashed upstreams are still listed, and where
+/// clients and crashes are spread unevenly over failure domains.
+#[test]
+fn feeds_give_way_after_silent_crashes_in_uneven_domains() {
+    for (crashed, clients) in [
+        ([5, 5, 5, 5], [25, 25, 25, 25]),
+        ([2, 8, 3, 7], [40, 30, 20, 10]),
+        ([10, 0, 9, 1], [40, 30, 20, 10]),
+    ] {
+        for seed in 0..3 {
+            let crash = Load {
+                name: "half of the upstreams crash silently",
+                surge_tenths: 26,
+                crashed,
+                clients,
+                ..SURGE
+            };
+            let [before, after] = compare(crash, seed);
+            let check = |s: &Simulation| s.sum(Class::Check, SURGE_START_MS, SURGE_END_MS);
+            assert!(check(&before).in_time_share() < 0.6);
+            assert!(check(&after).in_time_share() >= 0.85, "{:?}", check(&after));
+            assert!(after.refused_share() <= 0.3, "{}", after.refused_share());
+            assert!(after.busy_share() >= 0.95, "{}", after.busy_share());
+        }
+    }
+}
--- a/crates/policy/tests/token_surge/results.rs
+++ b/crates/policy/tests/token_surge/results.rs
@@ -46,7 +46,8 @@
 
     /// Returns the share of the slots' time that was used in the surge.
     pub(crate) fn busy_share(&self) -> f64 {
-        let live = UPSTREAMS - self.load.stopped - self.load.failing;
+        let lost: u64 = self.load.crashed.iter().sum();
+        let live = UPSTREAMS - self.load.stopped - self.load.failing - lost;
         ratio(self.busy_ms, live * 2 * (SURGE_END_MS - SURGE_START_MS))
     }
 
--- a/crates/policy/tests/token_surge/simulation.rs
+++ b/crates/policy/tests/token_surge/simulation.rs
@@ -22,6 +22,16 @@
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
+use self::{
+    crash::{CRASH_LEAD_MS, REPEATS_MS},
+    load::DOMAINS,
+};
+
+mod crash;
+mod load;
+
+pub(crate) use self::load::{Class, Load, SURGE};
+
 const VM_COUNT: usize = 28;
 pub(crate) const UPSTREAMS: u64 = 40;
 const SLOTS: usize = 2;
@@ -41,64 +51,17 @@
 const MAX_ATTEMPTS: u32 = 3;
 const TICK_MS: u64 = 500;
 
-/// Class of a request: its position in the plan, its goal and its mean work.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub(crate) enum Class {
-    Check,
-    Feed,
-}
-
-impl Class {
-    fn address(self) -> SocketAddrV4 {
-        match self {
-            Self::Check => "198.18.0.2:443".parse().unwrap(),
-            Self::Feed => token_support::ROUTE.parse().unwrap(),
-        }
-    }
-
-    fn goal_ms(self) -> u64 {
-        match self {
-            Self::Check => 500,
-            Self::Feed => 800,
-        }
-    }
-
-    fn work_ms(self) -> u64 {
-        match self {
-            Self::Check => 52,
-            Self::Feed => 40,
-        }
-    }
-}
-
-/// Parameters of a run.
-#[derive(Debug, Clone, Copy)]
-pub(crate) struct Load {
-    pub(crate) name: &'static str,
-    pub(crate) has_terms: bool,
-    /// Factor of the calm load in the surge, in tenths.
-    pub(crate) surge_tenths: u64,
-    /// Number of upstreams that refuse every request from the beginning.
-    pub(crate) failing: u64,
-    /// Number of upstreams that stop at the beginning of the surge.
-    pub(crate) stopped: u64,
-    /// Whether each VM has another wall-clock time.
-    pub(crate) clocks_differ: bool,
-}
-
-pub(crate) const SURGE: Load = Load {
-    name: "surge of 4 times",
-    has_terms: true,
-    surge_tenths: 40,
-    failing: 0,
-    stopped: 0,
-    clocks_differ: false,
-};
-
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Event {
     Tick,
     Surge,
+    Crash,
+    /// Announcements of crashed upstreams have ended.
+    Silence,
+    /// Probes are due.
+    Probe,
+    /// A client repeats an opening packet or a request without an answer.
+    Repeat(u64, usize),
     /// A token check begins.
     Check,
     /// A feed sends its next request.
@@ -125,6 +88,8 @@
     caller: Ipv4Addr,
     began_ms: u64,
     attempts: u32,
+    /// Whether the flow has been opened with an upstream.
+    is_open: bool,
     flow: Flow,
 }
 
@@ -184,7 +149,11 @@
     pub(crate) fn new(load: Load, seed: u64) -> Self {
         let (plan, terms) = surge_plan();
         let vms = (0..VM_COUNT).map(|number| {
-            let mut gateway = gateway_in_domain("entry", "a", seed * 1_000 + number as u64);
+            let mut gateway = gateway_in_domain(
+                "entry",
+                load.domain(number as u64),
+                seed * 1_000 + number as u64,
+            );
             gateway.apply_plan(Arc::clone(&plan));
             if load.clocks_differ {
                 let offset_ms = 137 * number as u64;
@@ -196,7 +165,8 @@
             gateway.update_agreed(agreed_state(1, &[]));
             gateway.add_control_stream(control_vm(1));
             for id in 1..=UPSTREAMS {
-                gateway.announce(at(0), control_vm(1), announcement(id, "a"), 0);
+                let announced = announcement(id, load.domain(id));
+                gateway.announce(at(0), control_vm(1), announced, 0);
             }
             gateway.mark_control_stream_synced(at(0), control_vm(1));
             gateway
@@ -221,6 +191,9 @@
         simulation.schedule(SETTLED_MS, Event::Check);
         simulation.schedule(SETTLED_MS, Event::Tick);
         simulation.schedule(SURGE_START_MS, Event::Surge);
+        if load.crashed != SURGE.crashed {
+            simulation.schedule(SURGE_START_MS - CRASH_LEAD_MS, Event::Crash);
+        }
         simulation
     }
 
@@ -265,10 +238,14 @@
                         }
                     }
                 }
+                Event::Crash => self.crash(ms),
+                Event::Silence => self.end_announcements(ms),
+                Event::Probe => self.probe(ms),
+                Event::Repeat(number, _) if !self.requests.contains_key(&number) => {}
+                Event::Repeat(number, copy) => self.repeat(ms, number, copy),
                 Event::Check => self.begin_check(ms),
                 Event::Feed(feed) => self.begin_feed_request(ms, feed),
-                Event::Done(number) if !self.requests.contains_key(&number) => {}
-                Event::Refused(number) if !self.requests.contains_key(&number) => {}
+                Event::Done(number) | Event::Refused(number) if !self.is_at_server(number) => {}
                 Event::Done(number) => self.finish(ms, number),
                 Event::Refused(number) => self.refuse(ms, number),
             }
@@ -341,6 +318,7 @@
             caller,
             began_ms: ms,
             attempts: 0,
+            is_open: false,
             flow,
         };
         self.results(&request).sent += 1;
@@ -370,7 +348,7 @@
             let port = u16::try_from(self.next_client % 60_000).unwrap();
             request.flow = Flow {
                 client: SocketAddrV4::new(request.caller, port),
-                vm: self.random.random_range(0..VM_COUNT),
+                vm: self.vm_of(request.caller),
                 upstream: 0,
                 sent: 100,
                 acknowledged: 0,
@@ -379,6 +357,12 @@
             match decision {
                 (Action::Forward { id, .. }, _) => {
                     request.flow.upstream = id;
+                    request.is_open = self.servers.contains_key(&id);
+                    if !request.is_open {
+                        self.count += 1;
+                        self.requests.insert(self.count, request);
+                        return self.schedule(ms + REPEATS_MS[0], Event::Repeat(self.count, 1));
+                    }
                     if let Some(feed) = request.feed {
                         self.feeds.insert(feed, Some(request.flow));
                     }
@@ -390,6 +374,21 @@
         }
     }
 
+    /// Returns the VM of a new flow, which is in the failure domain of its client.
+    fn vm_of(&mut self, caller: Ipv4Addr) -> usize {
+        let vm = self.random.random_range(0..VM_COUNT);
+        if self.load.clients[0] == 100 {
+            return vm;
+        }
+        let mut position = u64::from(u32::from(caller)) * 37 % 100;
+        let domain = self.load.clients.iter().position(|share| {
+            let is_here = position < *share;
+            position = position.saturating_sub(*share);
+            is_here
+        });
+        vm / DOMAINS.len() * DOMAINS.len() + domain.unwrap()
+    }
+
     fn send(
         &mut self,
         ms: u64,
@@ -418,13 +417,23 @@
     }
 
     fn send_request(&mut self, ms: u64, mut request: Request) {
-        self.send(ms, request.class, &request.flow, Kind::Data, 50);
+        request.is_open = true;
+        if let Some(flow) = request.feed.and_then(|f| self.feeds.get_mut(&f)) {
+            *flow = Some(request.flow);
+        }
+        let decision = self.send(ms, request.class, &request.flow, Kind::Data, 50);
+        if !matches!(decision, (Action::Forward { .. }, _)) {
+            self.forget_flow(request);
+            return self.open_flow(ms, request);
+        }
         request.flow.sent += 50;
         self.count += 1;
         let number = self.count;
         self.requests.insert(number, request);
         let id = request.flow.upstream;
-        let server = self.servers.get_mut(&id).unwrap();
+        let Some(server) = self.servers.get_mut(&id) else {
+            return self.schedule(ms + REPEATS_MS[0], Event::Repeat(number, 1));
+        };
         let is_failing = id > UPSTREAMS - self.load.failing;
         if is_failing {
             self.schedule(ms + 2, Event::Refused(number));
