Admission: ticks use the shared view, changed terms keep usual times, a goal or limit of 0 is none

A tick made the step that was due without the shared view, so its objection didn't hold between flows. After a change of terms in a surge, the long answers of the surge counted as usual and everything was admitted. A goal of 0 made every slow answer late, and a limit of 0 flows made every upstream full.

--- a/crates/policy/src/token/admission.rs
+++ b/crates/policy/src/token/admission.rs
@@ -153,7 +153,8 @@
         self.clock_offset_ms = offset_ms;
     }
 
-    /// Applies the terms of a plan. Services that keep their classes keep their state.
+    /// Applies the terms of a plan. Services that keep their classes keep their state; others keep
+    /// the signals, because usual times can't be learned in a surge.
     pub fn apply_terms(&mut self, plan: &Plan, terms: &Terms) {
         self.routes = class::of_routes(plan, terms);
         let mut before = std::mem::take(&mut self.services);
@@ -162,9 +163,15 @@
             .enumerate()
         {
             let number = u16::try_from(number).unwrap_or(u16::MAX);
-            let kept = before.remove(&service).filter(|s| s.classes == classes);
-            let state = match kept {
-                Some(kept) => Service { number, ..kept },
+            let state = match before.remove(&service) {
+                Some(kept) if kept.classes == classes => Service { number, ..kept },
+                Some(mut kept) => {
+                    kept.signals.retain_classes(&classes);
+                    Service {
+                        signals: kept.signals,
+                        ..Service::new(number, classes)
+                    }
+                }
                 None => Service::new(number, classes),
             };
             self.services.insert(service, state);
@@ -226,10 +233,11 @@
         Verdict::Refused
     }
 
-    /// Updates the shares of services without new flows.
-    pub fn tick(&mut self, now: Instant) {
+    /// Updates the shares of services without new flows. `shared` returns what the shared view
+    /// contains about a service.
+    pub fn tick(&mut self, now: Instant, shared: impl Fn(&Arc<str>) -> Option<Shared>) {
         for (name, service) in &mut self.services {
-            if let Some(is_short) = service.advance(now, || None) {
+            if let Some(is_short) = service.advance(now, || shared(name)) {
                 let name = Arc::clone(name);
                 push_change(&mut self.changes, name, is_short, service.pressure);
             }
--- a/crates/policy/src/token/admission/caps.rs
+++ b/crates/policy/src/token/admission/caps.rs
@@ -49,7 +49,10 @@
     /// Applies the terms of a plan.
     pub fn apply_terms(&mut self, terms: &Terms) {
         let limits = terms.services.iter();
-        let limits = limits.filter_map(|s| Some((Arc::clone(&s.name), s.max_flows?)));
+        let limits = limits.filter_map(|s| {
+            let limit = s.max_flows.filter(|limit| *limit > 0)?;
+            Some((Arc::clone(&s.name), limit))
+        });
         *self = Self {
             limits: limits.collect(),
             ..Self::default()
--- a/crates/policy/src/token/admission/class.rs
+++ b/crates/policy/src/token/admission/class.rs
@@ -41,7 +41,7 @@
             let class = Class {
                 priority: route.priority,
                 is_idempotent: route.kind.is_idempotent(),
-                goal_ms: route.goal_ms.unwrap_or(u64::MAX),
+                goal_ms: route.goal_ms.filter(|ms| *ms > 0).unwrap_or(u64::MAX),
             };
             (route.address, class)
         })
--- a/crates/policy/src/token/admission/signal.rs
+++ b/crates/policy/src/token/admission/signal.rs
@@ -274,6 +274,11 @@
         (latest.slowness_sum + PRIOR_ANSWERS) / (latest.answered + PRIOR_ANSWERS)
     }
 
+    /// Removes the usual times of classes that are not in `classes`.
+    pub(super) fn retain_classes(&mut self, classes: &[Class]) {
+        self.usual_ms.retain(|class, _| classes.contains(class));
+    }
+
     /// Removes upstreams without recent requests.
     pub(super) fn retain_recent(&mut self, now: Instant) {
         self.upstreams.retain(|_, counts| {
--- a/crates/policy/src/token/gateway/admit.rs
+++ b/crates/policy/src/token/gateway/admit.rs
@@ -56,7 +56,10 @@
 
     /// Updates what changes only with time.
     pub(super) fn tick_admission(&mut self, now: Instant) {
-        self.admission.tick(now);
+        let (directory, view, health) = (&self.directory, &self.view, &self.health);
+        self.admission.tick(now, |service| {
+            shared_refusals(now, directory, view, health, service)
+        });
         if self.terms.is_some() {
             return;
         }
--- a/crates/policy/tests/token_admission.rs
+++ b/crates/policy/tests/token_admission.rs
@@ -272,6 +272,69 @@
     }
 }
 
+/// Guards against ticks that ignore the objection of the shared view.
+#[test]
+fn shared_view_objects_at_ticks_as_well() {
+    let share_with = |shared| {
+        let mut scene = Scene::calm();
+        for number in 0..200 {
+            scene.ms += 10;
+            scene.record(number % UPSTREAMS, Outcome::Answered(160));
+            if number % UPSTREAMS < 7 {
+                scene.record(number % UPSTREAMS, Outcome::Refused);
+            }
+            scene.controller.tick(at(scene.ms), |_| shared);
+        }
+        scene.shares()[1]
+    };
+    assert!(share_with(None) < 0.3);
+    let concentrated = Shared {
+        refused_share: 0.1,
+        spread: 0.1,
+        age_ms: 1_000,
+    };
+    assert!(share_with(Some(concentrated)) >= 1.0);
+}
+
+/// Guards against a change of terms in a surge, after which the long answers of the surge would count
+/// as usual and everything be admitted.
+#[test]
+fn changed_terms_in_a_surge_keep_what_is_usual() {
+    let mut scene = Scene::calm();
+    scene.shortage(12);
+    let (plan, mut terms) = two_class_plan();
+    terms.routes[1].goal_ms = Some(400);
+    scene.controller.apply_terms(&plan, &terms);
+    assert!(scene.shares()[1] >= 1.0);
+    scene.shortage(12);
+    assert!(scene.shares()[1] < 0.3, "{:?}", scene.shares());
+}
+
+/// Guards against a goal or a limit of 0, which means none, as one that is always exceeded.
+#[test]
+fn goal_and_limit_of_zero_are_none() {
+    let (plan, mut terms) = two_class_plan();
+    terms.routes.iter_mut().for_each(|r| r.goal_ms = Some(0));
+    let mut scene = Scene::calm();
+    scene.controller.apply_terms(&plan, &terms);
+    scene.run(20, 40, |_| false);
+    scene.run(30, 160, |_| false);
+    assert!(scene.shares()[1] >= 1.0);
+
+    let mut gateway = capped_gateway();
+    let terms = Terms {
+        version: 1,
+        routes: Vec::new(),
+        services: vec![ServiceTerms {
+            name: service(),
+            max_flows: Some(0),
+        }],
+    };
+    assert!(gateway.apply_terms(Arc::new(terms)));
+    let opened = gateway.decide(at(SETTLED_MS), &opening_packet(1, 0));
+    assert_eq!(opened.reason, Reason::Placed);
+}
+
 /// Guards against retries that get another chance by arriving together.
 #[test]
 fn caller_gets_the_same_decision_within_an_epoch_and_others_later() {
