--- a/crates/entry/tests/gateway_driver.rs
+++ b/crates/entry/tests/gateway_driver.rs
@@ -199,3 +199,14 @@
         assert_eq!(driver.terms_to_request(None), None);
     });
 }
+
+/// Guards against a state dump from which operators can't tell whether flows are refused.
+#[tokio::test]
+async fn dump_has_the_state_of_admission() {
+    let driver = driver(1_000.0).await;
+    configure(&driver, "127.0.0.1:9".parse().unwrap());
+    driver.tick();
+    let admission = &driver.dump()["admission"];
+    assert_eq!(admission["services"], serde_json::json!([]));
+    assert_eq!(admission["upstreams_at_cap"], 0);
+}
--- a/crates/policy/src/token/admission.rs
+++ b/crates/policy/src/token/admission.rs
@@ -45,6 +45,9 @@
 /// Maximum number of steps that are made up for after a pause: enough to return to full admission.
 const MAX_STEPS: u64 = 10;
 
+/// Maximum number of changes that are kept until they are taken.
+const MAX_CHANGES: usize = 64;
+
 /// A new flow.
 #[derive(Debug, Clone, Copy)]
 pub struct Request<'a> {
@@ -150,7 +153,8 @@
         self.clock_offset_ms = offset_ms;
     }
 
-    /// Applies the terms of a plan. Services that keep their classes keep their state.
+    /// Applies the terms of a plan. Services that keep their classes keep their state; others keep
+    /// the signals, because usual times can't be learned in a surge.
     pub fn apply_terms(&mut self, plan: &Plan, terms: &Terms) {
         self.routes = class::of_routes(plan, terms);
         let mut before = std::mem::take(&mut self.services);
@@ -159,9 +163,15 @@
             .enumerate()
         {
             let number = u16::try_from(number).unwrap_or(u16::MAX);
-            let kept = before.remove(&service).filter(|s| s.classes == classes);
-            let state = match kept {
-                Some(kept) => Service { number, ..kept },
+            let state = match before.remove(&service) {
+                Some(kept) if kept.classes == classes => Service { number, ..kept },
+                Some(mut kept) => {
+                    kept.signals.retain_classes(&classes);
+                    Service {
+                        signals: kept.signals,
+                        ..Service::new(number, classes)
+                    }
+                }
                 None => Service::new(number, classes),
             };
             self.services.insert(service, state);
@@ -202,11 +212,8 @@
             return Verdict::Admitted;
         };
         if let Some(is_short) = service.advance(now, shared) {
-            self.changes.push(Change {
-                service: Arc::clone(request.service),
-                is_short,
-                pressure: service.pressure,
-            });
+            let name = Arc::clone(request.service);
+            push_change(&mut self.changes, name, is_short, service.pressure);
         }
         let Some(rank) = service.classes.iter().position(|c| c == class) else {
             return Verdict::Admitted;
@@ -226,15 +233,13 @@
         Verdict::Refused
     }
 
-    /// Updates the shares of services without new flows.
-    pub fn tick(&mut self, now: Instant) {
+    /// Updates the shares of services without new flows. `shared` returns what the shared view
+    /// contains about a service.
+    pub fn tick(&mut self, now: Instant, shared: impl Fn(&Arc<str>) -> Option<Shared>) {
         for (name, service) in &mut self.services {
-            if let Some(is_short) = service.advance(now, || None) {
-                self.changes.push(Change {
-                    service: Arc::clone(name),
-                    is_short,
-                    pressure: service.pressure,
-                });
+            if let Some(is_short) = service.advance(now, || shared(name)) {
+                let name = Arc::clone(name);
+                push_change(&mut self.changes, name, is_short, service.pressure);
             }
             service.signals.retain_recent(now);
         }
@@ -313,3 +318,14 @@
         (was_short != is_short).then_some(is_short)
     }
 }
+
+/// Adds a change, unless too many wait to be taken.
+fn push_change(changes: &mut Vec<Change>, service: Arc<str>, is_short: bool, pressure: Pressure) {
+    if changes.len() < MAX_CHANGES {
+        changes.push(Change {
+            service,
+            is_short,
+            pressure,
+        });
+    }
+}
--- a/crates/policy/src/token/gateway.rs
+++ b/crates/policy/src/token/gateway.rs
@@ -73,6 +73,8 @@
 pub struct Gateway {
     settings: Settings,
     plan: Option<Arc<Plan>>,
+    /// Number of ticks since the terms were removed with their plan.
+    ticks_without_terms: u32,
     routes: BTreeMap<SocketAddrV4, Route>,
     terms: TermsTable,
     agreed: Agreed,
@@ -118,6 +120,7 @@
             ledger: work::Ledger::new(settings.seed),
             settings,
             plan: None,
+            ticks_without_terms: 0,
             routes: BTreeMap::new(),
             terms: TermsTable::default(),
             agreed: Agreed::default(),
@@ -324,7 +327,7 @@
         self.view
             .tick(now, |token| directory.by_token(token).is_some());
         self.expire_requests(now);
-        self.admission.tick(now);
+        self.tick_admission(now);
         let idle_ms = self.plan.as_ref().map_or(DEFAULT_IDLE_MS, |p| p.idle_ms);
         self.flows
             .retain(|_, flow| !flow.is_over && now.ms_since(flow.seen_at) < idle_ms);
--- a/crates/policy/src/token/gateway/admit.rs
+++ b/crates/policy/src/token/gateway/admit.rs
@@ -8,12 +8,17 @@
     token::{
         admission::{self, Controller, Outcome, Request, Sample, Shared, Verdict, caps::Caps},
         directory::Directory,
+        health::HealthTable,
         outlier::RequestEnd,
         segment::Key,
         work::View,
     },
 };
 
+/// Number of ticks after a new plan for which the terms of the former plan stay in use. Terms arrive
+/// right after their plan unless the control VM sends none.
+const TERMS_GRACE_TICKS: u32 = 6;
+
 /// Maximum number of upstreams of a service whose shared load is read for a decision.
 const MAX_SHARED_UPSTREAMS: usize = 64;
 
@@ -22,16 +27,32 @@
 
 impl Gateway {
     /// Applies the terms of the plan in force to admission and caps, if the terms have arrived.
-    ///
-    /// Classes and limits stay until the terms of a new plan arrive, so that a new plan during a
-    /// shortage doesn't admit everything.
+    /// Classes and caps of the plan before stay for [`TERMS_GRACE_TICKS`], so that a new plan during
+    /// a shortage doesn't admit everything before its terms arrive.
     pub(super) fn apply_terms_in_force(&mut self) {
+        self.ticks_without_terms = 0;
         if let (Some(plan), Some(terms)) = (&self.plan, self.terms.in_force()) {
             self.admission.apply_terms(plan, terms);
             self.caps.apply_terms(terms);
         }
     }
 
+    /// Updates what changes only with time.
+    pub(super) fn tick_admission(&mut self, now: Instant) {
+        let (directory, view, health) = (&self.directory, &self.view, &self.health);
+        self.admission.tick(now, |service| {
+            shared_refusals(now, directory, view, health, service)
+        });
+        if self.terms.in_force().is_some() {
+            return;
+        }
+        self.ticks_without_terms = self.ticks_without_terms.saturating_add(1);
+        if self.ticks_without_terms == TERMS_GRACE_TICKS {
+            self.admission.clear_terms();
+            self.caps.clear_terms();
+        }
+    }
+
     /// Returns the state of admission.
     #[must_use]
     pub fn admission(&self) -> &Controller {
@@ -56,9 +77,9 @@
             route: key.service,
             client: *key.client.ip(),
         };
-        let (directory, view) = (&self.directory, &self.view);
+        let (directory, view, health) = (&self.directory, &self.view, &self.health);
         self.admission.admit(now, request, || {
-            shared_refusals(now, directory, view, service)
+            shared_refusals(now, directory, view, health, service)
         })
     }
 
@@ -132,18 +153,23 @@
     }
 }
 
-/// Returns the refusals at upstreams of `service` according to the shared view; none if the view
-/// contains nothing recent. Of many upstreams, only some are read.
+/// Returns the refusals at live upstreams of `service` according to the shared view; none if the
+/// view contains nothing recent. Of many upstreams, only some are read.
 fn shared_refusals(
     now: Instant,
     directory: &Directory,
     view: &View,
+    health: &HealthTable,
     service: &Arc<str>,
 ) -> Option<Shared> {
     let ids = directory.members(service)?.all();
     let stride = ids.len().div_ceil(MAX_SHARED_UPSTREAMS).max(1);
     let loads = ids.iter().step_by(stride).filter_map(|id| {
-        let upstream = directory.get(*id)?;
+        // A crashed upstream refuses nothing, but that doesn't show that others have room.
+        let upstream = directory.get(*id).filter(|u| u.accepts_flows(now))?;
+        if health.is_down(*id) {
+            return None;
+        }
         let load = view.load(now, upstream.token)?;
         let is_valid = (0.0..=1.0).contains(&load.refused_share);
         is_valid.then_some(load)
