Refusals are told from small answers by the smallest usual size of the route

Cause: on a route whose answers differ widely in size, half of the usual size is an ordinary answer, so that admission saw refusals in calm times (0.1 to 0.3 of the requests) and took them for usual.

--- a/crates/policy/src/token.rs
+++ b/crates/policy/src/token.rs
@@ -13,6 +13,7 @@
 //! - [`health`]: load and health of each upstream, as seen by this VM.
 //! - [`backoff`]: random waits, so that few VMs probe the same upstream.
 //! - [`latency`]: response times of upstreams.
+//! - [`answer_size`]: refusals of overloaded upstreams, by the size of the answer.
 //! - [`outlier`]: upstreams that fail more requests than the others of their service.
 //! - [`admission`]: admits or refuses new flows while capacity is short.
 //! - [`placement`]: choice of the upstream for a new flow.
@@ -20,6 +21,7 @@
 //! - [`gateway`]: decides what to do with each packet and returns a [`decision`] with its reason.
 
 pub mod admission;
+pub mod answer_size;
 pub mod backoff;
 mod budget;
 mod cache;
--- a/crates/policy/src/token/gateway.rs
+++ b/crates/policy/src/token/gateway.rs
@@ -20,6 +20,7 @@
 
 use super::{
     admission::{Controller, caps::Caps},
+    answer_size::AnswerSizes,
     backoff,
     cache::TtlCache,
     cost,
@@ -84,6 +85,7 @@
     health: HealthTable,
     latencies: LatencyTable,
     outliers: OutlierDetector,
+    answer_sizes: AnswerSizes,
     /// Costs of the requests of each route.
     costs: cost::Table,
     /// Flows and work that this VM has placed.
@@ -129,6 +131,7 @@
             health: HealthTable::default(),
             latencies: LatencyTable::default(),
             outliers: OutlierDetector::default(),
+            answer_sizes: AnswerSizes::default(),
             costs: cost::Table::default(),
             view: work::View::default(),
             selector: Selector::default(),
@@ -221,6 +224,7 @@
         self.outliers.retain_routes(|r| routes.contains_key(&r));
         self.terms.replace_plan(&plan);
         self.costs.retain(|r| routes.contains_key(&r));
+        self.answer_sizes.retain(|r| routes.contains_key(&r));
         self.plan = Some(plan);
         self.apply_terms_in_force();
         true
--- a/crates/policy/src/token/gateway/admit.rs
+++ b/crates/policy/src/token/gateway/admit.rs
@@ -8,6 +8,7 @@
     token::{
         admission::{self, Controller, Outcome, Request, Sample, Shared, Verdict, caps::Caps},
         directory::Directory,
+        flow::SegmentSignal,
         health::HealthTable,
         outlier::RequestEnd,
         segment::Key,
@@ -22,6 +23,10 @@
 /// Maximum number of upstreams of a service whose shared load is read for a decision.
 const MAX_SHARED_UPSTREAMS: usize = 64;
 
+/// Ratio to the usual time up to which an answer teaches the sizes of answers. A refusal of a full
+/// upstream takes several times as long.
+const USUAL_WAIT_RATIO: f32 = 1.5;
+
 /// Refused share from which on an upstream counts as refusing.
 const REFUSING_SHARE: f32 = 0.02;
 
@@ -119,19 +124,36 @@
         self.record_outcome(now, route, id, Outcome::Answered(waited_ms));
     }
 
-    /// Records the end of a request, where `is_failure` is the judgement of the outlier detector.
-    pub(super) fn record_refusal(
+    /// Records the size of the answer to a request that has ended, if the packet shows that, and
+    /// whether the answer is a refusal. While the sizes of the route are unknown, the judgement
+    /// `is_failure` of the outlier detector counts.
+    pub(super) fn record_answer_size(
         &mut self,
         now: Instant,
         route: SocketAddrV4,
         id: u64,
-        end: RequestEnd,
+        signal: &SegmentSignal,
         is_failure: bool,
     ) {
         // A request without any answer shows a failure or a client that left, not a full queue.
-        if is_failure && matches!(end, RequestEnd::Answered(_)) {
+        let Some(RequestEnd::Answered(bytes)) = signal.request_end else {
+            return;
+        };
+        let is_refusal = self
+            .answer_sizes
+            .is_refusal(route, bytes)
+            .unwrap_or(is_failure);
+        if is_refusal {
             self.record_outcome(now, route, id, Outcome::Refused);
         }
+        // Waits are far below the precision of f32.
+        #[expect(clippy::cast_precision_loss)]
+        let is_usual = signal
+            .ended_wait_ms
+            .is_some_and(|ms| (ms as f32) < self.costs.mean_ms(route) * USUAL_WAIT_RATIO);
+        if is_usual {
+            self.answer_sizes.record(route, bytes);
+        }
     }
 
     /// Records an opening packet that a live upstream left without an answer.
--- a/crates/policy/src/token/gateway/packet.rs
+++ b/crates/policy/src/token/gateway/packet.rs
@@ -227,14 +227,10 @@
         self.record_latency(now, id, signal.answer_wait_ms);
         let is_failure = signal
             .request_end
-            .map(|ended| self.record_request_end(now, segment.key, id, ended));
-        self.record_work(
-            now,
-            segment.key.service,
-            id,
-            &signal,
-            is_failure == Some(true),
-        );
+            .is_some_and(|ended| self.record_request_end(now, segment.key, id, ended));
+        let route = segment.key.service;
+        self.record_answer_size(now, route, id, &signal, is_failure);
+        self.record_work(now, route, id, &signal, is_failure);
         signal.answer_wait_ms
     }
 
@@ -257,11 +253,8 @@
             return false;
         };
         let service = &upstream.announced.service;
-        let is_failure = self
-            .outliers
-            .record_end(now, key.service, id, service, ended);
-        self.record_refusal(now, key.service, id, ended, is_failure);
-        is_failure
+        self.outliers
+            .record_end(now, key.service, id, service, ended)
     }
 
     /// Records the time of an answer, or the time waited so far, in milliseconds.
