Explain a placement: Gateway::explain, GET /place and oriolectl place

Operators can ask an entry VM in gateway mode where a new flow would go and why. The explanation is computed on copies, and random choices appear as probabilities, so that later decisions are the same with and without it.

Upstream::accepts_flows now follows from Upstream::unavailable, which also names the reason. The weights of receiving domains and the count of open flows are computed by functions that decisions and explanations share.

--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -1,6 +1,10 @@
 //! Defines the command line of `oriolectl` and reads its arguments.
 
-use std::{net::SocketAddr, path::PathBuf, time::Duration};
+use std::{
+    net::{Ipv4Addr, SocketAddr, SocketAddrV4},
+    path::PathBuf,
+    time::Duration,
+};
 
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 use clap_complete::Shell;
@@ -54,6 +58,7 @@
         )
         .subcommand(report_command())
         .subcommand(explain_command())
+        .subcommand(place_command())
         .subcommand(
             Command::new("completions")
                 .about("Print the completion script of a shell")
@@ -80,6 +85,33 @@
         )
 }
 
+fn place_command() -> Command {
+    Command::new("place")
+        .about("Show where an entry VM in gateway mode would place a new flow, and why; no flow is opened and nothing is changed")
+        .arg(
+            Arg::new("address")
+                .value_name("ADDRESS")
+                .required(true)
+                .value_parser(value_parser!(SocketAddrV4))
+                .help("IP address and port of the route"),
+        )
+        .arg(
+            Arg::new("from")
+                .long("from")
+                .value_name("CLIENT_IP")
+                .value_parser(value_parser!(Ipv4Addr))
+                .help("IP address of the client, to include the decision of admission on it"),
+        )
+        .arg(
+            Arg::new("entry")
+                .long("entry")
+                .value_name("HTTP_ADDRESS")
+                .required(true)
+                .value_parser(value_parser!(SocketAddr))
+                .help("IP address and port at which the entry VM serves health and metrics"),
+        )
+}
+
 fn global_args() -> [Arg; 8] {
     [
         Arg::new("control")
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod exit;
 pub mod explain;
 mod list;
+pub mod place;
 mod render;
 pub mod report;
 pub mod show;
@@ -56,6 +57,9 @@
     if let Some(("explain", explain)) = matches.subcommand() {
         return explain::run(explain);
     }
+    if let Some(("place", place)) = matches.subcommand() {
+        return place::run(place, args::output_format(matches), args::timeout(matches)).await;
+    }
     let mut control_client =
         call::ControlClient::new(args::control_addresses(matches)?, args::timeout(matches));
     if let Some(command) = change::command_from_args(matches)? {
--- a/crates/control/src/process.rs
+++ b/crates/control/src/process.rs
@@ -3,7 +3,7 @@
 use std::{net::TcpListener as StdListener, path::PathBuf, time::Duration};
 
 use daemon::{
-    http::{self, StateQuery},
+    http::{self, PlaceFault, StateQuery},
     reload,
     supervisor::{Restart, Supervisor},
 };
@@ -300,6 +300,7 @@
         match question {
             StateQuery::Dump(answer) => drop(answer.send(dump::own_state(&state))),
             StateQuery::Health(answer) => drop(answer.send(health(&state))),
+            StateQuery::Place(_, answer) => drop(answer.send(Err(PlaceFault::Unsupported))),
         }
     }
 }
--- a/crates/daemon/src/http.rs
+++ b/crates/daemon/src/http.rs
@@ -3,9 +3,11 @@
 //! - `GET /metrics`: Prometheus text format.
 //! - `GET /health`: 200 and `ok` if the process is in service, otherwise 503 and the reason.
 //! - `GET /dump`: the whole state of the process as JSON.
+//! - `GET /place?to=ADDRESS&from=CLIENT_IP`: where a new flow would go, as JSON; 404 if the daemon
+//!   places no flows, 400 for invalid parameters, 409 and the reason if the daemon can't say.
 
 use std::{
-    net::{SocketAddr, TcpListener},
+    net::{Ipv4Addr, SocketAddr, SocketAddrV4, TcpListener},
     rc::Rc,
     time::Duration,
 };
@@ -31,6 +33,52 @@
     Dump(oneshot::Sender<serde_json::Value>),
     /// Query whether the process is in service; the error is the reason why not.
     Health(oneshot::Sender<Result<(), String>>),
+    /// Query where a new flow would go, as JSON.
+    Place(
+        PlaceRequest,
+        oneshot::Sender<Result<serde_json::Value, PlaceFault>>,
+    ),
+}
+
+/// A flow whose placement is queried.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PlaceRequest {
+    /// Address that the flow is opened to.
+    pub to: SocketAddrV4,
+    /// Address of the client, if the answer is for one client.
+    pub from: Option<Ipv4Addr>,
+}
+
+impl PlaceRequest {
+    /// Parses the query of a URL, such as `to=198.18.0.1:443&from=100.64.0.7`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a parameter is missing, malformed, unknown or repeated.
+    pub fn parse(query: &str) -> Result<Self, String> {
+        let (mut to, mut from) = (None, None);
+        for pair in query.split('&').filter(|pair| !pair.is_empty()) {
+            let (key, value) = pair.split_once('=').unwrap_or((pair, ""));
+            let value = value.replace("%3A", ":").replace("%3a", ":");
+            let malformed = || format!("{key} is malformed: {value:?}");
+            match key {
+                "to" if to.is_none() => to = Some(value.parse().map_err(|_| malformed())?),
+                "from" if from.is_none() => from = Some(value.parse().map_err(|_| malformed())?),
+                _ => return Err(format!("{key} is unknown or repeated")),
+            }
+        }
+        let to = to.ok_or("to is missing: pass to=ADDRESS:PORT")?;
+        Ok(Self { to, from })
+    }
+}
+
+/// The reason why a query for a placement has no answer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum PlaceFault {
+    /// The daemon places no flows in this mode.
+    Unsupported,
+    /// The daemon can't say, for the given reason.
+    CannotSay(String),
 }
 
 /// Sends state queries to the task that owns the state.
@@ -106,6 +154,7 @@
                 web::resource("/metrics").route(web::get().to(get_metrics)),
                 web::resource("/health").route(web::get().to(get_health)),
                 web::resource("/dump").route(web::get().to(get_dump)),
+                web::resource("/place").route(web::get().to(get_place)),
             ))
     })
     .workers(1)
@@ -142,6 +191,28 @@
     }
 }
 
+async fn get_place(
+    request: web::HttpRequest,
+    query_sender: web::types::State<StateQuerySender>,
+) -> HttpResponse {
+    let place = match PlaceRequest::parse(request.query_string()) {
+        Ok(place) => place,
+        Err(reason) => return HttpResponse::BadRequest().body(format!("{reason}\n")),
+    };
+    match query_state(&query_sender, |answer| StateQuery::Place(place, answer)).await {
+        Some(Ok(explanation)) => HttpResponse::Ok()
+            .content_type("application/json")
+            .body(explanation.to_string()),
+        Some(Err(PlaceFault::CannotSay(reason))) => {
+            HttpResponse::Conflict().body(format!("{reason}\n"))
+        }
+        Some(Err(PlaceFault::Unsupported)) => {
+            HttpResponse::NotFound().body("this daemon places no flows\n")
+        }
+        None => no_answer(),
+    }
+}
+
 /// Sends a query to the task that owns the state. Returns `None` if the task doesn't answer within
 /// [`QUERY_TIMEOUT`].
 pub async fn query_state<T>(
--- a/crates/entry/src/gateway.rs
+++ b/crates/entry/src/gateway.rs
@@ -5,6 +5,7 @@
 //! - `admission_log` reports services that are short of capacity, and refusals.
 //! - `decision_log` counts the decisions and logs them up to a number of lines a second.
 //! - [`control_streams`] keeps a stream open to each control VM.
+//! - `place` renders explanations of placements as JSON.
 //! - [`probes`] probes upstreams that seem silent with TCP connections.
 
 use std::{net::TcpListener, path::PathBuf, time::Duration};
@@ -24,6 +25,7 @@
 pub mod control_streams;
 mod decision_log;
 pub mod driver;
+mod place;
 pub mod probes;
 
 use driver::GatewayDriver;
@@ -182,6 +184,7 @@
             match query {
                 StateQuery::Dump(answer) => drop(answer.send(driver.dump())),
                 StateQuery::Health(answer) => drop(answer.send(driver.health())),
+                StateQuery::Place(request, answer) => drop(answer.send(driver.explain(request))),
             }
         }
     });
--- a/crates/entry/src/gateway/admission_log.rs
+++ b/crates/entry/src/gateway/admission_log.rs
@@ -104,7 +104,7 @@
 
 /// Returns the name of a class in metrics and dumps: priority, whether requests may be repeated, and
 /// goal, such as `1-once-500ms`.
-fn class_name(class: Class) -> String {
+pub(super) fn class_name(class: Class) -> String {
     let priority = match class.priority {
         u32::MAX => "lowest".to_owned(),
         priority => priority.to_string(),
--- a/crates/entry/src/gateway/driver.rs
+++ b/crates/entry/src/gateway/driver.rs
@@ -10,6 +10,7 @@
     time::{Duration, Instant as Clock, SystemTime, UNIX_EPOCH},
 };
 
+use daemon::http::{PlaceFault, PlaceRequest};
 use log::{info, warn};
 use model::{
     routing::{ProbeOutcome, ProbeReport},
@@ -32,7 +33,7 @@
     sync::{Notify, broadcast},
 };
 
-use super::{admission_log, decision_log::DecisionLog};
+use super::{admission_log, decision_log::DecisionLog, place};
 
 mod control_messages;
 
@@ -310,6 +311,19 @@
         })
     }
 
+    /// Explains where a new flow would go, as JSON; see [`Gateway::explain`].
+    ///
+    /// # Errors
+    ///
+    /// Fails with the reason if this VM can't say.
+    pub fn explain(&self, request: PlaceRequest) -> Result<serde_json::Value, PlaceFault> {
+        let state = self.state.borrow();
+        let explained = state.gateway.explain(state.now(), request.to, request.from);
+        explained
+            .map(|explanation| place::render(&explanation))
+            .map_err(|fault| PlaceFault::CannotSay(fault.to_string()))
+    }
+
     /// Marks this VM as stopping, so that its health check fails.
     pub fn stop(&self) {
         self.state.borrow_mut().gateway.stop();
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -8,7 +8,7 @@
 
 use clap::Command;
 use daemon::{
-    http::{self, StateQuery},
+    http::{self, PlaceFault, StateQuery},
     supervisor::{Restart, Supervisor},
 };
 use displaydoc::Display;
@@ -220,6 +220,7 @@
     match query {
         StateQuery::Dump(answer) => drop(answer.send(engine.dump())),
         StateQuery::Health(answer) => drop(answer.send(engine.health())),
+        StateQuery::Place(_, answer) => drop(answer.send(Err(PlaceFault::Unsupported))),
     }
 }
 
--- a/crates/entry/tests/gateway_driver.rs
+++ b/crates/entry/tests/gateway_driver.rs
@@ -5,6 +5,7 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
+use daemon::http::{PlaceFault, PlaceRequest};
 use entry::gateway::driver::GatewayDriver;
 use model::{
     plan::{Plan, Route, Service, Target, Terms},
@@ -210,3 +211,35 @@
     assert_eq!(admission["services"], serde_json::json!([]));
     assert_eq!(admission["upstreams_at_cap"], 0);
 }
+
+/// Guards against an explanation that lacks what operators are shown, and against an empty one before
+/// the plan arrives.
+#[test]
+fn explanation_names_the_choice_or_the_reason_for_its_absence() {
+    let system = ntex::rt::System::build().build(ntex::rt::DefaultRuntime);
+    system.block_on(async {
+        let driver = driver(100.0).await;
+        let request = PlaceRequest::parse(&format!("to={ROUTE}&from=10.0.0.9")).unwrap();
+        let fault = driver.explain(request).unwrap_err();
+        let PlaceFault::CannotSay(reason) = fault else {
+            panic!("{fault:?}");
+        };
+        assert!(reason.contains("has not received a plan"), "{reason}");
+        let upstream: SocketAddr = "127.0.0.1:9".parse().unwrap();
+        configure(&driver, upstream);
+        let explained = driver.explain(request).unwrap();
+        assert_eq!(explained["route"], "r");
+        let service = &explained["services"][0];
+        assert_eq!(service["choice"]["id"], "5");
+        assert_eq!(service["choice"]["probability"], 1.0);
+        assert_eq!(service["basis"], "own-sight");
+        assert_eq!(service["admission"]["admitted_share"], 1.0);
+        let candidate = &service["candidates"][0];
+        assert_eq!(candidate["address"], "127.0.0.1:9");
+        assert_eq!(
+            (candidate["excluded"].is_null(), candidate["view"].is_null()),
+            (true, true)
+        );
+        assert_eq!(candidate["own"]["flows"], 0);
+    });
+}
--- a/crates/policy/src/token/admission.rs
+++ b/crates/policy/src/token/admission.rs
@@ -133,6 +133,32 @@
     pub classes: Vec<(Class, f32)>,
 }
 
+/// Expected decision on a new flow.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Preview {
+    /// Class of the route; none without terms, when every flow is admitted.
+    pub class: Option<Class>,
+    /// Admitted share of the new flows of the class.
+    pub share: f32,
+    /// Whether capacity is short.
+    pub is_short: bool,
+    /// Inputs of the last step.
+    pub pressure: Pressure,
+    /// Decision on the caller, if one was given.
+    pub caller: Option<CallerPreview>,
+}
+
+/// Expected decision on a new flow of a caller.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct CallerPreview {
+    /// Number of flows in the current window, with the new one.
+    pub flows: u32,
+    /// Number of flows in the last complete window.
+    pub flows_before: u32,
+    /// The decision.
+    pub verdict: Verdict,
+}
+
 /// Admits or refuses new flows. Without terms, every flow is admitted.
 #[derive(Debug, Clone, Default)]
 pub struct Controller {
@@ -233,6 +259,54 @@
         Verdict::Refused
     }
 
+    /// Returns the decision that [`Self::admit`] would make on a flow of `client`, without a change of
+    /// this controller.
+    #[must_use]
+    pub fn preview(
+        &self,
+        now: Instant,
+        service: &Arc<str>,
+        route: SocketAddrV4,
+        client: Option<Ipv4Addr>,
+        shared: impl FnOnce() -> Option<Shared>,
+    ) -> Preview {
+        let mut copy = self.clone();
+        let request = Request {
+            service,
+            route,
+            client: client.unwrap_or(Ipv4Addr::UNSPECIFIED),
+        };
+        let verdict = copy.admit(now, request, shared);
+        let class = copy.routes.get(&route).copied();
+        let state = copy.services.get(service);
+        let rank = state.and_then(|s| s.classes.iter().position(|c| Some(*c) == class));
+        let (Some(state), Some(rank)) = (state, rank) else {
+            return Preview {
+                class,
+                share: 1.0,
+                is_short: false,
+                pressure: Pressure::default(),
+                caller: None,
+            };
+        };
+        let group = (state.number, u16::try_from(rank).unwrap_or(u16::MAX));
+        let caller = client.map(|client| {
+            let (flows, flows_before) = copy.callers.flows(group, client);
+            CallerPreview {
+                flows,
+                flows_before,
+                verdict,
+            }
+        });
+        Preview {
+            class,
+            share: state.shares.of(rank),
+            is_short: state.shares.is_short(),
+            pressure: state.pressure,
+            caller,
+        }
+    }
+
     /// Updates the shares of services without new flows. `shared` returns what the shared view
     /// contains about a service.
     pub fn tick(&mut self, now: Instant, shared: impl Fn(&Arc<str>) -> Option<Shared>) {
--- a/crates/policy/src/token/admission/callers.rs
+++ b/crates/policy/src/token/admission/callers.rs
@@ -68,6 +68,13 @@
         self.current.len() + self.previous.len()
     }
 
+    /// Returns the number of flows of a caller in the current window and in the last complete one.
+    pub(super) fn flows(&self, group: Group, client: Ipv4Addr) -> (u32, u32) {
+        let key = (group, client);
+        let of = |callers: &BTreeMap<_, Caller>| callers.get(&key).map_or(0, |c| c.flows);
+        (of(&self.current), of(&self.previous))
+    }
+
     /// Counts a flow of a caller and reports whether it is admitted, where `share` is the share of
     /// its class.
     pub(super) fn admit(
--- a/crates/policy/src/token/cache.rs
+++ b/crates/policy/src/token/cache.rs
@@ -36,6 +36,19 @@
 }
 
 impl<T> TtlCache<T> {
+    /// Returns the value for `service` and its age in milliseconds, unless it is missing or as old as
+    /// `ttl_ms` returns for it.
+    pub(super) fn peek(
+        &self,
+        now: Instant,
+        ttl_ms: impl Fn(&T) -> u64,
+        service: &Arc<str>,
+    ) -> Option<(u64, &T)> {
+        let (computed_at, value) = self.0.get(service)?;
+        let age_ms = now.ms_since(*computed_at);
+        (age_ms < ttl_ms(value)).then_some((age_ms, value))
+    }
+
     /// Returns the value for `service`. Calls `compute` if the cached value is missing or as old as
     /// `ttl_ms` returns for it.
     pub(super) fn get_ref(
--- a/crates/policy/src/token/directory.rs
+++ b/crates/policy/src/token/directory.rs
@@ -45,6 +45,24 @@
     Recalled(Instant),
 }
 
+/// The reason why an upstream doesn't accept new flows.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Unavailable {
+    /// The upstream is about to stop.
+    Draining,
+    /// The upstream has stopped.
+    Stopped,
+    /// No control VM receives announcements of the upstream.
+    Unclaimed,
+    /// Another upstream has the same token, or a later one the same address.
+    Barred,
+    /// The upstream is not warm yet.
+    Cold {
+        /// Time in milliseconds until it is.
+        warm_in_ms: u64,
+    },
+}
+
 /// An upstream.
 #[derive(Debug, Clone)]
 pub struct Upstream {
@@ -87,9 +105,27 @@
     /// Reports whether the upstream may get new flows.
     #[must_use]
     pub fn accepts_flows(&self, now: Instant) -> bool {
-        let is_claimed = matches!(self.presence, Presence::Claimed | Presence::Orphaned(_));
-        let is_ready = self.announced.phase == Phase::Ready;
-        is_ready && is_claimed && !self.is_barred && now >= self.warm_at
+        self.unavailable(now).is_none()
+    }
+
+    /// Returns the reason why the upstream may not get new flows; none if it may.
+    #[must_use]
+    pub fn unavailable(&self, now: Instant) -> Option<Unavailable> {
+        match (self.announced.phase, self.presence) {
+            (Phase::Gone, _) => Some(Unavailable::Stopped),
+            (Phase::Draining, _) => Some(Unavailable::Draining),
+            (Phase::Ready, Presence::Silent(_) | Presence::Recalled(_)) => {
+                Some(Unavailable::Unclaimed)
+            }
+            (Phase::Ready, Presence::Claimed | Presence::Orphaned(_)) if self.is_barred => {
+                Some(Unavailable::Barred)
+            }
+            (Phase::Ready, Presence::Claimed | Presence::Orphaned(_)) => {
+                (now < self.warm_at).then(|| Unavailable::Cold {
+                    warm_in_ms: self.warm_at.ms_since(now),
+                })
+            }
+        }
     }
 
     /// Reports whether the upstream may get new flows when the failure domains `out` get none.
--- a/crates/policy/src/token/gateway.rs
+++ b/crates/policy/src/token/gateway.rs
@@ -36,6 +36,7 @@
 use terms::TermsTable;
 
 mod admit;
+pub mod explain;
 mod packet;
 pub mod reachability;
 mod shared_work;
--- a/crates/policy/src/token/gateway/admit.rs
+++ b/crates/policy/src/token/gateway/admit.rs
@@ -1,6 +1,10 @@
 //! Connects admission and the caps on open flows with the state of an entry VM.
 
-use std::{collections::BTreeMap, net::SocketAddrV4, sync::Arc};
+use std::{
+    collections::BTreeMap,
+    net::{Ipv4Addr, SocketAddrV4},
+    sync::Arc,
+};
 
 use super::Gateway;
 use crate::{
@@ -88,10 +92,22 @@
         if !self.caps.is_due(now, service) {
             return;
         }
-        let mut own: BTreeMap<u64, u32> = BTreeMap::new();
-        for flow in self.flows.values().filter(|flow| !flow.is_over) {
-            *own.entry(flow.upstream).or_default() += 1;
+        let mut caps = std::mem::take(&mut self.caps);
+        self.recount_flows(now, &mut caps);
+        self.caps = caps;
+    }
+
+    /// Returns the caps that the next flow to `service` would meet.
+    pub(super) fn preview_caps(&self, now: Instant, service: &Arc<str>) -> Caps {
+        let mut caps = self.caps.clone();
+        if caps.is_due(now, service) {
+            self.recount_flows(now, &mut caps);
         }
+        caps
+    }
+
+    fn recount_flows(&self, now: Instant, caps: &mut Caps) {
+        let own = self.open_flows();
         let view = &self.view;
         let counts = self.directory.all().map(|upstream| {
             let id = upstream.announced.incarnation.id;
@@ -99,7 +115,28 @@
             let own = own.get(&id).copied().unwrap_or_default();
             (id, &upstream.announced.service, own, shared)
         });
-        self.caps.recount(now, counts);
+        caps.recount(now, counts);
+    }
+
+    /// Returns the number of open flows that this VM knows at each upstream.
+    pub(super) fn open_flows(&self) -> BTreeMap<u64, u32> {
+        let mut own: BTreeMap<u64, u32> = BTreeMap::new();
+        for flow in self.flows.values().filter(|flow| !flow.is_over) {
+            *own.entry(flow.upstream).or_default() += 1;
+        }
+        own
+    }
+
+    /// Returns the decision that [`Self::admit_flow`] would make, without a change.
+    pub(super) fn preview_admission(
+        &self,
+        now: Instant,
+        route: SocketAddrV4,
+        client: Option<Ipv4Addr>,
+        service: &Arc<str>,
+    ) -> admission::Preview {
+        let shared = || shared_refusals(now, &self.directory, &self.view, &self.health, service);
+        self.admission.preview(now, service, route, client, shared)
     }
 
     /// Reports whether upstreams of `service` would accept a new flow if they were not at the cap.
--- a/crates/policy/src/token/gateway/packet.rs
+++ b/crates/policy/src/token/gateway/packet.rs
@@ -92,7 +92,7 @@
     }
 
     /// Reports whether this VM has been running long enough to regard its directory as complete.
-    fn is_settled(&self, now: Instant) -> bool {
+    pub(super) fn is_settled(&self, now: Instant) -> bool {
         let first = self.first_synced_at;
         first.is_some_and(|at| now.ms_since(at) >= SETTLE_MS)
     }
--- a/crates/policy/src/token/placement.rs
+++ b/crates/policy/src/token/placement.rs
@@ -34,6 +34,7 @@
 pub mod candidates;
 pub mod levels;
 mod pool_draw;
+pub mod preview;
 mod recent;
 mod search;
 mod survey;
--- a/crates/policy/src/token/placement/candidates.rs
+++ b/crates/policy/src/token/placement/candidates.rs
@@ -88,6 +88,20 @@
         let position = self.members.partition_point(|m| sum(m) <= offset);
         Some(self.members.get(position).copied().unwrap_or(*last))
     }
+
+    /// Returns the candidates with their weights, which are their free slots.
+    pub fn weights(&self, kind: FlowKind) -> impl Iterator<Item = (Weighted, f32)> {
+        let mut before = 0.0;
+        self.members.iter().map(move |member| {
+            let sum = match kind {
+                FlowKind::Single => member.single_sum,
+                FlowKind::Long => member.long_sum,
+            };
+            let weight = sum - before;
+            before = sum;
+            (*member, weight)
+        })
+    }
 }
 
 /// All candidates of a service, by failure domain.
@@ -128,6 +142,12 @@
         Some(Self { groups })
     }
 
+    /// Returns the candidates of each failure domain.
+    #[must_use]
+    pub fn groups(&self) -> &[Group] {
+        &self.groups
+    }
+
     /// Returns the candidates in a failure domain.
     #[must_use]
     pub fn in_domain(&self, domain: &Name) -> Option<&Group> {
--- a/crates/policy/src/token/placement/pool_draw.rs
+++ b/crates/policy/src/token/placement/pool_draw.rs
@@ -15,12 +15,12 @@
 };
 
 /// Number of candidates that are compared for a flow.
-const COMPARED: usize = 2;
+pub(super) const COMPARED: usize = 2;
 
 /// One in this number of flows goes to the first candidate without a comparison. A slow upstream
 /// loses nearly all comparisons, and its recovery would not show. With one in 10, fewer requests were
 /// in time where a third of the upstreams is slow: 0.954 against 0.967 without any.
-const UNCOMPARED: u32 = 40;
+pub(super) const UNCOMPARED: u32 = 40;
 
 /// A choice from a pool of weighted candidates.
 pub(super) struct PoolDraw<'a, 'b> {
@@ -54,24 +54,32 @@
         inputs.avoid_outlier(now, request, members, preferred, random)
     }
 
-    /// Draws the failure domain of a leaving flow; none if no domain may get it.
-    fn draw_receiver(&self, random: &mut impl Rng) -> Option<&Group> {
+    /// Returns the other failure domains with a known load, with their weights in the draw for a
+    /// leaving flow.
+    pub(super) fn receivers(&self) -> impl Iterator<Item = (&Group, f32)> {
         let own = self.pool.in_domain(self.request.domain);
         let own = own.and_then(|group| group.total);
-        let weight = |other| match own {
-            Some(own) => receiver_weight(own, other),
-            None => other.capacity,
-        };
-        let others = || self.pool.known_others(self.request.domain);
-        let total: f32 = others().map(|(_, domain)| weight(domain)).sum();
+        let others = self.pool.known_others(self.request.domain);
+        others.map(move |(group, other)| {
+            let weight = match own {
+                Some(own) => receiver_weight(own, other),
+                None => other.capacity,
+            };
+            (group, weight)
+        })
+    }
+
+    /// Draws the failure domain of a leaving flow; none if no domain may get it.
+    fn draw_receiver(&self, random: &mut impl Rng) -> Option<&Group> {
+        let total: f32 = self.receivers().map(|(_, weight)| weight).sum();
         if total <= 0.0 {
             return None;
         }
         let mut offset = random.random::<f32>() * total;
         let mut drawn = None;
-        for (group, domain) in others().filter(|(_, domain)| weight(*domain) > 0.0) {
+        for (group, weight) in self.receivers().filter(|(_, weight)| *weight > 0.0) {
             drawn = Some(group);
-            offset -= weight(domain);
+            offset -= weight;
             if offset < 0.0 {
                 break;
             }
@@ -106,7 +114,7 @@
     ///
     /// A slow upstream loses against a fast one as long as that one has room. Its part by capacity
     /// would be served, but later than the goal of its requests.
-    fn cost(&self, kind: FlowKind, drawn: &Weighted, upstream: &Upstream) -> f32 {
+    pub(super) fn cost(&self, kind: FlowKind, drawn: &Weighted, upstream: &Upstream) -> f32 {
         let load = match kind {
             FlowKind::Long => {
                 (drawn.demand + self.recent.demand(self.now, drawn.id)) / drawn.capacity
--- a/crates/policy/src/token/placement/recent.rs
+++ b/crates/policy/src/token/placement/recent.rs
@@ -20,7 +20,7 @@
 }
 
 /// Demand placed in the current and in the previous interval, by upstream.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub(super) struct Recent {
     started_at: Instant,
     current: BTreeMap<u64, Placed>,
--- a/crates/policy/src/token/work/view.rs
+++ b/crates/policy/src/token/work/view.rs
@@ -224,6 +224,17 @@
         is_known.then_some(load)
     }
 
+    /// Returns the number of control VMs that the load of the upstream with `token` is from.
+    #[must_use]
+    pub fn source_count(&self, now: Instant, token: u32) -> usize {
+        let values = self.upstreams.get(&token).into_iter().flatten();
+        let is_recent = |value: &&Value| {
+            let source = self.sources.get(&value.source);
+            source.is_some_and(|s| now.ms_since(s.valid_at(value)) < EXPIRY_MS)
+        };
+        values.filter(is_recent).count()
+    }
+
     /// Returns the control VMs whose summaries are known, each with the age of the last one in
     /// milliseconds, its number, and the entry VMs that report to the control VM.
     pub fn sources(&self, now: Instant) -> impl Iterator<Item = (SocketAddr, u64, u64, u32)> {
