Admission: a shortage no longer hides the next one

Cause: the usual share of short answers was learned whenever the latest answers were fast.

Change: the share is learned only when the service has been calm for about three seconds.

--- a/crates/policy/src/token/admission/signal.rs
+++ b/crates/policy/src/token/admission/signal.rs
@@ -86,6 +86,11 @@
 const BASELINE_REQUESTS: f32 = 512.0;
 const BASELINE_PRIOR: f32 = 20.0;
 
+/// Time in milliseconds in which the weight of an answer falls to 1/e when the usual share of short
+/// answers may be learned. During a shortage, queues are short for moments while refusals go on; if
+/// these became usual, the next shortage would not show.
+const CALM_MEMORY_MS: f32 = 3_000.0;
+
 /// Weights of faster and slower answers in the usual time of a class, which stays a little below the
 /// mean. Answers while queues are long are left out.
 const USUAL_FALL_WEIGHT: f32 = 0.02;
@@ -211,6 +216,8 @@
     all: Counts,
     /// The same requests with a shorter memory, to judge queues.
     latest: Counts,
+    /// The same requests with a longer memory, to judge whether the service has been calm for long.
+    lasting: Counts,
     baseline: Baseline,
     /// Requests by upstream. Entries are removed when they have no weight left, so that there are
     /// no more than upstreams of the last seconds.
@@ -223,7 +230,8 @@
     /// Records what a packet shows about a request.
     pub(super) fn record(&mut self, now: Instant, class: Class, upstream: u64, outcome: Outcome) {
         let is_calm = self.slowness(now) < CALM_SLOWNESS;
-        if is_calm {
+        let lasting = self.lasting.decayed(now, CALM_MEMORY_MS);
+        if is_calm && mean_slowness(lasting) < CALM_SLOWNESS {
             self.baseline.add(outcome);
         }
         let mut added = Counts::default();
@@ -239,6 +247,7 @@
         }
         add(&mut self.all, now, MEMORY_MS, added);
         add(&mut self.latest, now, QUEUE_MEMORY_MS, added);
+        add(&mut self.lasting, now, CALM_MEMORY_MS, added);
         let counts = self.upstreams.entry(upstream).or_default();
         add(counts, now, UPSTREAM_MEMORY_MS, added);
     }
@@ -270,8 +279,7 @@
 
     /// Returns the mean ratio of the time of the latest answers to the usual time.
     fn slowness(&self, now: Instant) -> f32 {
-        let latest = self.latest.decayed(now, QUEUE_MEMORY_MS);
-        (latest.slowness_sum + PRIOR_ANSWERS) / (latest.answered + PRIOR_ANSWERS)
+        mean_slowness(self.latest.decayed(now, QUEUE_MEMORY_MS))
     }
 
     /// Removes the usual times of classes that are not in `classes`.
@@ -366,6 +374,10 @@
     }
 }
 
+fn mean_slowness(counts: Counts) -> f32 {
+    (counts.slowness_sum + PRIOR_ANSWERS) / (counts.answered + PRIOR_ANSWERS)
+}
+
 fn is_refusing(counts: Counts, now: Instant) -> bool {
     counts.decayed(now, UPSTREAM_MEMORY_MS).refused >= RECENT_WEIGHT
 }
--- a/crates/policy/tests/token_admission.rs
+++ b/crates/policy/tests/token_admission.rs
@@ -192,6 +192,21 @@
     assert!(scene.shares()[1] >= 1.0);
 }
 
+/// Guards against a shortage that hides the next one: while admission holds the refusals at a few
+/// percent, queues are short for moments, and the refusals then were taken for usual short answers.
+#[test]
+fn shortage_shows_soon_after_another_one() {
+    let mut scene = Scene::calm();
+    for _ in 0..40 {
+        scene.shortage(2);
+        scene.run(2, 40, |number| number % 2 == 0);
+    }
+    scene.run(20, 40, |_| false);
+    assert!(scene.shares()[1] >= 1.0);
+    scene.shortage(12);
+    assert!(scene.shares()[1] < 0.5, "{:?}", scene.shares());
+}
+
 /// Guards against a shared view that overrules what a VM sees: absent, late, too old, impossible or
 /// contradicting values.
 #[test]
