--- a/crates/control/src/routing_stream.rs
+++ b/crates/control/src/routing_stream.rs
@@ -60,7 +60,7 @@
     agreed: Agreed,
     controls: ControlList,
     peers: u32,
-    /// Number of the last summary of work.
+    /// Sequence number of the last summary of work; 0 before the first.
     work_sequence: u64,
     /// Last round of the work table that was sent.
     work_round: u64,
--- a/crates/control/src/work_table.rs
+++ b/crates/control/src/work_table.rs
@@ -106,11 +106,11 @@
     totals: BTreeMap<u32, Total>,
     /// What entry VMs know, by their failure domain.
     groups: BTreeMap<Name, Group>,
-    /// Number of the last stream.
+    /// Number of the last stream; grows with each stream that opens.
     streams: u64,
     /// Number of open streams by failure domain.
     members: BTreeMap<Name, usize>,
-    /// Number of the last round.
+    /// Number of the last round; grows by one each second.
     round: u64,
     /// Entries and messages that were refused since the last round, with the last fault.
     refused: usize,
--- a/crates/control/tests/audience.rs
+++ b/crates/control/tests/audience.rs
@@ -28,16 +28,17 @@
     assert!(audience.is_reached(90_000));
 }
 
+/// A plan with a goal of 400 ms, in the platform's format.
+const PLAN: &str = include_str!("../../../platform/tests/plans/terms.json");
+
 /// Guards against a stored plan of an older build that stops the stream, and against terms of one
 /// plan that are sent for another.
 #[test]
 fn terms_are_derived_for_each_plan_and_absent_for_an_unreadable_text() {
     let plan = |version: u64, goal: &str| {
-        let text = format!(
-            r#"{{"version":{version},"services":[{{"name":"s"}}],"routes":[{{"name":"r",
-            "host":"198.18.0.1","prefix":"/443/","timeoutMs":800,"service":"s",
-            "targetLatencyMs":{goal}}}]}}"#
-        );
+        let text = PLAN
+            .replace("\"version\":3", &format!("\"version\":{version}"))
+            .replace("400", goal);
         Arc::new(Plan {
             version,
             text: text.into(),
--- a/crates/control/tests/gateway_streams.rs
+++ b/crates/control/tests/gateway_streams.rs
@@ -366,9 +366,8 @@
     });
 }
 
-const PLAN: &str = r#"{"version":3,"routes":[{"name":"r-a","host":"198.18.0.1","prefix":"/443/",
-  "timeoutMs":800,"targetLatencyMs":400,"priority":1,"routeType":"safe","service":"booking"}],
-  "services":[{"name":"booking","maxFlows":150}]}"#;
+/// A plan with terms in the platform's format.
+const PLAN: &str = include_str!("../../../platform/tests/plans/terms.json");
 
 /// Puts [`PLAN`] in force.
 async fn put_plan(cluster: &Cluster) {
@@ -389,10 +388,9 @@
             .replace("\"version\":3", "\"version\":4");
         let (status, body) = cluster.call(1, "PUT", "/api/config", &wrong).await.unwrap();
         assert_eq!(status, 400);
-        assert!(
-            body.contains("booking") && body.contains("maxFlows"),
-            "{body}"
-        );
+        let field = PLAN.split_once(":150").unwrap().0.rsplit('"').nth(1);
+        let field = field.unwrap();
+        assert!(body.contains("booking") && body.contains(field), "{body}");
 
         let mut stream = cluster.open(1, THIRD_ROUTING_PATH).await;
         stream
--- a/crates/entry/tests/control_streams.rs
+++ b/crates/entry/tests/control_streams.rs
@@ -36,6 +36,7 @@
         first_port: control.port(),
         seeds: vec![control],
         link_mbps: 1_000.0,
+        place_by_shared_work: true,
         log: settings::log::Level::default(),
         seed: Some(1),
     }
--- a/crates/entry/tests/gateway_driver.rs
+++ b/crates/entry/tests/gateway_driver.rs
@@ -28,6 +28,7 @@
         first_port: 9,
         seeds: vec!["127.0.0.1:9".parse().unwrap()],
         link_mbps,
+        place_by_shared_work: true,
         log: settings::log::Level::default(),
         seed: Some(1),
     }
--- a/crates/policy/src/token/admission.rs
+++ b/crates/policy/src/token/admission.rs
@@ -55,7 +55,7 @@
     pub service: &'a Arc<str>,
     /// Route of the flow.
     pub route: SocketAddrV4,
-    /// Address of the client.
+    /// Address of the caller; its port changes with each try.
     pub client: Ipv4Addr,
 }
 
@@ -87,7 +87,7 @@
     pub service: &'a Arc<str>,
     /// Route of the flow.
     pub route: SocketAddrV4,
-    /// Id of the upstream.
+    /// Id of the upstream that the request was sent to.
     pub upstream: u64,
     /// What the packet shows.
     pub outcome: Outcome,
--- a/crates/policy/src/token/gateway.rs
+++ b/crates/policy/src/token/gateway.rs
@@ -93,6 +93,8 @@
     ledger: work::Ledger,
     /// Flows and work that all VMs have placed.
     view: work::View,
+    /// Whether new flows are placed by `view`, or by what this VM sees alone.
+    places_by_view: bool,
     selector: Selector,
     admission: Controller,
     caps: Caps,
@@ -135,6 +137,7 @@
             answer_sizes: AnswerSizes::default(),
             costs: cost::Table::default(),
             view: work::View::default(),
+            places_by_view: true,
             selector: Selector::default(),
             admission: Controller::default(),
             caps: Caps::default(),
@@ -149,6 +152,12 @@
         }
     }
 
+    /// Sets whether new flows are placed by the work that all entry VMs share, or by what this VM sees
+    /// alone.
+    pub fn set_places_by_view(&mut self, places_by_view: bool) {
+        self.places_by_view = places_by_view;
+    }
+
     /// Stores the state agreed on by the control VMs, unless it is older than the known state.
     /// Returns whether it was newer.
     pub fn update_agreed(&mut self, agreed: Agreed) -> bool {
--- a/crates/policy/src/token/gateway/explain.rs
+++ b/crates/policy/src/token/gateway/explain.rs
@@ -41,7 +41,7 @@
 pub struct Explanation {
     /// Version of the plan in force.
     pub plan_version: u64,
-    /// Name of the route.
+    /// Name of the route in the plan.
     pub route: Arc<str>,
     /// Deadline of requests on the route in milliseconds.
     pub deadline_ms: u64,
@@ -117,7 +117,7 @@
                 latencies: &self.latencies,
                 outliers: &self.outliers,
                 caps: &caps,
-                view: &self.view,
+                view: self.places_by_view.then_some(&self.view),
                 costs: &self.costs,
             };
             let members = self.directory.of_service(service);
--- a/crates/policy/src/token/gateway/packet.rs
+++ b/crates/policy/src/token/gateway/packet.rs
@@ -142,7 +142,7 @@
                 latencies: &self.latencies,
                 outliers: &self.outliers,
                 caps: &self.caps,
-                view: &self.view,
+                view: self.places_by_view.then_some(&self.view),
                 costs: &self.costs,
             };
             let chosen = self.selector.choose(now, request, inputs, &mut self.random);
--- a/crates/policy/src/token/placement.rs
+++ b/crates/policy/src/token/placement.rs
@@ -98,8 +98,9 @@
     pub outliers: &'a OutlierDetector,
     /// Upstreams that hold as many flows as they can.
     pub caps: &'a Caps,
-    /// Flows and work at upstreams, over all entry VMs.
-    pub view: &'a work::View,
+    /// Flows and work at upstreams, over all entry VMs; none if flows are placed by what this VM sees
+    /// alone.
+    pub view: Option<&'a work::View>,
     /// Costs of requests.
     pub costs: &'a cost::Table,
 }
--- a/crates/policy/src/token/placement/candidates.rs
+++ b/crates/policy/src/token/placement/candidates.rs
@@ -29,7 +29,7 @@
 /// Values of an upstream that its weight is computed from.
 #[derive(Debug, Clone, Copy)]
 pub struct Candidate<'a> {
-    /// Id of the upstream.
+    /// Id of the upstream, unique among the candidates.
     pub id: u64,
     /// Failure domain of the upstream.
     pub domain: &'a Name,
--- a/crates/policy/src/token/placement/preview.rs
+++ b/crates/policy/src/token/placement/preview.rs
@@ -212,8 +212,10 @@
                     domain: upstream.announced.domain.clone(),
                     slots: upstream.announced.slots,
                     exclusion,
-                    load: inputs.view.load(now, upstream.token),
-                    sources: inputs.view.source_count(now, upstream.token),
+                    load: inputs.view.and_then(|v| v.load(now, upstream.token)),
+                    sources: inputs
+                        .view
+                        .map_or(0, |v| v.source_count(now, upstream.token)),
                     drawn: values.map(|(drawn, _)| drawn),
                     recent: recent.demand(now, id),
                     own_requests: inputs.health.load(now, id),
--- a/crates/policy/src/token/placement/survey.rs
+++ b/crates/policy/src/token/placement/survey.rs
@@ -70,7 +70,7 @@
             if request.is_untried(upstream) {
                 slots.add(upstream, request.is_local(upstream));
             }
-            let load = inputs.view.load(now, upstream.token);
+            let load = inputs.view.and_then(|v| v.load(now, upstream.token));
             is_fresh |= load.is_some_and(|l| l.age_ms <= FRESH_MS);
             candidates.push((upstream, load));
         }
--- a/crates/policy/src/token/work/view.rs
+++ b/crates/policy/src/token/work/view.rs
@@ -25,7 +25,7 @@
 /// State of the stream of one control VM.
 #[derive(Debug, Clone, Copy, Default)]
 struct Source {
-    /// Number of the last summary.
+    /// Sequence number of the last summary; 1 begins a new stream.
     sequence: u64,
     /// Time when the last summary arrived. It confirms all values that it doesn't change.
     heard_at: Instant,
--- a/crates/settings/src/gateway.rs
+++ b/crates/settings/src/gateway.rs
@@ -49,6 +49,8 @@
     pub seeds: Vec<SocketAddr>,
     /// Capacity of the network link of this VM, in megabits per second.
     pub link_mbps: f64,
+    /// Whether new flows are placed by the work that all entry VMs share, or by what this VM sees alone.
+    pub place_by_shared_work: bool,
     /// Lowest level of the lines that the process logs.
     pub log: Level,
     /// Seed of the random numbers of this process, for tests; a random seed if absent.
@@ -95,6 +97,7 @@
         "first_port",
         "seeds",
         "link_mbps",
+        "place_by_shared_work",
         "log",
         "seed",
     ];
@@ -110,6 +113,12 @@
             link_mbps: fields
                 .optional("link_mbps", LINK_ADVICE)?
                 .unwrap_or(DEFAULT_LINK_MBPS),
+            place_by_shared_work: fields
+                .optional(
+                    "place_by_shared_work",
+                    "write true or false, or remove the key",
+                )?
+                .unwrap_or_default(),
             log: fields.log()?,
             seed: fields.optional("seed", "write a whole number, or remove the key")?,
         })
