--- a/review/standin/cases/foreign_heartbeat.rs
+++ b/review/standin/cases/foreign_heartbeat.rs
@@ -1,4 +1,5 @@
-//! A heartbeat of another writer, in which fields are missing, names the address of a live server.
+//! Two heartbeats of another writer name the addresses of live servers: in one fields are missing, and
+//! one has a service that no desired state names.
 
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -42,7 +43,13 @@
     }
     record::show(&format!("{} flows are open", clients.len()));
     if has_trouble {
-        write_foreign_entry(&system, &servers[0])?;
+        let incomplete = (r#""service":"booking""#, "");
+        let unknown = (
+            r#""service":"ghost""#,
+            r#""version":"v1","warmupRemainingMs":0,"#,
+        );
+        write_heartbeat(&system, &servers[0], "i-0badf001", incomplete)?;
+        write_heartbeat(&system, &servers[1], "i-0badf002", unknown)?;
     }
     thread::sleep(Duration::from_millis(100));
     let started = Instant::now();
@@ -72,20 +79,25 @@
     Ok(reset > 0)
 }
 
-/// Sends one heartbeat without `version` and `warmupRemainingMs`. It names the address of `server`
-/// and an id of its own.
-fn write_foreign_entry(system: &System, server: &Server) -> Result<(), String> {
+/// Sends one heartbeat for `id`, a server that does not exist, at the address of `server`, with the given
+/// service and further fields.
+fn write_heartbeat(
+    system: &System,
+    server: &Server,
+    id: &str,
+    (service, fields): (&str, &str),
+) -> Result<(), String> {
     let now = SystemTime::now()
         .duration_since(UNIX_EPOCH)
         .unwrap_or_default();
     let body = format!(
-        r#"{{"service":"booking","address":"{}","zone":"{}","concurrency":3,"state":"ready","sequence":1,"born":{}}}"#,
+        r#"{{{service},"address":"{}","zone":"{}",{fields}"concurrency":3,"state":"ready","sequence":1,"born":{}}}"#,
         server.profile.address,
         server.profile.zone,
         now.as_millis(),
     );
-    let path = "/api/instances/i-0badf00d";
-    let answer = call(system.control(0), "PUT", path, &body, CALL_TIMEOUT).map_err(text)?;
+    let path = format!("/api/instances/{id}");
+    let answer = call(system.control(0), "PUT", &path, &body, CALL_TIMEOUT).map_err(text)?;
     record::show(&format!(
         "disruption: another writer sends {body}: status {}",
         answer.0
