--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -3,4 +3,4 @@
 # disruption out. Needs the build of the deploy file and review/build.sh.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review/review-case ] && [ -x target/release/oriole-entry ] || exit 2
-exec target/review/review-case lost-answer review/4/record.txt
+exec target/review/review-case cut-server review/4/record.txt
--- a/review/standin/cases/mod.rs
+++ b/review/standin/cases/mod.rs
@@ -5,6 +5,7 @@
 use crate::record;
 
 mod cold_return;
+mod cut_server;
 mod deployment;
 mod foreign_heartbeat;
 mod lost_answer;
@@ -17,6 +18,7 @@
     match name {
         "restarted-server" => restarted_server::run(has_trouble),
         "cold-return" => cold_return::run(has_trouble),
+        "cut-server" => cut_server::run(has_trouble),
         "foreign-heartbeat" => foreign_heartbeat::run(has_trouble),
         "lost-answer" => lost_answer::run(has_trouble),
         "old-route" => old_route::run(has_trouble),
--- a/review/standin/server.rs
+++ b/review/standin/server.rs
@@ -18,6 +18,9 @@
 /// Retransmissions after which a server gives up.
 const MAX_RETRANSMISSIONS: u32 = 8;
 
+/// Longest wait of a server whose heartbeats no control VM answers.
+const MAX_BACKOFF: Duration = Duration::from_millis(8 * 770);
+
 /// Length of the server's id before each packet.
 const ENVELOPE_BYTES: usize = 8;
 
@@ -65,6 +68,8 @@
     draining: bool,
     /// Whether the server sends no more heartbeats, since it is about to exit.
     is_silent: bool,
+    /// Whether the server is cut off from all machines of the system; connections are refused.
+    is_cut: bool,
     /// Time until which the server is cold.
     cold_until: Option<Instant>,
     sequence: u64,
@@ -114,19 +119,12 @@
         };
         let health = {
             let (id, stop) = (profile.id(), Arc::clone(&stop));
-            thread::spawn(move || answer_health(&listener, &id, &stop))
+            let (address, state) = (profile.address, Arc::clone(&state));
+            thread::spawn(move || answer_health(listener, address, &id, &state, &stop))
         };
         let beats = {
             let (profile, state, stop) = (profile.clone(), Arc::clone(&state), Arc::clone(&stop));
-            thread::spawn(move || {
-                while !stop.load(Ordering::SeqCst) {
-                    let started = Instant::now();
-                    beat(&profile, born, &state, &stop);
-                    while started.elapsed() < HEARTBEAT && !stop.load(Ordering::SeqCst) {
-                        thread::sleep(Duration::from_millis(10));
-                    }
-                }
-            })
+            thread::spawn(move || send_beats(&profile, born, &state, &stop))
         };
         Ok(Self {
             profile,
@@ -181,6 +179,12 @@
         self.state().cold_until = Some(Instant::now() + time);
     }
 
+    /// Cuts the server off from all machines of the system, or ends that.
+    pub fn set_cut(&self, is_cut: bool) {
+        record::line(&format!("server {}: cut off: {is_cut}", self.profile.id()));
+        self.state().is_cut = is_cut;
+    }
+
     pub fn openings(&self) -> Vec<Opening> {
         self.state().openings.clone()
     }
@@ -235,8 +239,13 @@
 fn call_control(profile: &Profile, state: &Mutex<State>, method: &str, body: &str) -> bool {
     let number = lock(state).control;
     let control = profile.controls[number % profile.controls.len()];
-    let answer = call(control, method, &profile.path(), body, CALL_TIMEOUT);
-    let status = answer.map(|(status, _)| status).ok();
+    let status = match lock(state).is_cut {
+        true => None,
+        false => Some(call(control, method, &profile.path(), body, CALL_TIMEOUT)),
+    };
+    let status = status
+        .and_then(|answer| answer.ok())
+        .map(|(status, _)| status);
     let acknowledged = status.is_some_and(|s| (200..300).contains(&s));
     if method != "PUT" || !acknowledged {
         record::line(&format!(
@@ -250,9 +259,44 @@
     acknowledged
 }
 
-fn answer_health(listener: &TcpListener, id: &str, stop: &AtomicBool) {
+/// Sends a heartbeat every [`HEARTBEAT`]. If no control VM answers, the wait doubles.
+fn send_beats(profile: &Profile, born: u64, state: &Mutex<State>, stop: &AtomicBool) {
+    let mut wait = HEARTBEAT;
+    while !stop.load(Ordering::SeqCst) {
+        let started = Instant::now();
+        let is_acknowledged = (0..profile.controls.len()).any(|_| beat(profile, born, state, stop));
+        wait = match is_acknowledged {
+            true => HEARTBEAT,
+            false => (wait * 2).min(MAX_BACKOFF),
+        };
+        while started.elapsed() < wait && !stop.load(Ordering::SeqCst) {
+            thread::sleep(Duration::from_millis(10));
+        }
+    }
+}
+
+fn answer_health(
+    listener: TcpListener,
+    address: SocketAddrV4,
+    id: &str,
+    state: &Mutex<State>,
+    stop: &AtomicBool,
+) {
+    let mut listener = Some(listener);
     while !stop.load(Ordering::SeqCst) {
-        let Ok((mut stream, _)) = listener.accept() else {
+        if lock(state).is_cut {
+            // Without a listener, connections are refused.
+            listener = None;
+        } else if listener.is_none() {
+            listener = TcpListener::bind(address).ok();
+            if let Some(listener) = &listener {
+                let _ = listener.set_nonblocking(true);
+            }
+        }
+        let accepted = listener
+            .as_ref()
+            .and_then(|listener| listener.accept().ok());
+        let Some((mut stream, _)) = accepted else {
             thread::sleep(Duration::from_millis(5));
             continue;
         };
@@ -320,6 +364,9 @@
         let Ok((length, _)) = socket.recv_from(&mut buffer) else {
             continue;
         };
+        if lock(state).is_cut {
+            continue;
+        }
         let datagram = &buffer[..length];
         let id = datagram
             .first_chunk::<ENVELOPE_BYTES>()
