--- a/review/standin/cases/old_route.rs
+++ b/review/standin/cases/old_route.rs
@@ -23,6 +23,9 @@
 /// Clients that open a flow while the servers are full.
 const WAITING: usize = 24;
 
+/// Time between two of the later ones.
+const PACE: Duration = Duration::from_millis(15);
+
 const DEADLINE: Duration = Duration::from_millis(1_500);
 
 pub fn run(has_trouble: bool) -> Result<bool, String> {
@@ -100,6 +103,8 @@
             .enumerate()
             .map(|(number, mut one)| {
                 scope.spawn(move || {
+                    // Half of them come while the change is being made.
+                    thread::sleep(PACE * number.saturating_sub(WAITING / 2) as u32);
                     if one.open() == Outcome::Opened {
                         one.request(&format!("waiting-{number}"), DEADLINE);
                     }
