--- a/review/standin/cases/restarted_server.rs
+++ b/review/standin/cases/restarted_server.rs
@@ -10,9 +10,11 @@
 use crate::client::Outcome;
 use crate::record;
 use crate::server::Server;
+use crate::system::HEARTBEAT;
 
-/// Servers that are replaced.
-const REPLACED: usize = 4;
+/// Servers, and how many of them are replaced.
+const SERVERS: usize = 14;
+const REPLACED: usize = 7;
 
 /// Clients that keep a flow open.
 const CLIENTS: usize = 48;
@@ -26,12 +28,14 @@
 pub fn run(has_trouble: bool) -> Result<bool, String> {
     let mut system = deployment::start()?;
     let mut servers = Vec::new();
-    for number in 0..8 {
+    for number in 0..SERVERS {
         let zone = number % ZONES.len();
-        // The servers that will be replaced have all picked the first control VM.
+        // The servers that will be replaced have all picked the first control VM. Heartbeats come at
+        // different times.
         let control = if number < REPLACED { 0 } else { zone };
         let profile = profile(&system, number, "booking", ZONES[zone], control);
         servers.push(Server::start(profile, Duration::ZERO).map_err(text)?);
+        thread::sleep(HEARTBEAT / REPLACED as u32);
     }
     let plan = deployment::plan(1, "booking", deployment::MAX_FLOWS);
     system.order("PUT", "/api/config", &plan, &[0, 1, 2, 3]);
@@ -47,6 +51,7 @@
     if has_trouble {
         // The control VM that gets their heartbeats is restarted meanwhile.
         system.terminate_control(0);
+        thread::sleep(Duration::from_millis(100));
     }
     for server in old {
         server.leave();
--- a/review/standin/system.rs
+++ b/review/standin/system.rs
@@ -237,7 +237,9 @@
         self.port
     }
 
+    /// Starts a control VM again once its process has ended.
     pub fn start_control(&mut self, number: usize) -> io::Result<()> {
+        self.controls[number].wait();
         self.controls[number].start()
     }
 
@@ -254,12 +256,11 @@
         machine.start()
     }
 
-    /// Stops a control VM by SIGTERM and waits until it has ended.
+    /// Sends SIGTERM to a control VM.
     pub fn terminate_control(&mut self, number: usize) {
         let machine = &mut self.controls[number];
         record::show(&format!("planned work: {} gets SIGTERM", machine.name));
         machine.signal(SIGTERM);
-        machine.wait();
     }
 
     pub fn entry_count(&self) -> usize {
