Stops: pass on the stop of one incarnation, asked of entry VMs if need be

Cause: a control VM that had never heard of an upstream stored its stop with start time 0 for 120 s and sent it to each stream that opened meanwhile; an entry VM applied it to any incarnation it knew. Evidence: the entry VMs log event=upstream started=0 phase=Gone with the address of that control VM, and both tests named below fail on the code before.

A control VM that doesn't hear an upstream now asks entry VMs, which hear all control VMs, which incarnation they know, and passes on the stop of that one (streams of version 4). The stop then has a place in the order of starts, so it no longer matters which control VM is heard first, and a late announcement of the stopped incarnation is refused here too. An incarnation that entry VMs know as ready is not the one that stops. Stops without an incarnation, from control VMs of the build before, are ignored in the initial state of a stream.

Ruled out: comparing ages or wall clocks (a suspended or stepped clock would end a live incarnation); dropping such stops (DRAIN would rest on silence).

Also mended, same rule: a stop of a silent upstream was passed on as silence; a stop after an earlier one of the same id was taken for a repeat; stops of unknown ids were kept without a bound.

the_stop_of_an_unknown_upstream_is_relayed asserted start time 0, which is the fault; its successor asserts the incarnation, and that a late announcement is refused. serve_lists expects version 4 as the current path.

Failed before: gateway_streams::a_stop_without_known_incarnation_is_not_passed_on_to_later_streams, token_directory::stop_without_incarnation_ends_nothing_before_the_stream_is_synced.

--- a/crates/control/src/announcement_table.rs
+++ b/crates/control/src/announcement_table.rs
@@ -3,16 +3,9 @@
 //!
 //! Times are milliseconds since the start of this process.
 
-use std::{
-    collections::BTreeMap,
-    net::{Ipv4Addr, SocketAddrV4},
-    sync::Arc,
-};
+use std::collections::BTreeMap;
 
-use model::{
-    name::Name,
-    routing::{Announced, Incarnation, Phase},
-};
+use model::routing::{Announced, Incarnation, Phase};
 
 /// Number of consecutive announcements that may be missed.
 const MAX_MISSED_ANNOUNCEMENTS: u64 = 3;
@@ -138,21 +131,41 @@
         Outcome::New
     }
 
-    /// Records that upstream `id` stops. An unknown upstream is recorded as well, since another
-    /// control VM may know it.
-    pub fn record_stop(&mut self, now_ms: u64, id: u64) -> Outcome {
-        match self.entries.get_mut(&id) {
-            Some(entry) if entry.announced.phase == Phase::Gone => return Outcome::Repeated,
-            Some(entry) => {
-                entry.announced.phase = Phase::Gone;
-                entry.received_at_ms = now_ms;
-                self.bump_revision(id);
+    /// Records the stop of the incarnation that sent `last`, which other control VMs may have
+    /// received. Other incarnations of the upstream are not affected.
+    pub fn record_stop(&mut self, now_ms: u64, last: Announced) -> Outcome {
+        let id = last.incarnation.id;
+        let started_ms = last.incarnation.started_ms;
+        let known = self.entries.get(&id).map(|entry| &entry.announced);
+        match known {
+            Some(known) if known.incarnation.started_ms > started_ms => return Outcome::Stale,
+            Some(known) if known.incarnation == last.incarnation && known.phase == Phase::Gone => {
+                return Outcome::Repeated;
             }
-            None => self.insert(now_ms, stop_announcement(id)),
+            None if self.entries.len() >= MAX_UPSTREAMS => return Outcome::Full,
+            Some(_) | None => {}
         }
+        let stopped = Announced {
+            phase: Phase::Gone,
+            ..last
+        };
+        self.insert(now_ms, stopped);
         Outcome::New
     }
 
+    /// Returns the last announcement of upstream `id`, also if it is silent or has stopped.
+    #[must_use]
+    pub fn last_announcement(&self, id: u64) -> Option<&Announced> {
+        self.entries.get(&id).map(|entry| &entry.announced)
+    }
+
+    /// Returns the last announcement of upstream `id` if it is neither silent nor stopped.
+    #[must_use]
+    pub fn active_upstream(&self, id: u64) -> Option<&Announced> {
+        let entry = self.entries.get(&id).filter(|entry| !entry.is_silent)?;
+        Some(&entry.announced).filter(|announced| announced.phase != Phase::Gone)
+    }
+
     /// Marks upstreams without recent announcements as silent, and removes those that stopped or
     /// fell silent long ago. Returns the number of newly silent upstreams.
     pub fn expire_silent(&mut self, now_ms: u64) -> usize {
@@ -219,6 +232,7 @@
         announced.filter(|announced| announced.phase != Phase::Gone)
     }
 
+    /// Inserts the state of an upstream as a change, in place of its former state.
     fn insert(&mut self, now_ms: u64, announced: Announced) {
         let id = announced.incarnation.id;
         let entry = TableEntry {
@@ -227,7 +241,9 @@
             is_silent: false,
             revision: 0,
         };
-        self.entries.insert(id, entry);
+        if let Some(former) = self.entries.insert(id, entry) {
+            self.changes.remove(&former.revision);
+        }
         self.bump_revision(id);
     }
 
@@ -252,17 +268,3 @@
     };
     becomes_warm || becomes_cold || same != *new
 }
-
-/// Returns the announcement that stands for the stop of an unknown upstream.
-fn stop_announcement(id: u64) -> Announced {
-    Announced {
-        incarnation: Incarnation { id, started_ms: 0 },
-        service: Arc::from(""),
-        address: SocketAddrV4::new(Ipv4Addr::UNSPECIFIED, 0),
-        domain: Name::unknown(),
-        slots: 0,
-        phase: Phase::Gone,
-        cold_ms: 0,
-        sequence: 0,
-    }
-}
--- a/crates/control/src/api.rs
+++ b/crates/control/src/api.rs
@@ -9,12 +9,12 @@
     config::{Config, DomainState, Refusal},
     name::Name,
     plan::Plan,
-    routing::Announced,
+    routing::{Announced, Phase},
 };
 use platform::api::{self, Unavailable};
 use tokio::time::timeout;
 
-use crate::{announcement_table::Outcome, state::State};
+use crate::{announcement_table::Outcome, state::State, upstream_lookup::Finding};
 
 /// Maximum time for an answer. Callers try another control VM after a second.
 const ANSWER_WAIT: Duration = Duration::from_millis(900);
@@ -78,15 +78,75 @@
         Ok(())
     }
 
-    fn leave(&self, id: u64) -> Result<(), Unavailable> {
+    async fn leave(&self, id: u64) -> Result<(), Unavailable> {
         self.check_reach()?;
-        self.update_announcements(|announcements, now_ms| announcements.record_stop(now_ms, id));
-        log::info!(target: "desk", "event=upstream id={id:x} phase=Gone");
+        let (stopping, source) = self.find_stopping(id).await;
+        let started_ms = stopping.as_ref().map(|a| a.incarnation.started_ms);
+        let outcome = stopping.map(|last| {
+            self.update_announcements(|announcements, now_ms| {
+                announcements.record_stop(now_ms, last)
+            })
+        });
+        metrics::counter!("oriole_upstream_stops_total", "source" => source.as_str()).increment(1);
+        log::info!(
+            target: "desk",
+            "event=upstream id={id:x} started={started_ms:?} phase=Gone source={} outcome={outcome:?}",
+            source.as_str()
+        );
         Ok(())
     }
 }
 
+/// Source of the incarnation of an upstream that stops.
+#[derive(Debug, Clone, Copy)]
+enum StopSource {
+    /// This control VM hears the upstream.
+    Heard,
+    /// An entry VM knows the upstream.
+    EntryVm,
+    /// An entry VM knows an incarnation that doesn't drain. The stop is probably a delayed one of an
+    /// earlier incarnation, which this control VM may have heard before.
+    NotDraining,
+    /// No entry VM knows the upstream; this control VM may have heard it before.
+    Unknown,
+    /// The entry VMs did not answer in time; this control VM may have heard the upstream before.
+    Unanswered,
+}
+
+impl StopSource {
+    /// Returns the source as the value of a metric label.
+    fn as_str(self) -> &'static str {
+        match self {
+            Self::Heard => "heard",
+            Self::EntryVm => "entry-vm",
+            Self::NotDraining => "not-draining",
+            Self::Unknown => "unknown",
+            Self::Unanswered => "unanswered",
+        }
+    }
+}
+
 impl State {
+    /// Returns the last announcement of the incarnation that announces its stop, if any VM knows it.
+    async fn find_stopping(&self, id: u64) -> (Option<Announced>, StopSource) {
+        let active = self.soft_state().announcements.active_upstream(id).cloned();
+        if active.is_some() {
+            return (active, StopSource::Heard);
+        }
+        let source = match self.lookup.find(id).await {
+            Finding::Known(announced) if announced.phase == Phase::Ready => StopSource::NotDraining,
+            Finding::Known(announced) => return (Some(announced), StopSource::EntryVm),
+            Finding::Unknown => StopSource::Unknown,
+            Finding::Unanswered => StopSource::Unanswered,
+        };
+        let last = self
+            .soft_state()
+            .announcements
+            .last_announcement(id)
+            .cloned();
+        (last, source)
+    }
+
     /// Checks that an announcement or a stop reaches other VMs.
     fn check_reach(&self) -> Result<(), Unavailable> {
         if !self.can_reach_cluster() {
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -9,7 +9,8 @@
 //! stores the upstreams that announce themselves there, [`announcement_cache`] keeps them on disk,
 //! and [`routing_stream`] sends plan and upstreams to entry VMs, with the terms of the plan from
 //! [`plan_terms`]. [`audience`] tells whether announcements reach an entry VM. [`work_table`] sums
-//! what entry VMs have placed on upstreams. [`process`] builds and runs all parts.
+//! what entry VMs have placed on upstreams. [`upstream_lookup`] asks entry VMs which incarnation of an
+//! upstream they know. [`process`] builds and runs all parts.
 //!
 //! ```
 //! use control::{lease::LeaseTable, generations::GenerationPlanner};
@@ -39,4 +40,5 @@
 pub mod routing_stream;
 pub mod soft_state_sync;
 pub mod state;
+pub mod upstream_lookup;
 pub mod work_table;
--- a/crates/control/src/process.rs
+++ b/crates/control/src/process.rs
@@ -8,7 +8,8 @@
     supervisor::{Restart, Supervisor},
 };
 use delivery::{
-    CONTROL_PATH, ROUTING_PATH, SECOND_ROUTING_PATH, THIRD_ROUTING_PATH, delta::History, server,
+    CONTROL_PATH, FOURTH_ROUTING_PATH, ROUTING_PATH, SECOND_ROUTING_PATH, THIRD_ROUTING_PATH,
+    delta::History, server,
 };
 use displaydoc::Display;
 use metrics_exporter_prometheus::PrometheusHandle;
@@ -234,6 +235,7 @@
                 ROUTING_PATH => routing_stream::serve(stream, state, Version::First).await,
                 SECOND_ROUTING_PATH => routing_stream::serve(stream, state, Version::Second).await,
                 THIRD_ROUTING_PATH => routing_stream::serve(stream, state, Version::Third).await,
+                FOURTH_ROUTING_PATH => routing_stream::serve(stream, state, Version::Fourth).await,
                 _ => config_stream::serve(stream, state).await,
             }
         }
--- a/crates/control/src/routing_stream.rs
+++ b/crates/control/src/routing_stream.rs
@@ -24,6 +24,7 @@
 use crate::{
     probe_reports::{self, ProbeUpdate, Reporter},
     state::{SoftState, State},
+    upstream_lookup,
     work_table::{self, Round},
 };
 
@@ -154,6 +155,7 @@
     let mut status = state.replica.watch_status();
     let mut probes = state.watch_probes();
     let mut rounds = state.watch_work();
+    let mut lookups = (version >= Version::Fourth).then(|| state.lookup.open());
     let recalled = state.soft_state().announcements.recalled();
     if !recalled.is_empty() {
         stream
@@ -180,7 +182,12 @@
         tokio::select! {
             received = stream.receiver.receive() => {
                 last_message_at = tokio::time::Instant::now();
-                handle_message(stream, state, version, &listener, received?).await?;
+                let message = received?;
+                if let (ToControl::FoundUpstream { id, announced }, Some(lookups)) = (&message, &lookups) {
+                    lookups.answer(*id, announced.clone());
+                    continue;
+                }
+                handle_message(stream, state, version, &listener, message).await?;
             }
             first = probes.recv() => {
                 sleep(BATCH_DELAY).await;
@@ -196,6 +203,10 @@
                 }
                 continue;
             }
+            id = next_question(&mut lookups) => {
+                stream.sender.send(&ToEntry::FindUpstream { id }).await?;
+                continue;
+            }
             changed = revisions.changed() => changed.map_err(|_| End::Stopping)?,
             changed = config.changed() => changed.map_err(|_| End::Stopping)?,
             changed = status.changed() => changed.map_err(|_| End::Stopping)?,
@@ -217,6 +228,14 @@
     }
 }
 
+/// Waits for a question to the entry VM; for ever if its version can't be asked.
+async fn next_question(lookups: &mut Option<upstream_lookup::Member>) -> u64 {
+    match lookups {
+        Some(lookups) => lookups.question().await,
+        None => std::future::pending().await,
+    }
+}
+
 fn silence_timeout() -> Duration {
     Duration::from_millis(SILENCE_MS)
 }
@@ -280,7 +299,10 @@
             soft.work.apply(now_ms, &listener.member, &digest);
             metrics::counter!("oriole_work_digests_total").increment(1);
         }
-        ToControl::Hello { .. } | ToControl::Join { .. } | ToControl::Alive => {}
+        ToControl::Hello { .. }
+        | ToControl::Join { .. }
+        | ToControl::Alive
+        | ToControl::FoundUpstream { .. } => {}
     }
     Ok(())
 }
@@ -289,7 +311,7 @@
 fn recalled_message(version: Version, recalled: Vec<Announced>) -> ToEntry {
     match version {
         Version::First => ToEntry::Recalled(recalled),
-        Version::Second | Version::Third => {
+        Version::Second | Version::Third | Version::Fourth => {
             let without_age = recalled.into_iter().map(|announced| (announced, 0));
             ToEntry::RecalledGroups(Group::all_of(without_age.collect()))
         }
@@ -321,7 +343,7 @@
     if !updates.announced.is_empty() {
         let announced = match version {
             Version::First => ToEntry::Announced(updates.announced),
-            Version::Second | Version::Third => {
+            Version::Second | Version::Third | Version::Fourth => {
                 ToEntry::AnnouncedGroups(Group::all_of(updates.announced))
             }
         };
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -21,6 +21,7 @@
     plan_terms::TermsCache,
     probe_reports::{ProbeUpdate, ReportRelay, Reporter},
     replica::Handle,
+    upstream_lookup::Lookup,
     work_table,
 };
 
@@ -45,6 +46,8 @@
     probes: broadcast::Sender<ProbeUpdate>,
     /// Rounds of the work table, for the streams of all entry VMs.
     rounds: broadcast::Sender<Arc<work_table::Round>>,
+    /// Lookups of upstreams that other control VMs hear.
+    pub lookup: Lookup,
     /// Failure domain of this control VM.
     pub domain: Name,
     /// Terms of the plan in force, as sent to entry VMs.
@@ -109,6 +112,7 @@
             announcement_revision: watch::Sender::new(0),
             probes: broadcast::Sender::new(MAX_QUEUED_PROBES),
             rounds: broadcast::Sender::new(MAX_QUEUED_ROUNDS),
+            lookup: Lookup::default(),
             domain: Name::unknown(),
             terms: TermsCache::default(),
             delivery_port: 0,
--- a/crates/control/tests/announcement_table.rs
+++ b/crates/control/tests/announcement_table.rs
@@ -75,26 +75,59 @@
 fn a_stop_is_final_until_the_next_start() {
     let mut table = AnnouncementTable::new(ANNOUNCE_INTERVAL_MS);
     table.record(0, announced(1, 10, 1));
-    assert_eq!(table.record_stop(1, 1), Outcome::New);
-    assert_eq!(table.record_stop(1, 1), Outcome::Repeated);
+    assert_eq!(table.record_stop(1, announced(1, 10, 1)), Outcome::New);
+    assert_eq!(table.record_stop(1, announced(1, 10, 1)), Outcome::Repeated);
     assert_eq!(table.record(2, announced(1, 10, 2)), Outcome::Stale);
     assert_eq!(table.active().count(), 0);
     assert_eq!(table.record(3, announced(1, 20, 1)), Outcome::New);
 }
 
+/// Guards against a stop without an incarnation, which entry VMs would apply to a later one.
 #[test]
-fn the_stop_of_an_unknown_upstream_is_relayed() {
+fn the_stop_of_an_upstream_that_another_control_vm_hears_names_its_incarnation() {
     let mut table = AnnouncementTable::new(ANNOUNCE_INTERVAL_MS);
-    assert_eq!(table.record_stop(0, 7), Outcome::New);
+    assert_eq!(table.record_stop(0, announced(7, 10, 3)), Outcome::New);
     let received = updates(&table, 0, &mut 0).announced;
     assert_eq!(received[0].0.phase, Phase::Gone);
     assert_eq!(
         received[0].0.incarnation,
         Incarnation {
             id: 7,
-            started_ms: 0
+            started_ms: 10
         }
     );
+    // A late announcement of the stopped incarnation doesn't revive it.
+    assert_eq!(table.record(1, announced(7, 10, 4)), Outcome::Stale);
+    assert_eq!(table.active().count(), 0);
+}
+
+/// Guards against a stop that reaches a control VM after the next start and ends the new incarnation.
+#[test]
+fn a_stop_ends_neither_a_later_nor_a_former_incarnation() {
+    let mut table = AnnouncementTable::new(ANNOUNCE_INTERVAL_MS);
+    table.record(0, announced(1, 20, 1));
+    assert_eq!(table.record_stop(1, announced(1, 10, 9)), Outcome::Stale);
+    assert_eq!(table.active_upstream(1).unwrap().incarnation.started_ms, 20);
+    // The upstream started again at another control VM and stops here.
+    assert_eq!(table.record_stop(2, announced(1, 30, 1)), Outcome::New);
+    assert_eq!(table.active_upstream(1), None);
+    let received = updates(&table, 2, &mut 0).announced;
+    assert_eq!(received.len(), 1, "one change for each upstream");
+    assert_eq!(received[0].0.incarnation.started_ms, 30);
+    assert_eq!(table.record(3, announced(1, 40, 1)), Outcome::New);
+}
+
+/// Guards against a stop that entry VMs receive as mere silence.
+#[test]
+fn the_stop_of_a_silent_upstream_is_passed_on_as_a_stop() {
+    let mut table = AnnouncementTable::new(ANNOUNCE_INTERVAL_MS);
+    table.record(0, announced(1, 10, 1));
+    assert_eq!(table.expire_silent(4_000), 1);
+    assert_eq!(table.active_upstream(1), None);
+    assert_eq!(table.record_stop(5_000, announced(1, 10, 1)), Outcome::New);
+    let received = updates(&table, 5_000, &mut 0);
+    assert_eq!(received.silent, []);
+    assert_eq!(received.announced[0].0.phase, Phase::Gone);
 }
 
 #[test]
--- a/crates/control/tests/gateway_streams.rs
+++ b/crates/control/tests/gateway_streams.rs
@@ -18,10 +18,10 @@
     time::Duration,
 };
 
-use delivery::{SECOND_ROUTING_PATH, THIRD_ROUTING_PATH, dial};
+use delivery::{FOURTH_ROUTING_PATH, SECOND_ROUTING_PATH, THIRD_ROUTING_PATH, dial};
 use model::{
     plan::Kind,
-    routing::{ControlList, ToControl, ToEntry},
+    routing::{Announced, ControlList, Group, Incarnation, Phase, ToControl, ToEntry},
 };
 use tempfile::TempDir;
 use tokio::{
@@ -424,3 +424,147 @@
         }
     });
 }
+
+/// Returns the body of an announcement of an upstream that started at `started_ms`.
+fn announcement_body(started_ms: u64) -> String {
+    format!(
+        r#"{{"service":"booking","address":"10.0.0.7:8080","zone":"north","version":"v1","concurrency":2,"state":"ready","warmupRemainingMs":0,"sequence":1,"born":{started_ms}}}"#
+    )
+}
+
+/// Receives the announcements up to the end of the initial state of a new stream.
+async fn initial_announcements(stream: &mut dial::Stream) -> Vec<Announced> {
+    let mut announced = Vec::new();
+    loop {
+        match receive(stream).await {
+            ToEntry::AnnouncedGroups(groups) => {
+                let all = groups.into_iter().flat_map(Group::into_announced);
+                announced.extend(all.map(|(announced, _)| announced));
+            }
+            ToEntry::Complete => return announced,
+            _ => {}
+        }
+    }
+}
+
+/// Answers questions on the stream of an entry VM with `known`.
+fn answer_lookups(mut stream: dial::Stream, known: Option<Announced>) {
+    tokio::task::spawn_local(async move {
+        while let Ok(message) = stream.receiver.receive().await {
+            let answer = match message {
+                ToEntry::FindUpstream { id } => ToControl::FoundUpstream {
+                    id,
+                    announced: known.clone(),
+                },
+                _ => ToControl::Alive,
+            };
+            if stream.sender.send(&answer).await.is_err() {
+                return;
+            }
+        }
+    });
+}
+
+/// Guards against a stop that ends every incarnation of an upstream, and against one that is lost:
+/// a control VM that has never heard of the upstream asks entry VMs, before it acknowledges the
+/// stop, which incarnation they know.
+#[test]
+fn a_stop_names_the_newest_incarnation_that_entry_vms_know() {
+    block_on(async {
+        let cluster = Cluster::start(1);
+        let known = |started_ms| Announced {
+            incarnation: Incarnation { id: 7, started_ms },
+            service: "booking".into(),
+            address: "10.0.0.7:8080".parse().unwrap(),
+            domain: "north".parse().unwrap(),
+            slots: 2,
+            phase: Phase::Draining,
+            cold_ms: 0,
+            sequence: 9,
+        };
+        // The first entry VM has just started, the second one is cut off from another control VM.
+        for known in [None, Some(known(100)), Some(known(200))] {
+            answer_lookups(cluster.open(1, FOURTH_ROUTING_PATH).await, known);
+        }
+        eventually("the streams are open", async || {
+            let metrics = cluster.metrics(1).await?;
+            metrics.contains("oriole_entry_streams 3").then_some(())
+        })
+        .await;
+        eventually("the stop is acknowledged", async || {
+            let (status, _) = cluster.call(1, "DELETE", "/api/instances/i-7", "").await?;
+            (status == 200).then_some(())
+        })
+        .await;
+        let mut late = cluster.open(1, FOURTH_ROUTING_PATH).await;
+        let stopped = Announced {
+            phase: Phase::Gone,
+            ..known(200)
+        };
+        assert_eq!(initial_announcements(&mut late).await, [stopped]);
+
+        // A late announcement of the stopped incarnation changes nothing; the next start does.
+        for started_ms in [200, 300] {
+            let body = announcement_body(started_ms);
+            let call = cluster.call(1, "PUT", "/api/instances/i-7", &body).await;
+            assert_eq!(call.unwrap().0, 200);
+            let mut late = cluster.open(1, FOURTH_ROUTING_PATH).await;
+            let newest = &initial_announcements(&mut late).await[0];
+            assert_eq!(newest.incarnation.started_ms, started_ms);
+            assert_eq!(newest.phase == Phase::Gone, started_ms == 200);
+        }
+        let metrics = cluster.metrics(1).await.unwrap();
+        let counted = "oriole_upstream_stops_total{source=\"entry-vm\"} 1";
+        assert!(metrics.contains(counted), "{metrics}");
+    });
+}
+
+/// Guards against a delayed stop that ends the next incarnation: an upstream drains before it stops,
+/// and one that doesn't drain is not the one that stops.
+#[test]
+fn a_stop_does_not_end_an_incarnation_that_is_not_draining() {
+    block_on(async {
+        let cluster = Cluster::start(1);
+        let ready = Announced {
+            incarnation: Incarnation {
+                id: 7,
+                started_ms: 200,
+            },
+            service: "booking".into(),
+            address: "10.0.0.7:8080".parse().unwrap(),
+            domain: "north".parse().unwrap(),
+            slots: 2,
+            phase: Phase::Ready,
+            cold_ms: 0,
+            sequence: 9,
+        };
+        answer_lookups(cluster.open(1, FOURTH_ROUTING_PATH).await, Some(ready));
+        eventually("the stop is acknowledged", async || {
+            let (status, _) = cluster.call(1, "DELETE", "/api/instances/i-7", "").await?;
+            (status == 200).then_some(())
+        })
+        .await;
+        let mut late = cluster.open(1, FOURTH_ROUTING_PATH).await;
+        assert_eq!(initial_announcements(&mut late).await, []);
+    });
+}
+
+/// Guards against flows of a live upstream that are reset by entry VMs which connect to a control VM
+/// that got the stop of an earlier incarnation without ever having heard of the upstream.
+#[test]
+fn a_stop_without_known_incarnation_is_not_passed_on_to_later_streams() {
+    block_on(async {
+        let cluster = Cluster::start(1);
+        // The entry VMs run the build before, or don't answer in time.
+        for path in [THIRD_ROUTING_PATH, FOURTH_ROUTING_PATH] {
+            let _listener = cluster.open(1, path).await;
+            eventually("the stop is acknowledged", async || {
+                let (status, _) = cluster.call(1, "DELETE", "/api/instances/i-7", "").await?;
+                (status == 200).then_some(())
+            })
+            .await;
+            let mut late = cluster.open(1, path).await;
+            assert_eq!(initial_announcements(&mut late).await, []);
+        }
+    });
+}
--- a/crates/delivery/src/lib.rs
+++ b/crates/delivery/src/lib.rs
@@ -50,6 +50,9 @@
 /// Path of the same streams when both ends support [`Version::Third`].
 pub const THIRD_ROUTING_PATH: &str = "/routing/3";
 
+/// Path of the same streams when both ends support [`Version::Fourth`].
+pub const FOURTH_ROUTING_PATH: &str = "/routing/4";
+
 /// Returns the path of routing streams in `version`.
 #[must_use]
 pub fn routing_path(version: Version) -> &'static str {
@@ -57,6 +60,7 @@
         Version::First => ROUTING_PATH,
         Version::Second => SECOND_ROUTING_PATH,
         Version::Third => THIRD_ROUTING_PATH,
+        Version::Fourth => FOURTH_ROUTING_PATH,
     }
 }
 
--- a/crates/delivery/src/server.rs
+++ b/crates/delivery/src/server.rs
@@ -24,12 +24,13 @@
 const MAX_STREAMS: u32 = 4;
 
 /// Paths that a control VM serves.
-const PATHS: [&str; 5] = [
+const PATHS: [&str; 6] = [
     crate::ENTRY_PATH,
     crate::CONTROL_PATH,
     crate::ROUTING_PATH,
     crate::SECOND_ROUTING_PATH,
     crate::THIRD_ROUTING_PATH,
+    crate::FOURTH_ROUTING_PATH,
 ];
 
 /// Maximum time for the HTTP/2 handshake.
--- a/crates/entry/src/gateway/control_streams.rs
+++ b/crates/entry/src/gateway/control_streams.rs
@@ -138,7 +138,7 @@
     /// Keeps a stream to `control` open until `token` is cancelled.
     async fn maintain_stream(self, control: SocketAddr, token: CancellationToken) {
         let mut backoff = Backoff::new(INITIAL_RETRY_DELAY, MAX_RETRY_DELAY, random_seed());
-        let mut version = Version::Third;
+        let mut version = Version::Fourth;
         let mut failures = 0;
         let mut was_up = true;
         loop {
@@ -164,7 +164,7 @@
                 continue;
             }
             // The control VM may have been upgraded meanwhile.
-            version = Version::Third;
+            version = Version::Fourth;
             // Only the first of several failures in a row is reported.
             if is_open || was_up {
                 self.driver.remove_control_stream(control, &end.to_string());
@@ -185,7 +185,7 @@
         let vm = Arc::clone(&self.vm);
         match version {
             Version::First => ToControl::Hello { vm },
-            Version::Second | Version::Third => ToControl::Join {
+            Version::Second | Version::Third | Version::Fourth => ToControl::Join {
                 vm,
                 domain: self.settings.borrow().domain.clone(),
             },
@@ -236,6 +236,15 @@
             };
             let message: ToEntry = received.map_err(|_| StreamEnd::Silent)??;
             received_at = Instant::now();
+            if let ToEntry::FindUpstream { id } = message {
+                let announced = self.driver.announcement(id);
+                stream
+                    .sender
+                    .send(&ToControl::FoundUpstream { id, announced })
+                    .await?;
+                sent_at = received_at;
+                continue;
+            }
             let mut wanted = self.driver.handle_message(control, message);
             // The plan may have come from a control VM of an older build, which sends no terms.
             if wanted.is_none() && version >= Version::Third {
@@ -283,7 +292,7 @@
     batch: &[TimedReport],
 ) -> Result<(), stream::Error> {
     match version {
-        Version::Second | Version::Third => {
+        Version::Second | Version::Third | Version::Fourth => {
             let reports = batch.iter().map(TimedReport::aged_report).collect();
             sender.send(&ToControl::ProbeReports(reports)).await
         }
--- a/crates/entry/src/gateway/driver/control_messages.rs
+++ b/crates/entry/src/gateway/driver/control_messages.rs
@@ -36,6 +36,14 @@
         state.claim_terms_request()
     }
 
+    /// Returns the newest known announcement of upstream `id`.
+    #[must_use]
+    pub fn announcement(&self, id: u64) -> Option<Announced> {
+        let state = self.state.borrow();
+        let upstream = state.gateway.directory().get(id)?;
+        Some(upstream.announced.clone())
+    }
+
     fn apply_message(
         &self,
         state: &mut State,
@@ -90,6 +98,8 @@
             ToEntry::Terms(terms) => state.apply_terms(control, terms),
             ToEntry::Work(summary) => state.apply_work(control, summary),
             ToEntry::Peers(peers) => state.gateway.set_peer_count(control, peers),
+            // Answered by the stream, with `Self::announcement`.
+            ToEntry::FindUpstream { .. } => {}
             ToEntry::Complete => state.gateway.mark_control_stream_synced(now, control),
             ToEntry::Alive => {
                 let agreed_version = state.gateway.agreed().plan;
--- a/crates/entry/tests/control_streams.rs
+++ b/crates/entry/tests/control_streams.rs
@@ -10,12 +10,12 @@
 use std::{cell::Cell, net::SocketAddr, rc::Rc, time::Duration};
 
 use delivery::{
-    ROUTING_PATH, THIRD_ROUTING_PATH,
+    FOURTH_ROUTING_PATH, ROUTING_PATH,
     stream::{Receiver, Sender},
 };
 use entry::gateway::{control_streams::ControlStreams, driver::GatewayDriver};
 use http::{Response, StatusCode};
-use model::routing::{ControlList, ToControl, ToEntry};
+use model::routing::{Announced, ControlList, Group, Incarnation, Phase, ToControl, ToEntry};
 use settings::gateway::Entry;
 use tokio::{
     net::{TcpListener, TcpStream, UdpSocket},
@@ -91,7 +91,7 @@
         ntex::rt::spawn(async move {
             let mut connection = h2::server::handshake(tcp).await.unwrap();
             while let Some(Ok((request, mut respond))) = connection.accept().await {
-                assert_eq!(request.uri().path(), THIRD_ROUTING_PATH);
+                assert_eq!(request.uri().path(), FOURTH_ROUTING_PATH);
                 let sender = respond.send_response(Response::new(()), false).unwrap();
                 let (lists, open) = (lists.clone(), Rc::clone(&open));
                 ntex::rt::spawn(async move {
@@ -186,6 +186,75 @@
     });
 }
 
+/// Sends `messages` on the first stream, and then gives what the entry VM sends to `received`.
+async fn exchange(
+    listener: TcpListener,
+    messages: Vec<ToEntry>,
+    received: mpsc::UnboundedSender<ToControl>,
+) {
+    let (tcp, _) = listener.accept().await.unwrap();
+    let mut connection = h2::server::handshake(tcp).await.unwrap();
+    let (request, mut respond) = connection.accept().await.unwrap().unwrap();
+    let sender = respond.send_response(Response::new(()), false).unwrap();
+    ntex::rt::spawn(async move {
+        let mut receiver = Receiver::new(request.into_body());
+        let mut sender = Sender::new(sender);
+        for message in messages {
+            sender.send(&message).await.unwrap();
+        }
+        while let Ok(message) = receiver.receive().await {
+            if received.send(message).is_err() {
+                return;
+            }
+        }
+    });
+    while connection.accept().await.is_some() {}
+}
+
+/// Guards against a stop whose incarnation no VM can tell: the control VM that gets the stop may never
+/// have heard of the upstream, and entry VMs have.
+#[test]
+fn an_entry_vm_tells_which_incarnation_of_an_upstream_it_knows() {
+    let system = ntex::rt::System::build().build(ntex::rt::DefaultRuntime);
+    system.block_on(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let settings = settings(listener.local_addr().unwrap());
+        let announced = Announced {
+            incarnation: Incarnation {
+                id: 7,
+                started_ms: 100,
+            },
+            service: "booking".into(),
+            address: "10.0.0.7:8080".parse().unwrap(),
+            domain: "a".parse().unwrap(),
+            slots: 2,
+            phase: Phase::Draining,
+            cold_ms: 0,
+            sequence: 9,
+        };
+        let messages = vec![
+            ToEntry::AnnouncedGroups(Group::all_of(vec![(announced.clone(), 0)])),
+            ToEntry::FindUpstream { id: 7 },
+            ToEntry::FindUpstream { id: 8 },
+        ];
+        let (sender, mut received) = mpsc::unbounded_channel();
+        ntex::rt::spawn(exchange(listener, messages, sender));
+        let socket = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+        let driver = GatewayDriver::new(&settings, socket);
+        let token = CancellationToken::new();
+        ControlStreams::new(settings, driver, token.clone()).update_streams();
+        let mut found = Vec::new();
+        while found.len() < 2 {
+            let message = timeout(EVENT_TIMEOUT, received.recv()).await.unwrap();
+            if let ToControl::FoundUpstream { id, announced } = message.unwrap() {
+                found.push((id, announced));
+            }
+        }
+        assert_eq!(found, [(7, Some(announced)), (8, None)]);
+        token.cancel();
+    });
+}
+
 #[test]
 fn a_control_vm_of_the_previous_build_gets_a_stream_of_the_first_version() {
     let system = ntex::rt::System::build().build(ntex::rt::DefaultRuntime);
--- a/crates/model/src/routing.rs
+++ b/crates/model/src/routing.rs
@@ -42,8 +42,10 @@
     First,
     /// Variants up to and including [`ToControl::ProbeReports`] and [`ToEntry::Peers`].
     Second,
-    /// All variants.
+    /// Variants up to and including [`ToControl::Work`] and [`ToEntry::Work`].
     Third,
+    /// All variants.
+    Fourth,
 }
 
 impl Version {
@@ -54,6 +56,7 @@
             Self::First => None,
             Self::Second => Some(Self::First),
             Self::Third => Some(Self::Second),
+            Self::Fourth => Some(Self::Third),
         }
     }
 }
@@ -174,8 +177,16 @@
     /// Probe reports of the entry VM for the other entry VMs.
     ProbeReports(Vec<ProbeReport>),
     /// Flows and work that the entry VM has placed on upstreams. Sent only on streams of
-    /// [`Version::Third`].
+    /// [`Version::Third`] and later.
     Work(work::Digest),
+    /// Answers [`ToEntry::FindUpstream`]. Sent only on streams of [`Version::Fourth`].
+    FoundUpstream {
+        /// Identity of the upstream.
+        id: u64,
+        /// Newest announcement that the entry VM knows; none if it knows no upstream with this
+        /// identity.
+        announced: Option<Announced>,
+    },
 }
 
 /// State committed by the cluster, as known to one control VM.
@@ -187,8 +198,8 @@
     pub plan: Option<u64>,
     /// Failure domains that operators have taken out of service.
     pub domains_out: Vec<Name>,
-    /// Addresses at which the control VMs accept streams. Streams of [`Version::Third`] ignore this
-    /// field: it may change without a change of `index`; see [`ToEntry::Controls`].
+    /// Addresses at which the control VMs accept streams. Streams of [`Version::Third`] and later
+    /// ignore this field: it may change without a change of `index`; see [`ToEntry::Controls`].
     pub controls: Vec<SocketAddr>,
 }
 
@@ -226,11 +237,17 @@
     /// Peers in the failure domain of the receiving entry VM.
     Peers(Peers),
     /// The control VMs of the cluster; sent when the stream opens and after each change. Sent only
-    /// on streams of [`Version::Third`].
+    /// on streams of [`Version::Third`] and later.
     Controls(ControlList),
-    /// Terms of the plan that was sent before. Sent only on streams of [`Version::Third`].
+    /// Terms of the plan that was sent before. Sent only on streams of [`Version::Third`] and later.
     Terms(Arc<Terms>),
     /// Flows and work at upstreams, summed over the entry VMs that report to the control VM. Sent
-    /// only on streams of [`Version::Third`].
+    /// only on streams of [`Version::Third`] and later.
     Work(work::Summary),
+    /// Asks for what the entry VM knows of an upstream that this control VM doesn't hear, and that
+    /// has announced its stop here. Sent only on streams of [`Version::Fourth`].
+    FindUpstream {
+        /// Identity of the upstream.
+        id: u64,
+    },
 }
--- a/crates/policy/src/token/directory.rs
+++ b/crates/policy/src/token/directory.rs
@@ -273,6 +273,10 @@
 
     /// Applies an announcement that `source` received `age_ms` ago. Returns whether the phase or
     /// the incarnation of the upstream changed.
+    ///
+    /// A stop without a start time, which control VMs of the build before send, is about the
+    /// incarnation that is known when the stop arrives. In the initial state of a stream it is older
+    /// than that and may be about an earlier incarnation, so it is ignored.
     pub fn announce(
         &mut self,
         now: Instant,
@@ -281,10 +285,14 @@
         age_ms: u64,
     ) -> bool {
         let Incarnation { id, started_ms } = announced.incarnation;
+        let stops_any_start = announced.phase == Phase::Gone && started_ms == 0;
+        if stops_any_start && self.control_streams.get(&source) == Some(&false) {
+            return false;
+        }
         let known = self.upstreams.get_mut(&id);
         let Some(known) = known else {
             // A stop without a start time doesn't carry the upstream's address.
-            if announced.phase != Phase::Gone || started_ms > 0 {
+            if !stops_any_start {
                 self.insert(Upstream::announced_by(now, source, announced, age_ms));
             }
             return true;
@@ -297,7 +305,6 @@
         );
         let before = (known.announced.phase, known.announced.incarnation);
         let had_ended = known.has_ended();
-        let stops_any_start = announced.phase == Phase::Gone && started_ms == 0;
         let known_started_ms = known.announced.incarnation.started_ms;
         if started_ms == known_started_ms || stops_any_start {
             known.merge(now, source, announced, age_ms);
--- a/crates/policy/tests/token_directory.rs
+++ b/crates/policy/tests/token_directory.rs
@@ -290,3 +290,61 @@
     assert_eq!(members(&directory, &planroom, &b), [1]);
     assert_eq!(directory.of_service(&booking).count(), 1);
 }
+
+/// Returns the stop of `upstream`.
+fn stop_of(upstream: &Announced) -> Announced {
+    Announced {
+        phase: Phase::Gone,
+        ..upstream.clone()
+    }
+}
+
+/// Guards against flows of a live upstream that are reset because its id had been stopped before: a
+/// stop ends the incarnation that it names, whichever control VM is heard first.
+#[test]
+fn stop_of_an_earlier_incarnation_does_not_stop_its_successor_in_any_order() {
+    let successor = Announced {
+        address: "10.0.0.9:8080".parse().unwrap(),
+        service: "planroom".into(),
+        ..started_at(1, 2_000)
+    };
+    let mut messages = [
+        (control_vm(1), started_at(1, 1_000)),
+        (control_vm(2), stop_of(&started_at(1, 1_000))),
+        (control_vm(3), successor.clone()),
+    ];
+    let mut random = Pcg64Mcg::seed_from_u64(7);
+    for _ in 0..50 {
+        messages.shuffle(&mut random);
+        let mut directory = Directory::default();
+        for (source, announced) in &messages {
+            directory.announce(at(0), *source, announced.clone(), 0);
+        }
+        assert!(accepts_flows(&directory, 1, 1), "{messages:?}");
+        assert_eq!(directory.get(1).unwrap().announced, successor);
+    }
+}
+
+/// Guards against the same fault during an upgrade: control VMs of the build before send stops that
+/// name no incarnation, also to a stream that opens long after the stop.
+#[test]
+fn stop_without_incarnation_ends_nothing_before_the_stream_is_synced() {
+    let stop = stop_of(&started_at(1, 0));
+    for is_stop_first in [true, false] {
+        let mut directory = Directory::default();
+        directory.add_control_stream(control_vm(1));
+        directory.add_control_stream(control_vm(2));
+        if is_stop_first {
+            directory.announce(at(0), control_vm(2), stop.clone(), 0);
+        }
+        directory.announce(at(0), control_vm(1), announcement(1, "a"), 0);
+        if !is_stop_first {
+            directory.announce(at(0), control_vm(2), stop.clone(), 0);
+        }
+        assert!(accepts_flows(&directory, 1, 1));
+        // A stop that arrives later is about the incarnation that is known then.
+        directory.mark_control_stream_synced(control_vm(2));
+        directory.announce(at(2), control_vm(2), stop.clone(), 0);
+        assert!(!accepts_flows(&directory, 3, 1));
+    }
+}
