Health: a failed probe justifies resets for 2 s, and refusing upstreams are probed on

Cause: an upstream that refused a probe while no control VM heard it counted as ended: no further probe, and a reset for each packet with data until its next announcement, which comes seconds after a cut.

Packets that come more than 2 s after the last failed probe are now forwarded and make a VM probe, after the usual random wait; a failure resets the clients that wait, as a first failure does. Upstreams that stopped, or whose address an announced one holds, are never probed.

--- a/crates/policy/src/token/decision.rs
+++ b/crates/policy/src/token/decision.rs
@@ -55,11 +55,13 @@
     Stopped,
     /// The upstream of the flow answers neither clients nor probes.
     Down,
+    /// The upstream of the flow was found down, but too long ago for a reset: it is probed again.
+    Outdated,
 }
 
 impl Reason {
     /// All reasons.
-    pub const ALL: [Self; 13] = [
+    pub const ALL: [Self; 14] = [
         Self::Token,
         Self::Placed,
         Self::Repeated,
@@ -73,6 +75,7 @@
         Self::UnknownToken,
         Self::Stopped,
         Self::Down,
+        Self::Outdated,
     ];
 
     /// Returns the reason as a word for logs and metrics.
@@ -92,6 +95,7 @@
             Self::UnknownToken => "unknown-token",
             Self::Stopped => "upstream-stopped",
             Self::Down => "upstream-down",
+            Self::Outdated => "upstream-down-outdated",
         }
     }
 }
--- a/crates/policy/src/token/gateway/packet.rs
+++ b/crates/policy/src/token/gateway/packet.rs
@@ -193,13 +193,31 @@
         let id = upstream.announced.incarnation.id;
         decision.waited_ms = self.record_segment(now, segment, id);
         if segment.length > 0 && self.health.is_down(id) {
-            // The client may still send the request to another upstream before the deadline.
-            self.flows.remove(&segment.key);
-            (decision.action, decision.reason) = (Action::Reset, Reason::Down);
+            (decision.action, decision.reason) =
+                self.decide_at_down(now, segment, id, decision.action);
         }
         decision
     }
 
+    /// Decides on a packet with data of an open flow whose upstream was found down. `forward` is the
+    /// action for an upstream that is up.
+    fn decide_at_down(
+        &mut self,
+        now: Instant,
+        segment: &Segment,
+        id: u64,
+        forward: Action,
+    ) -> (Action, Reason) {
+        let has_ended = self.has_ended(id);
+        let backoff_ms = self.random_backoff_ms();
+        if !self.health.rejects_flows(now, id, has_ended, backoff_ms) {
+            return (forward, Reason::Outdated);
+        }
+        // The client may still send the request to another upstream before the deadline.
+        self.flows.remove(&segment.key);
+        (Action::Reset, Reason::Down)
+    }
+
     /// Records what a packet shows about its flow and upstream. Returns how long the client has
     /// waited for the upstream, in milliseconds, if the packet shows that.
     fn record_segment(&mut self, now: Instant, segment: &Segment, id: u64) -> Option<u64> {
--- a/crates/policy/src/token/gateway/reachability.rs
+++ b/crates/policy/src/token/gateway/reachability.rs
@@ -8,7 +8,7 @@
 
 use model::{
     name::Name,
-    routing::{Incarnation, Peers, ProbeOutcome, ProbeReport, Report},
+    routing::{Incarnation, Peers, Phase, ProbeOutcome, ProbeReport, Report},
 };
 
 use super::{Gateway, HealthChange, HealthStatus, ProbeResult, backoff};
@@ -114,10 +114,20 @@
                 false => probed,
             },
             is_announced,
+            has_ended: self.has_ended(id),
             backoff_ms: self.random_backoff_ms(),
         }
     }
 
+    /// Reports whether upstream `id` has stopped, or is no longer announced while a later upstream at
+    /// its address is.
+    pub(super) fn has_ended(&self, id: u64) -> bool {
+        self.directory.get(id).is_none_or(|upstream| {
+            upstream.announced.phase == Phase::Gone
+                || upstream.has_ended() && self.directory.has_successor(id)
+        })
+    }
+
     /// Reports whether another upstream accepted the connection to the address of upstream `id`.
     ///
     /// Clocks of upstreams differ, so a later start time alone is no proof: upstream `id` must also
@@ -134,7 +144,7 @@
     /// changed.
     pub fn record_probe(&mut self, now: Instant, id: u64, probed: ProbeOutcome) -> bool {
         let result = self.probe_result(id, probed);
-        let was_unconfirmed = self.health.status(id) == HealthStatus::Unconfirmed;
+        let has_waiting_client = self.health.has_waiting_client(id);
         let effect = self.health.apply_probe_result(now, result);
         let upstream = self.directory.get(id).map(|u| u.announced.incarnation);
         if let (Some(upstream), Some(started_at)) = (upstream, effect.report_probe_start) {
@@ -143,7 +153,7 @@
         }
         // A single lost packet makes a probe silent. Such a result alone must not cause probes of
         // other upstreams or end requests.
-        let is_conclusive = was_unconfirmed || result.probed == ProbeOutcome::Refused;
+        let is_conclusive = has_waiting_client || result.probed == ProbeOutcome::Refused;
         if let Some(change) = effect
             .change
             .filter(|c| is_conclusive || !c.is_down_transition())
--- a/crates/policy/src/token/health.rs
+++ b/crates/policy/src/token/health.rs
@@ -81,6 +81,9 @@
     pub probed: ProbeOutcome,
     /// Whether at least one control VM receives announcements of the upstream.
     pub is_announced: bool,
+    /// Whether the upstream has stopped or lost its address to another upstream, so that no further
+    /// probe is needed.
+    pub has_ended: bool,
     /// Random time in milliseconds that this VM adds to the interval before its next probe, so that
     /// another VM may probe first.
     pub backoff_ms: u64,
@@ -169,6 +172,7 @@
         let upstream = self.upstreams.entry(id).or_default();
         upstream.answered_at = Some(now);
         upstream.is_contradicted = false;
+        upstream.is_outdated = false;
         upstream.status = HealthStatus::Healthy;
         upstream.next_probe_at = None;
     }
@@ -204,11 +208,36 @@
         }
     }
 
+    /// Reports whether open flows of the upstream are to be reset: it was found down a short time ago,
+    /// or it `has_ended`. If it was found down too long ago, schedules a probe in `backoff_ms`, whose
+    /// result decides on the flows.
+    pub fn rejects_flows(
+        &mut self,
+        now: Instant,
+        id: u64,
+        has_ended: bool,
+        backoff_ms: u64,
+    ) -> bool {
+        let upstream = self.upstreams.get_mut(&id);
+        let Some(upstream) = upstream.filter(|u| u.is_down()) else {
+            return false;
+        };
+        if has_ended || upstream.is_recently_down(now) {
+            return true;
+        }
+        // After an accepted probe, the second one is scheduled already.
+        if !upstream.is_outdated && upstream.first_accepted_at.is_none() {
+            upstream.is_outdated = true;
+            self.schedule_recheck(now, id, backoff_ms);
+        }
+        false
+    }
+
     /// Schedules a probe of a down upstream in `backoff_ms`, or keeps an earlier one. Callers have
     /// seen a new announcement of the upstream or a recovery in its failure domain.
     pub fn schedule_recheck(&mut self, now: Instant, id: u64, backoff_ms: u64) {
         let upstream = self.upstreams.get_mut(&id);
-        let Some(upstream) = upstream.filter(|u| matches!(u.status, HealthStatus::Down(_))) else {
+        let Some(upstream) = upstream.filter(|u| u.is_down()) else {
             return;
         };
         let wanted = now.plus_ms(backoff_ms);
@@ -406,9 +435,17 @@
             upstream.next_probe_at = None;
             upstream.status_probe_at = None;
             upstream.down_report = None;
+            upstream.is_outdated = false;
         }
     }
 
+    /// Reports whether a client waits for the result of the upstream's next probe.
+    #[must_use]
+    pub fn has_waiting_client(&self, id: u64) -> bool {
+        let upstream = self.upstreams.get(&id);
+        upstream.is_some_and(UpstreamHealth::has_waiting_client)
+    }
+
     /// Returns the health status of the upstream.
     #[must_use]
     pub fn status(&self, id: u64) -> HealthStatus {
--- a/crates/policy/src/token/health/upstream.rs
+++ b/crates/policy/src/token/health/upstream.rs
@@ -33,6 +33,11 @@
 /// Time in milliseconds in which the weight of a request falls to 1/e.
 const LOAD_DECAY_MS: f32 = 2_000.0;
 
+/// Time in milliseconds after the start of a probe for which its result justifies resets of open
+/// flows. A network cut may refuse connections or drop them, and end before the upstream announces
+/// itself again.
+const RESULT_VALID_MS: u64 = 2_000;
+
 /// Load and health of one upstream.
 #[derive(Debug, Clone, Default)]
 pub(super) struct UpstreamHealth {
@@ -44,6 +49,8 @@
     pub(super) status: HealthStatus,
     /// Start time of the newest probe that the status is based on.
     pub(super) status_probe_at: Option<Instant>,
+    /// Start time of the newest probe that was refused or got no answer.
+    failed_probe_at: Option<Instant>,
     /// Whether this VM made the probe that the status is based on.
     pub(super) is_own_probe: bool,
     /// Last VM of this failure domain that reported the upstream as down, and the time of the
@@ -60,6 +67,8 @@
     pub(super) is_contradicted: bool,
     /// Interval in milliseconds before the next probe while the upstream is down.
     pub(super) probe_interval_ms: u64,
+    /// Whether a client waits for the upstream, which was found down too long ago.
+    pub(super) is_outdated: bool,
 }
 
 impl UpstreamHealth {
@@ -96,10 +105,21 @@
     /// within the confirmation window.
     pub(super) fn is_down_or_reported_by_other(&self, now: Instant, vm: &Arc<str>) -> bool {
         let other = self.down_report.as_ref();
-        matches!(self.status, HealthStatus::Down(_))
+        self.is_down()
             || other.is_some_and(|(other, at)| other != vm && now.ms_since(*at) < CONFIRM_WINDOW_MS)
     }
 
+    /// Reports whether the upstream is down and a probe found that a short time ago.
+    pub(super) fn is_recently_down(&self, now: Instant) -> bool {
+        let is_recent = |at: Instant| now.ms_since(at) <= RESULT_VALID_MS;
+        self.is_down() && self.failed_probe_at.is_some_and(is_recent)
+    }
+
+    /// Reports whether a client waits for the result of the next probe.
+    pub(super) fn has_waiting_client(&self) -> bool {
+        self.is_outdated || self.status == HealthStatus::Unconfirmed
+    }
+
     /// Applies the result of a probe that started at `started_at`.
     pub(super) fn apply_result(
         &mut self,
@@ -123,10 +143,7 @@
                 (HealthStatus::Down(ProbeOutcome::Refused), Some(next))
             }
             (ProbeOutcome::Accepted, _) => (HealthStatus::Healthy, None),
-            // The process has ended, and no new incarnation of the upstream was announced.
-            (ProbeOutcome::Refused, _) if !result.is_announced => {
-                (HealthStatus::Down(ProbeOutcome::Refused), None)
-            }
+            (down, _) if result.has_ended => (HealthStatus::Down(down), None),
             (down, _) => {
                 self.probe_interval_ms = self.next_probe_interval_ms(result.is_announced);
                 let next = now.plus_ms(self.probe_interval_ms + result.backoff_ms);
@@ -135,8 +152,15 @@
         };
         if result.probed != ProbeOutcome::Accepted {
             self.first_accepted_at = None;
+            self.failed_probe_at = Some(started_at);
         }
         let after = self.status;
+        // Flows of an upstream whose status was outdated have not been reset so far.
+        let was_outdated = std::mem::take(&mut self.is_outdated);
+        let before = match was_outdated && result.probed != ProbeOutcome::Accepted {
+            true => HealthStatus::Unconfirmed,
+            false => before,
+        };
         (after != before).then_some(HealthChange {
             before,
             after,
@@ -144,6 +168,10 @@
         })
     }
 
+    pub(super) fn is_down(&self) -> bool {
+        matches!(self.status, HealthStatus::Down(_))
+    }
+
     /// Reports whether a probe at least one interval before `started_at` was accepted.
     fn has_accepted_for_an_interval(&self, started_at: Instant) -> bool {
         let first = self.first_accepted_at;
