Opening packets: copies follow the plan in force

Cause: a copy of an opening packet goes to the upstream of the first copy if that one accepts flows and has answered anybody since; the plan in force was not asked. Evidence: token_plan_changes fails on the code before with reason Repeated under plan 2.

The targets of the route are asked first; a copy whose upstream's service is no target (any more, or with weight 0) is placed like a new flow, admission included (why=rerouted). Otherwise copies stay where they were, so that one opening packet is not answered by two upstreams.

Found on the way: a copy that arrives when the flow is open was placed anew, or reset, if its upstream drains or its failure domain is out. It now goes to the upstream that has the flow, for 2 s after the first copy.

Failed before: copy_of_an_opening_packet_follows_the_route_to_its_new_service, copy_of_an_opening_packet_stays_at_the_upstream_where_the_flow_is_open.

--- a/crates/policy/src/token/decision.rs
+++ b/crates/policy/src/token/decision.rs
@@ -37,6 +37,9 @@
     Repeated,
     /// The packet repeats an opening packet, and the upstream has answered no client since.
     MovedOn,
+    /// The packet repeats an opening packet, and the plan in force no longer leads to the service of
+    /// the upstream.
+    Rerouted,
     /// This VM has no plan yet.
     NoPlan,
     /// The plan has no route for the address.
@@ -61,11 +64,12 @@
 
 impl Reason {
     /// All reasons.
-    pub const ALL: [Self; 14] = [
+    pub const ALL: [Self; 15] = [
         Self::Token,
         Self::Placed,
         Self::Repeated,
         Self::MovedOn,
+        Self::Rerouted,
         Self::NoPlan,
         Self::NoRoute,
         Self::NoUpstream,
@@ -86,6 +90,7 @@
             Self::Placed => "placed",
             Self::Repeated => "repeated",
             Self::MovedOn => "moved-on",
+            Self::Rerouted => "rerouted",
             Self::NoPlan => "no-plan",
             Self::NoRoute => "no-route",
             Self::NoUpstream => "no-upstream",
--- a/crates/policy/src/token/gateway/packet.rs
+++ b/crates/policy/src/token/gateway/packet.rs
@@ -29,6 +29,10 @@
 /// An upstream announces its stop shortly before it stops.
 const STOP_GRACE_MS: u64 = 500;
 
+/// Time in milliseconds after the first opening packet of a flow in which copies of it may arrive. A
+/// later opening packet begins another flow from the same port.
+const OPENING_MS: u64 = 2_000;
+
 /// Time in milliseconds, from the first synced control VM, after which a fresh VM regards its
 /// directory as complete.
 const SETTLE_MS: u64 = 1_000;
@@ -66,16 +70,28 @@
 
     /// Decides on a repeated opening packet.
     ///
-    /// If the upstream has answered other clients since, a packet was lost and the same upstream
-    /// gets the copy: if two upstreams answered, the client could keep the token of the wrong
-    /// upstream. Otherwise another upstream gets the copy.
+    /// An upstream where the flow is open gets the copy. So does one that has answered other clients
+    /// since, because a packet was lost: if two upstreams answered, the client could keep the token of
+    /// the wrong upstream. Otherwise another upstream gets the copy. The plan in force decides where a
+    /// flow that is not open may go.
     fn reopen_flow(&mut self, now: Instant, key: Key, targets: &[Target], flow: Flow) -> Decision {
         let id = flow.upstream;
+        let waited_ms = now.ms_since(flow.opened_at);
         let upstream = self.directory.get(id);
-        let upstream_accepts = upstream.is_some_and(|u| self.accepts_flows(now, u));
+        let is_target = |u: &Upstream| targets.iter().any(|t| t.service == u.announced.service);
         let has_answered = flow.is_open || self.health.has_answered_since(id, flow.opened_at);
         match upstream {
-            Some(upstream) if upstream_accepts && has_answered => {
+            Some(upstream)
+                if flow.is_open && waited_ms < OPENING_MS && self.keeps_flows(upstream) =>
+            {
+                Decision::new(forward_to(upstream), Reason::Repeated)
+            }
+            // Admission to the other service has not been asked yet.
+            Some(upstream) if !is_target(upstream) => {
+                self.health.record_unanswered(now, id, flow.opened_at);
+                self.place_flow(now, key, targets, None, Reason::Rerouted)
+            }
+            Some(upstream) if self.accepts_flows(now, upstream) && has_answered => {
                 let decision = Decision::new(forward_to(upstream), Reason::Repeated);
                 if !flow.is_open {
                     self.record_ignored(now, key.service, id);
@@ -84,13 +100,18 @@
             }
             _ => {
                 self.health.record_unanswered(now, id, flow.opened_at);
-                let waited_ms = now.ms_since(flow.opened_at);
                 self.record_latency(now, id, Some(waited_ms));
                 self.place_flow(now, key, targets, Some(id), Reason::MovedOn)
             }
         }
     }
 
+    /// Reports whether packets of open flows are forwarded to `upstream`.
+    fn keeps_flows(&self, upstream: &Upstream) -> bool {
+        let id = upstream.announced.incarnation.id;
+        upstream.announced.phase != Phase::Gone && !self.health.is_down(id)
+    }
+
     /// Reports whether this VM has been running long enough to regard its directory as complete.
     pub(super) fn is_settled(&self, now: Instant) -> bool {
         let first = self.first_synced_at;
