Announcements: one check of all values where they enter a VM

Cause: the decoder let through what the readers can't use; an announced service was never compared with those of the plan before it counted as owner of an address or token.

Announced::check has the limits and is made at each entrance: call, stream, lookup answer, cache file. All documented fields but the start are required (our own emulator left one out and sends it now). Upstreams of a service that no plan has defined are kept, as a plan may come later, but take neither address nor token.

--- a/crates/control/src/announcement_cache.rs
+++ b/crates/control/src/announcement_cache.rs
@@ -39,7 +39,7 @@
         }
     };
     match decode(&bytes) {
-        Ok(announced) => announced,
+        Ok(announced) => valid(announced),
         Err(reason) => {
             log::warn!(target: "hints", "event=hints outcome=passed-over reason=\"{reason}\"");
             Vec::new()
@@ -47,6 +47,19 @@
     }
 }
 
+/// Returns the upstreams with possible values; the build before has stored others too.
+fn valid(mut announced: Vec<Announced>) -> Vec<Announced> {
+    let before = announced.len();
+    announced.retain(|announced| announced.check().is_ok());
+    if announced.len() < before {
+        log::warn!(
+            target: "hints",
+            "event=hints outcome=partly-invalid upstreams={before} invalid={}", before - announced.len()
+        );
+    }
+    announced
+}
+
 /// Decodes the contents of a cache file.
 ///
 /// # Errors
--- a/crates/control/src/api.rs
+++ b/crates/control/src/api.rs
@@ -11,7 +11,7 @@
     plan::Plan,
     routing::{Announced, Phase},
 };
-use platform::api::{self, Unavailable};
+use platform::api::{self, Invalid, Unavailable};
 use tokio::time::timeout;
 
 use crate::{announcement_table::Outcome, state::State, upstream_lookup::Finding};
@@ -67,6 +67,7 @@
         let outcome = self
             .update_announcements(|announcements, now_ms| announcements.record(now_ms, announced));
         if outcome == Outcome::New {
+            self.record_undefined_service(&shown);
             log::info!(
                 target: "desk",
                 "event=upstream id={:x} started={} service={} address={} domain={} phase={:?} \
@@ -78,6 +79,21 @@
         Ok(())
     }
 
+    fn record_invalid(&self, invalid: &Invalid) {
+        let Invalid {
+            what,
+            subject,
+            reason,
+        } = invalid;
+        metrics::counter!("oriole_desk_invalid_total", "what" => *what).increment(1);
+        if self.may_log_invalid() {
+            log::warn!(
+                target: "desk",
+                "event=refused what=\"{what}\" id=\"{subject}\" reason=\"{reason}\""
+            );
+        }
+    }
+
     async fn leave(&self, id: u64) -> Result<(), Unavailable> {
         self.check_reach()?;
         let (stopping, source) = self.find_stopping(id).await;
@@ -147,6 +163,27 @@
         (last, source)
     }
 
+    /// Counts and logs an announcement whose service the plan in force doesn't define. It may define the
+    /// service later, so entry VMs receive the announcement too.
+    fn record_undefined_service(&self, announced: &Announced) {
+        let config = self.replica.applied_config();
+        let is_defined = |plan: &Arc<Plan>| {
+            let mut services = plan.services.iter();
+            services.any(|service| service.name == announced.service)
+        };
+        if config.plan.as_ref().is_none_or(is_defined) {
+            return;
+        }
+        metrics::counter!("oriole_upstreams_undefined_total").increment(1);
+        if self.may_log_invalid() {
+            log::warn!(
+                target: "desk",
+                "event=undefined-service id={:x} service={} address={}",
+                announced.incarnation.id, announced.service, announced.address
+            );
+        }
+    }
+
     /// Checks that an announcement or a stop reaches other VMs.
     fn check_reach(&self) -> Result<(), Unavailable> {
         if !self.can_reach_cluster() {
--- a/crates/control/src/routing_stream.rs
+++ b/crates/control/src/routing_stream.rs
@@ -183,8 +183,11 @@
             received = stream.receiver.receive() => {
                 last_message_at = tokio::time::Instant::now();
                 let message = received?;
-                if let (ToControl::FoundUpstream { id, announced }, Some(lookups)) = (&message, &lookups) {
-                    lookups.answer(*id, announced.clone());
+                if let (ToControl::FoundUpstream { id, announced }, Some(lookups)) =
+                    (&message, &lookups)
+                {
+                    let is_valid = |a: &Announced| a.incarnation.id == *id && a.check().is_ok();
+                    lookups.answer(*id, announced.clone().filter(is_valid));
                     continue;
                 }
                 handle_message(stream, state, version, &listener, message).await?;
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -6,6 +6,7 @@
     time::Instant,
 };
 
+use daemon::logs::LineBudget;
 use delivery::delta::History;
 use model::{
     config::Config,
@@ -73,8 +74,13 @@
     pub work: work_table::Table,
     /// Streams of entry VMs, which decide whether announcements are accepted.
     pub audience: Audience,
+    /// Limit on log lines about invalid calls and announcements, which anyone can send.
+    invalid_lines: LineBudget,
 }
 
+/// Highest number of log lines a second about invalid calls and announcements.
+const INVALID_LINES_PER_SECOND: u32 = 10;
+
 /// Maximum number of rounds of the work table queued for a stream; a stream that lags behind gets the
 /// full state.
 const MAX_QUEUED_ROUNDS: usize = 4;
@@ -107,6 +113,7 @@
                 relay: ReportRelay::default(),
                 work: work_table::Table::default(),
                 audience: Audience::default(),
+                invalid_lines: LineBudget::new("invalid", INVALID_LINES_PER_SECOND),
             })),
             started: Instant::now(),
             announcement_revision: watch::Sender::new(0),
@@ -247,6 +254,14 @@
         }
     }
 
+    /// Reports whether a line about an invalid call or announcement may be logged now, and counts the
+    /// line as logged.
+    #[must_use]
+    pub fn may_log_invalid(&self) -> bool {
+        let now_us = u64::try_from(self.started.elapsed().as_micros()).unwrap_or(u64::MAX);
+        self.soft_state().invalid_lines.take(now_us)
+    }
+
     /// Returns the milliseconds since the start of this process.
     #[must_use]
     pub fn now_ms(&self) -> u64 {
--- a/crates/control/tests/gateway_streams.rs
+++ b/crates/control/tests/gateway_streams.rs
@@ -568,3 +568,75 @@
         }
     });
 }
+
+/// Guards against an announcement of another writer that ends a control VM, is taken for an upstream,
+/// hides those before or after it, or comes back from the cache file after a restart.
+#[test]
+fn odd_announcements_name_no_upstream_and_the_others_hold() {
+    block_on(async {
+        let mut cluster = Cluster::start(1);
+        let listener = cluster.open(1, FOURTH_ROUTING_PATH).await;
+        follow(listener, |_| {});
+        let usual = announcement_body(5);
+        let announce = async |cluster: &Cluster, id: &str, body: &str| {
+            let path = format!("/api/instances/{id}");
+            cluster
+                .call(1, "PUT", &path, body)
+                .await
+                .map(|(status, _)| status)
+        };
+        eventually("the first upstream is accepted", async || {
+            (announce(&cluster, "i-1", &usual).await? == 200).then_some(())
+        })
+        .await;
+        let nested = "[".repeat(100_000);
+        let megabyte = usual.replace("v1", &"v".repeat(1 << 20));
+        let odd = [
+            usual.replace("8080", "0"),
+            usual.replace("8080", "65536"),
+            usual.replace("10.0.0.7", "0.0.0.0"),
+            usual.replace("10.0.0.7", "224.0.0.1"),
+            usual.replace("\"v1\"", &format!("{nested}{}", "]".repeat(nested.len()))),
+            usual.replace("\"v1\"", &nested),
+            usual.replace("\"version\":\"v1\",", ""),
+            usual.replace("Ms\":0", "Ms\":-1"),
+            usual.replace("Ms\":0", "Ms\":1e18"),
+            usual.replace("Ms\":0", "Ms\":1e400"),
+            usual.replace("\"born\":5", "\"born\":18446744073709551615"),
+            usual.replace("\"born\":5", "\"born\":9223372036854775807"),
+            usual.replace("\"sequence\":1", "\"sequence\":9223372036854775808"),
+            usual.replace("ready", "gone"),
+            String::new(),
+        ];
+        for (number, body) in odd.iter().enumerate() {
+            let status = announce(&cluster, &format!("i-bad{number}"), body).await;
+            let is_refused = status.is_some_and(|status| (400..500).contains(&status));
+            assert!(is_refused, "{number}: {status:?}");
+            // An odd announcement of a live upstream doesn't end it.
+            let status = announce(&cluster, "i-1", body).await;
+            assert!(status.is_some_and(|s| (400..500).contains(&s)));
+        }
+        // A body beyond the limit may be refused before it was read, which resets the connection.
+        let status = announce(&cluster, "i-bad", &megabyte).await;
+        assert_ne!(status, Some(200));
+        assert_eq!(announce(&cluster, "i-2", &usual).await, Some(200));
+        let metrics = cluster.metrics(1).await.unwrap();
+        let refused = "oriole_desk_invalid_total{what=\"announcement\"}";
+        assert!(metrics.contains(refused), "{metrics}");
+        let ids = |all: Vec<Announced>| all.iter().map(|a| a.incarnation.id).collect::<Vec<_>>();
+        let mut late = cluster.open(1, FOURTH_ROUTING_PATH).await;
+        assert_eq!(ids(initial_announcements(&mut late).await), [1, 2]);
+
+        // The cache is written twice a second at most.
+        sleep(Duration::from_millis(1_200)).await;
+        cluster.kill(1);
+        cluster.run(1);
+        let mut late = cluster.open(1, FOURTH_ROUTING_PATH).await;
+        let recalled = loop {
+            if let ToEntry::RecalledGroups(groups) = receive(&mut late).await {
+                break groups.into_iter().flat_map(Group::into_announced);
+            }
+        };
+        assert_eq!(ids(recalled.map(|(a, _)| a).collect()), [1, 2]);
+    });
+}
--- a/crates/entry/src/gateway/driver/control_messages.rs
+++ b/crates/entry/src/gateway/driver/control_messages.rs
@@ -169,6 +169,9 @@
     ) {
         let now = self.now();
         for (announced, age_ms) in all {
+            if !self.is_valid(control, &announced) {
+                continue;
+            }
             let logged = announced.clone();
             if self.gateway.announce(now, control, announced, age_ms)
                 && self.decision_log.may_log(now)
@@ -184,12 +187,32 @@
         }
     }
 
+    /// Checks an announcement, and counts and logs it if it is invalid. Control VMs of the build before
+    /// pass on announcements with impossible values.
+    fn is_valid(&mut self, control: SocketAddr, announced: &Announced) -> bool {
+        let Err(fault) = announced.check() else {
+            return true;
+        };
+        metrics::counter!("oriole_announcements_invalid_total").increment(1);
+        let now = self.now();
+        if self.decision_log.may_log(now) {
+            warn!(
+                target: "upstreams",
+                "event=announcement-refused id={:x} control={control} reason=\"{fault}\"",
+                announced.incarnation.id
+            );
+        }
+        false
+    }
+
     fn apply_recalled(&mut self, control: SocketAddr, all: impl IntoIterator<Item = Announced>) {
         let now = self.now();
         let mut count = 0;
         for announced in all {
-            self.gateway.add_recalled(now, announced);
-            count += 1;
+            if self.is_valid(control, &announced) {
+                self.gateway.add_recalled(now, announced);
+                count += 1;
+            }
         }
         info!(target: "upstreams", "event=recalled upstreams={count} control={control}");
     }
--- a/crates/model/src/routing.rs
+++ b/crates/model/src/routing.rs
@@ -10,10 +10,7 @@
 //! selects a [`Version`] that both ends support, new variants are only added at the end of an enum,
 //! and neither end sends a variant that the peer's version lacks.
 
-use std::{
-    net::{SocketAddr, SocketAddrV4},
-    sync::Arc,
-};
+use std::{net::SocketAddr, sync::Arc};
 
 use serde::{Deserialize, Serialize};
 
@@ -23,9 +20,11 @@
     work,
 };
 
+pub mod announced;
 mod control_list;
 mod group;
 
+pub use announced::{Announced, Incarnation, Phase};
 pub use control_list::{ControlList, Fault};
 pub use group::Group;
 
@@ -61,47 +60,6 @@
     }
 }
 
-/// Identifies one run of an upstream's process.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-pub struct Incarnation {
-    /// Identity of the upstream; may stay the same across restarts.
-    pub id: u64,
-    /// Start time of the process: milliseconds since 1970 by the upstream's wall clock.
-    pub started_ms: u64,
-}
-
-/// Self-reported life-cycle phase of an upstream.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-pub enum Phase {
-    /// The upstream accepts new flows.
-    Ready,
-    /// The upstream is about to stop: existing flows continue, new flows go elsewhere.
-    Draining,
-    /// The upstream has stopped.
-    Gone,
-}
-
-/// Self-reported state of an upstream from its latest announcement.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Announced {
-    /// Process run that sent the announcement.
-    pub incarnation: Incarnation,
-    /// Name of the service that the upstream serves.
-    pub service: Arc<str>,
-    /// Address at which the upstream receives packets.
-    pub address: SocketAddrV4,
-    /// Failure domain of the upstream.
-    pub domain: Name,
-    /// Maximum number of concurrent requests.
-    pub slots: u32,
-    /// Life-cycle phase of the upstream.
-    pub phase: Phase,
-    /// Time for which the upstream stays cold, in milliseconds.
-    pub cold_ms: u64,
-    /// Sequence number of the announcement; grows within an incarnation.
-    pub sequence: u64,
-}
-
 /// Outcome of a probe: a connection to an upstream's address that sends no request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum ProbeOutcome {
--- a/crates/policy/src/token/directory.rs
+++ b/crates/policy/src/token/directory.rs
@@ -224,6 +224,10 @@
     tokens: BTreeMap<u32, BTreeSet<u64>>,
     /// Upstreams that share each address. Invariant: no set is empty.
     addresses: BTreeMap<SocketAddrV4, BTreeSet<u64>>,
+    /// Services of the plans so far that any upstream or the plan in force still names; none before the
+    /// first plan. Anyone can announce an upstream, and one of another service takes neither token nor
+    /// address from the others.
+    defined_services: Option<BTreeSet<Arc<str>>>,
     /// Control VMs with open streams, each with whether it has sent all upstreams that it knew.
     control_streams: BTreeMap<SocketAddr, bool>,
 }
@@ -285,7 +289,7 @@
         age_ms: u64,
     ) -> bool {
         let Incarnation { id, started_ms } = announced.incarnation;
-        let stops_any_start = announced.phase == Phase::Gone && started_ms == 0;
+        let stops_any_start = announced.is_stop_without_incarnation();
         if stops_any_start && self.control_streams.get(&source) == Some(&false) {
             return false;
         }
@@ -446,15 +450,36 @@
     }
 
     /// Returns the upstream that `token` identifies. If several upstreams share the token, the
-    /// first started one is returned.
+    /// first started one of a defined service is returned.
     #[must_use]
     pub fn by_token(&self, token: u32) -> Option<&Upstream> {
         let ids = self.tokens.get(&token)?.iter();
         let upstreams = ids.filter_map(|id| self.upstreams.get(id));
-        upstreams.min_by_key(|u| start_order(u))
+        upstreams.min_by_key(|u| (!self.is_defined(u), start_order(u)))
+    }
+
+    /// Sets the services of the plan in force.
+    pub fn define_services(&mut self, services: impl IntoIterator<Item = Arc<str>>) {
+        let mut defined: BTreeSet<Arc<str>> = services.into_iter().collect();
+        // Upstreams of a service that the plan no longer has may still hold flows.
+        let former = self.defined_services.take().unwrap_or_default();
+        defined.extend(former.into_iter().filter(|s| self.services.contains_key(s)));
+        self.defined_services = Some(defined);
+        let indexed = self.upstreams.values();
+        let indexed = indexed.map(|u| (u.token, u.announced.address));
+        for (token, address) in indexed.collect::<Vec<_>>() {
+            self.update_barred(token, address);
+        }
+    }
+
+    /// Reports whether a plan has defined the service of `upstream`, or there is no plan yet.
+    fn is_defined(&self, upstream: &Upstream) -> bool {
+        let defined = self.defined_services.as_ref();
+        defined.is_none_or(|services| services.contains(&upstream.announced.service))
     }
 
-    /// Reports whether another live upstream with a later start has the address of upstream `id`.
+    /// Reports whether another live upstream of a defined service with a later start has the address of
+    /// upstream `id`.
     #[must_use]
     pub fn has_successor(&self, id: u64) -> bool {
         let Some(upstream) = self.get(id) else {
@@ -465,7 +490,7 @@
             .into_iter()
             .flatten()
             .filter_map(|i| self.get(*i));
-        let mut live = sharing.filter(|u| !u.has_ended());
+        let mut live = sharing.filter(|u| !u.has_ended() && self.is_defined(u));
         live.any(|u| start_order(u) > start_order(upstream))
     }
 
@@ -534,8 +559,10 @@
         let Some(upstream) = self.upstreams.get(&id) else {
             return true;
         };
-        let sharing_count = self.tokens.get(&upstream.token).map_or(0, BTreeSet::len);
-        sharing_count > 1 || self.has_successor(id)
+        let sharing = self.tokens.get(&upstream.token).into_iter().flatten();
+        let mut others = sharing.filter(|other| **other != id);
+        let is_shared = |other: &u64| self.get(*other).is_some_and(|u| self.is_defined(u));
+        others.any(is_shared) || self.has_successor(id)
     }
 }
 
--- a/crates/policy/src/token/gateway.rs
+++ b/crates/policy/src/token/gateway.rs
@@ -228,6 +228,8 @@
             )
         });
         self.routes = by_address.collect();
+        let services = plan.services.iter().map(|s| Arc::clone(&s.name));
+        self.directory.define_services(services);
         self.selector.clear_surveys();
         self.gathering = TtlCache::default();
         let routes = &self.routes;
--- a/crates/policy/tests/token_directory.rs
+++ b/crates/policy/tests/token_directory.rs
@@ -348,3 +348,42 @@
         assert!(!accepts_flows(&directory, 3, 1));
     }
 }
+
+/// Guards against flows of a live upstream that are reset, or sent elsewhere, because an announcement of
+/// a service that no plan defines names its address or shares its token.
+#[test]
+fn upstream_of_an_undefined_service_takes_neither_address_nor_token() {
+    let services = |names: &[&str]| names.iter().map(|n| Arc::from(*n)).collect::<Vec<_>>();
+    let live = announcement(1, "a");
+    let at_address = Announced {
+        service: "ghost".into(),
+        address: live.address,
+        ..started_at(2, 9_000)
+    };
+    // Token 1 as well, and an earlier start.
+    let with_token = Announced {
+        service: "ghost".into(),
+        ..started_at(0x5_0000_0004, 1)
+    };
+    assert_eq!(token_of(with_token.incarnation.id), token_of(1));
+    for is_live_first in [true, false] {
+        let mut directory = Directory::default();
+        directory.define_services(services(&["booking"]));
+        let mut all = vec![at_address.clone(), with_token.clone()];
+        all.insert(if is_live_first { 0 } else { 2 }, live.clone());
+        for announced in all {
+            directory.announce(at(0), control_vm(1), announced, 0);
+        }
+        assert!(accepts_flows(&directory, 1, 1));
+        assert!(!directory.has_successor(1));
+        let upstream = directory.by_token(1).unwrap();
+        assert_eq!(upstream.announced.incarnation.id, 1);
+        // A plan that defines the service makes them ordinary upstreams.
+        directory.define_services(services(&["booking", "ghost"]));
+        assert!(!accepts_flows(&directory, 1, 1));
+        assert!(directory.has_successor(1));
+        // A later plan without the service doesn't undo that: they may have flows.
+        directory.define_services(services(&["booking"]));
+        assert!(directory.has_successor(1));
+    }
+}
--- a/crates/policy/tests/token_outdated_health.rs
+++ b/crates/policy/tests/token_outdated_health.rs
@@ -5,14 +5,17 @@
 
 mod token_support;
 
-use model::routing::{Announced, Incarnation, Phase, ProbeOutcome};
+use model::{
+    plan::Service,
+    routing::{Announced, Incarnation, Phase, ProbeOutcome},
+};
 use policy::token::{
     decision::{Action, Reason},
     gateway::Gateway,
 };
 use token_support::{
     SETTLED_MS, action_and_reason, announcement, at, chosen_upstream, control_vm, data_packet,
-    gateway, opening_packet, probe_report,
+    gateway, opening_packet, plan, probe_report,
 };
 
 /// Time in milliseconds at which the control VM reports the upstream as silent.
@@ -144,6 +147,11 @@
         ..announcement(1, "a")
     };
     let mut gateway = gateway_with_down_upstream(ProbeOutcome::Refused);
+    let mut with_planroom = plan(2).as_ref().clone();
+    with_planroom.services.push(Service {
+        name: "planroom".into(),
+    });
+    gateway.apply_plan(with_planroom.into());
     gateway.announce(at(SILENT_AT_MS + 100), control_vm(1), successor.clone(), 0);
     for ms in [SILENT_AT_MS + 500, SILENT_AT_MS + 1_500] {
         // A probe that was scheduled before reaches the successor.
--- a/crates/standin/src/platform/upstream.rs
+++ b/crates/standin/src/platform/upstream.rs
@@ -156,7 +156,7 @@
         let state = *lock(&shared.state);
         let body = format!(
             r#"{{"service":"{}","address":"{}","zone":"{}","version":"v1","concurrency":2,
-            "state":"{state}","sequence":{sequence},"born":{born}}}"#,
+            "state":"{state}","warmupRemainingMs":0,"sequence":{sequence},"born":{born}}}"#,
             profile.service, profile.announced, profile.domain
         );
         let to = profile.controls.iter().cycle().skip(sequence);
--- a/crates/standin/tests/gateway/main.rs
+++ b/crates/standin/tests/gateway/main.rs
@@ -4,6 +4,7 @@
 #![expect(clippy::unwrap_used, reason = "a step that fails fails its test")]
 
 mod builds;
+mod odd_announcements;
 mod system;
 
 use std::{process::Command, time::Duration};
