Failure domains that come back wait for their upstreams' announcements

Cause: an upstream counts as warm by its last announcement, up to an interval old, and upstreams may turn cold shortly before their domain returns.

A returned domain gets no new flows for 1.5 intervals and 0.2 s, in which each upstream has announced itself once more. Open flows stay. The interval comes from the platform (announce_ms in deploy/entry.yaml; 1,000 without).

Ruled out: marking each upstream until its next announcement, since control VMs pass on only announcements with news.

--- a/crates/entry/src/gateway/driver.rs
+++ b/crates/entry/src/gateway/driver.rs
@@ -121,6 +121,7 @@
         let wall_ms = wall_time.map_or(0, |t| u64::try_from(t.as_millis()).unwrap_or_default());
         gateway.admission_mut().set_clock_offset_ms(wall_ms);
         gateway.set_places_by_view(settings.place_by_shared_work);
+        gateway.set_announce_ms(settings.announce_ms);
         let state = State {
             gateway,
             started,
--- a/crates/entry/tests/control_streams.rs
+++ b/crates/entry/tests/control_streams.rs
@@ -37,6 +37,7 @@
         seeds: vec![control],
         link_mbps: 1_000.0,
         place_by_shared_work: true,
+        announce_ms: 1_000,
         log: settings::log::Level::default(),
         seed: Some(1),
     }
--- a/crates/entry/tests/gateway_driver.rs
+++ b/crates/entry/tests/gateway_driver.rs
@@ -29,6 +29,7 @@
         seeds: vec!["127.0.0.1:9".parse().unwrap()],
         link_mbps,
         place_by_shared_work: true,
+        announce_ms: 1_000,
         log: settings::log::Level::default(),
         seed: Some(1),
     }
--- a/crates/policy/src/token/gateway.rs
+++ b/crates/policy/src/token/gateway.rs
@@ -34,9 +34,11 @@
     work,
 };
 use crate::time::Instant;
+use excluded_domains::ExcludedDomains;
 use terms::TermsTable;
 
 mod admit;
+mod excluded_domains;
 pub mod explain;
 mod packet;
 pub mod reachability;
@@ -80,6 +82,7 @@
     routes: BTreeMap<SocketAddrV4, Route>,
     terms: TermsTable,
     agreed: Agreed,
+    excluded: ExcludedDomains,
     /// The control VMs of the cluster; version 0 if no list with a version was received.
     controls: ControlList,
     directory: Directory,
@@ -129,6 +132,7 @@
             routes: BTreeMap::new(),
             terms: TermsTable::default(),
             agreed: Agreed::default(),
+            excluded: ExcludedDomains::default(),
             controls: ControlList::default(),
             directory: Directory::default(),
             health: HealthTable::default(),
@@ -158,11 +162,18 @@
         self.places_by_view = places_by_view;
     }
 
+    /// Sets the time between two announcements of an upstream, in milliseconds.
+    pub fn set_announce_ms(&mut self, announce_ms: u64) {
+        self.excluded.set_announce_ms(announce_ms);
+    }
+
     /// Stores the state agreed on by the control VMs, unless it is older than the known state.
     /// Returns whether it was newer.
     pub fn update_agreed(&mut self, agreed: Agreed) -> bool {
         let is_newer = agreed.index > self.agreed.index;
         if is_newer {
+            self.excluded
+                .update(&self.agreed.domains_out, &agreed.domains_out);
             self.agreed = agreed;
         }
         is_newer
@@ -334,6 +345,7 @@
 
     /// Expires flows, requests and upstreams that have timed out.
     pub fn tick(&mut self, now: Instant) {
+        self.excluded.expire(now, &self.agreed.domains_out);
         self.directory.tick(now);
         self.health.retain(&self.directory);
         let directory = &self.directory;
--- a/crates/policy/src/token/gateway/explain.rs
+++ b/crates/policy/src/token/gateway/explain.rs
@@ -108,7 +108,7 @@
                 service,
                 route: address,
                 domain: &self.settings.domain,
-                out: &self.agreed.domains_out,
+                out: self.excluded.all(),
                 tried: None,
             };
             let inputs = PlacementInputs {
--- a/crates/policy/src/token/gateway/packet.rs
+++ b/crates/policy/src/token/gateway/packet.rs
@@ -61,6 +61,7 @@
         else {
             return Decision::new(Action::Reset, Reason::NoRoute);
         };
+        self.excluded.expire(now, &self.agreed.domains_out);
         let known = self.flows.get(&key).copied().filter(|flow| !flow.is_over);
         if let Some(flow) = known {
             return self.reopen_flow(now, key, &targets, flow);
@@ -126,7 +127,7 @@
     }
 
     pub(super) fn accepts_flows(&self, now: Instant, upstream: &Upstream) -> bool {
-        upstream.accepts_flows_outside(now, &self.agreed.domains_out)
+        upstream.accepts_flows_outside(now, self.excluded.all())
     }
 
     fn place_flow(
@@ -154,7 +155,7 @@
                 service,
                 route: key.service,
                 domain: &self.settings.domain,
-                out: &self.agreed.domains_out,
+                out: self.excluded.all(),
                 tried,
             };
             let inputs = PlacementInputs {
--- a/crates/settings/src/gateway.rs
+++ b/crates/settings/src/gateway.rs
@@ -20,6 +20,9 @@
 /// Default capacity of the network link of a VM, in megabits per second.
 const DEFAULT_LINK_MBPS: f64 = 1_000.0;
 
+/// Default time between two announcements of an upstream, in milliseconds.
+const DEFAULT_ANNOUNCE_MS: u64 = 1_000;
+
 const LINK_ADVICE: &str =
     "write the capacity of this VM's network link in megabits per second, above 0";
 
@@ -51,6 +54,8 @@
     pub link_mbps: f64,
     /// Whether new flows are placed by the work that all entry VMs share, or by what this VM sees alone.
     pub place_by_shared_work: bool,
+    /// Time between two announcements of an upstream, in milliseconds.
+    pub announce_ms: u64,
     /// Lowest level of the lines that the process logs.
     pub log: Level,
     /// Seed of the random numbers of this process, for tests; a random seed if absent.
@@ -98,6 +103,7 @@
         "seeds",
         "link_mbps",
         "place_by_shared_work",
+        "announce_ms",
         "log",
         "seed",
     ];
@@ -119,6 +125,12 @@
                     "write true or false, or remove the key",
                 )?
                 .unwrap_or_default(),
+            announce_ms: fields
+                .optional(
+                    "announce_ms",
+                    "write a whole number of milliseconds, or remove the key",
+                )?
+                .unwrap_or(DEFAULT_ANNOUNCE_MS),
             log: fields.log()?,
             seed: fields.optional("seed", "write a whole number, or remove the key")?,
         })
