--- a/crates/control/src/routing_stream.rs
+++ b/crates/control/src/routing_stream.rs
@@ -12,21 +12,22 @@
         ALIVE_MS, Agreed, Announced, ControlList, Group, Peers, SILENCE_MS, ToControl, ToEntry,
         Version,
     },
-    work::{self, Summary},
 };
 use tokio::{
     sync::broadcast::{Receiver, error::RecvError},
     time::{sleep, sleep_until, timeout},
 };
 
-use tokio_util::sync::CancellationToken;
-
 use crate::{
     probe_reports::{self, ProbeUpdate, Reporter},
     state::{SoftState, State},
-    upstream_lookup,
-    work_table::{self, Round},
+    upstream_lookup, work_table,
 };
+use work_updates::{send_all_work, send_work};
+
+pub use work_updates::publish_rounds;
+
+mod work_updates;
 
 /// Time for which changes are collected before they are sent to entry VMs.
 const BATCH_DELAY: Duration = Duration::from_millis(20);
@@ -183,14 +184,7 @@
             received = stream.receiver.receive() => {
                 last_message_at = tokio::time::Instant::now();
                 let message = received?;
-                if let (ToControl::FoundUpstream { id, announced }, Some(lookups)) =
-                    (&message, &lookups)
-                {
-                    let is_valid = |a: &Announced| a.incarnation.id == *id && a.check().is_ok();
-                    lookups.answer(*id, announced.clone().filter(is_valid));
-                    continue;
-                }
-                handle_message(stream, state, version, &listener, message).await?;
+                handle_message(stream, state, version, &listener, lookups.as_ref(), message).await?;
             }
             first = probes.recv() => {
                 sleep(BATCH_DELAY).await;
@@ -260,6 +254,7 @@
     state: &State,
     version_of_stream: Version,
     listener: &Listener,
+    lookups: Option<&upstream_lookup::Member>,
     message: ToControl,
 ) -> Result<(), End> {
     match message {
@@ -302,10 +297,13 @@
             soft.work.apply(now_ms, &listener.member, &digest);
             metrics::counter!("oriole_work_digests_total").increment(1);
         }
-        ToControl::Hello { .. }
-        | ToControl::Join { .. }
-        | ToControl::Alive
-        | ToControl::FoundUpstream { .. } => {}
+        ToControl::FoundUpstream { id, announced } => {
+            let is_valid = |a: &Announced| a.incarnation.id == id && a.check().is_ok();
+            if let Some(lookups) = lookups {
+                lookups.answer(id, announced.filter(is_valid));
+            }
+        }
+        ToControl::Hello { .. } | ToControl::Join { .. } | ToControl::Alive => {}
     }
     Ok(())
 }
@@ -379,89 +377,6 @@
     Ok(())
 }
 
-/// Sends all known work, as a new state that replaces what the entry VM knows.
-async fn send_all_work(
-    stream: &mut Stream,
-    listener: &Listener,
-    sent: &mut SentState,
-) -> Result<(), End> {
-    let now_ms = listener.state.now_ms();
-    let (entries, reporters) = {
-        let mut soft = listener.state.soft_state();
-        let (entries, round) = soft.work.full_state(now_ms, &listener.reporter.domain);
-        sent.work_round = round;
-        (entries, soft.work.reporters())
-    };
-    let reporters = u32::try_from(reporters).unwrap_or(u32::MAX);
-    sent.work_sequence = 0;
-    // The first message is sent even without entries, because it replaces the state.
-    let mut chunks = entries.chunks(work::MAX_ENTRIES);
-    let first = chunks.next().unwrap_or_default();
-    for chunk in std::iter::once(first).chain(chunks) {
-        send_summary(stream, reporters, chunk, sent).await?;
-    }
-    Ok(())
-}
-
-/// Sends the changes of a round of the work table, unless the entry VM knows them.
-async fn send_work(
-    stream: &mut Stream,
-    listener: &Listener,
-    round: &Round,
-    sent: &mut SentState,
-) -> Result<(), End> {
-    if round.number <= sent.work_round {
-        return Ok(());
-    }
-    sent.work_round = round.number;
-    let changes = round.changes.get(&listener.reporter.domain);
-    let entries = changes.map_or(&[][..], |entries| entries);
-    send_summary(stream, round.reporters, entries, sent).await
-}
-
-async fn send_summary(
-    stream: &mut Stream,
-    reporters: u32,
-    entries: &[work::Entry],
-    sent: &mut SentState,
-) -> Result<(), End> {
-    sent.work_sequence += 1;
-    let summary = Summary {
-        sequence: sent.work_sequence,
-        reporters,
-        entries: entries.to_vec(),
-    };
-    stream.sender.send(&ToEntry::Work(summary)).await?;
-    Ok(())
-}
-
-/// Publishes a round of the work table each second until `token` is cancelled, and logs refusals.
-pub async fn publish_rounds(state: State, token: CancellationToken) {
-    let mut interval = tokio::time::interval(Duration::from_millis(work_table::ROUND_MS));
-    interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
-    loop {
-        tokio::select! {
-            () = token.cancelled() => return,
-            _ = interval.tick() => {}
-        }
-        let round = state.publish_work();
-        metrics::gauge!("oriole_work_reporters").set(round.reporters);
-        metrics::gauge!("oriole_work_upstreams")
-            .set(u32::try_from(round.upstreams).unwrap_or(u32::MAX));
-        metrics::counter!("oriole_work_refused_total").increment(round.refused as u64);
-        metrics::counter!("oriole_work_reporters_expired_total").increment(round.expired as u64);
-        if let Some((vm, fault)) = &round.fault {
-            log::warn!(
-                target: "routing",
-                "event=work-refused entries={} vm={vm} reason=\"{fault}\"", round.refused
-            );
-        }
-        if round.expired > 0 {
-            log::info!(target: "routing", "event=work-expired reporters={}", round.expired);
-        }
-    }
-}
-
 /// Collects all queued updates.
 fn drain_queue(
     first: Result<ProbeUpdate, RecvError>,
