Announcements of undefined services replace no live upstream under the same id

An announcement of a service that no plan defines, under the id of a live upstream and with a higher sequence number or a later start, took the upstream's place at control VMs and entry VMs; the upstream's own announcements counted as old for 120 s. Both now keep a live upstream of another service. An ended one may be followed by any service.

Found by reading; upstream_of_an_undefined_service_does_not_replace_a_live_one fails without the check, and the process test now sends such an announcement.

--- a/crates/control/src/api.rs
+++ b/crates/control/src/api.rs
@@ -63,11 +63,13 @@
 
     fn announce(&self, announced: Announced) -> Result<(), Unavailable> {
         self.check_reach()?;
+        if !self.accepts_service(&announced) {
+            return Ok(());
+        }
         let shown = announced.clone();
         let outcome = self
             .update_announcements(|announcements, now_ms| announcements.record(now_ms, announced));
         if outcome == Outcome::New {
-            self.record_undefined_service(&shown);
             log::info!(
                 target: "desk",
                 "event=upstream id={:x} started={} service={} address={} domain={} phase={:?} \
@@ -163,16 +165,17 @@
         (last, source)
     }
 
-    /// Counts and logs an announcement whose service the plan in force doesn't define. It may define the
-    /// service later, so entry VMs receive the announcement too.
-    fn record_undefined_service(&self, announced: &Announced) {
+    /// Reports whether an announcement is recorded. Counts and logs it if the plan in force doesn't
+    /// define its service: a later plan may do so, but until then it replaces no upstream of another
+    /// service.
+    fn accepts_service(&self, announced: &Announced) -> bool {
         let config = self.replica.applied_config();
         let is_defined = |plan: &Arc<Plan>| {
             let mut services = plan.services.iter();
             services.any(|service| service.name == announced.service)
         };
         if config.plan.as_ref().is_none_or(is_defined) {
-            return;
+            return true;
         }
         metrics::counter!("oriole_upstreams_undefined_total").increment(1);
         if self.may_log_invalid() {
@@ -182,6 +185,9 @@
                 announced.incarnation.id, announced.service, announced.address
             );
         }
+        let soft = self.soft_state();
+        let known = soft.announcements.active_upstream(announced.incarnation.id);
+        known.is_none_or(|known| known.service == announced.service)
     }
 
     /// Checks that an announcement or a stop reaches other VMs.
--- a/crates/control/tests/gateway_streams.rs
+++ b/crates/control/tests/gateway_streams.rs
@@ -569,6 +569,19 @@
     });
 }
 
+/// Announces two live upstreams again and again, as they do.
+async fn announce_live(api: SocketAddr) {
+    for sequence in 1.. {
+        let body =
+            announcement_body(5).replace("\"sequence\":1", &format!("\"sequence\":{sequence}"));
+        for path in ["/api/instances/i-1", "/api/instances/i-2"] {
+            // The control VM refuses announcements until it has started.
+            drop(call(api, "PUT", path, &body).await);
+        }
+        sleep(Duration::from_millis(100)).await;
+    }
+}
+
 /// Guards against an announcement of another writer that ends a control VM, is taken for an upstream,
 /// hides those before or after it, or comes back from the cache file after a restart.
 #[test]
@@ -585,8 +598,12 @@
                 .await
                 .map(|(status, _)| status)
         };
-        eventually("the first upstream is accepted", async || {
-            (announce(&cluster, "i-1", &usual).await? == 200).then_some(())
+        let heartbeats = tokio::task::spawn_local(announce_live(cluster.address(1, API)));
+        eventually("the live upstreams are accepted", async || {
+            let metrics = cluster.metrics(1).await?;
+            metrics
+                .contains("oriole_upstreams_announced 2")
+                .then_some(())
         })
         .await;
         let nested = "[".repeat(100_000);
@@ -616,19 +633,28 @@
             let status = announce(&cluster, "i-1", body).await;
             assert!(status.is_some_and(|s| (400..500).contains(&s)));
         }
+        // A service that no plan defines, under the id of a live upstream.
+        put_plan(&cluster).await;
+        let other_service = usual
+            .replace("booking", "ghost")
+            .replace("\"sequence\":1", "\"sequence\":99999");
+        assert_eq!(announce(&cluster, "i-1", &other_service).await, Some(200));
         // A body beyond the limit may be refused before it was read, which resets the connection.
         let status = announce(&cluster, "i-bad", &megabyte).await;
         assert_ne!(status, Some(200));
-        assert_eq!(announce(&cluster, "i-2", &usual).await, Some(200));
         let metrics = cluster.metrics(1).await.unwrap();
         let refused = "oriole_desk_invalid_total{what=\"announcement\"}";
         assert!(metrics.contains(refused), "{metrics}");
-        let ids = |all: Vec<Announced>| all.iter().map(|a| a.incarnation.id).collect::<Vec<_>>();
+        let ids = |all: Vec<Announced>| {
+            assert!(all.iter().all(|a| &*a.service == "booking"), "{all:?}");
+            all.iter().map(|a| a.incarnation.id).collect::<Vec<_>>()
+        };
         let mut late = cluster.open(1, FOURTH_ROUTING_PATH).await;
         assert_eq!(ids(initial_announcements(&mut late).await), [1, 2]);
 
         // The cache is written twice a second at most.
         sleep(Duration::from_millis(1_200)).await;
+        heartbeats.abort();
         cluster.kill(1);
         cluster.run(1);
         let mut late = cluster.open(1, FOURTH_ROUTING_PATH).await;
--- a/crates/policy/src/token/directory.rs
+++ b/crates/policy/src/token/directory.rs
@@ -131,6 +131,8 @@
     /// Applies an announcement that `source` received `age_ms` ago. Returns whether the phase or
     /// the incarnation of the upstream changed.
     ///
+    /// An announcement of a service that no plan defines doesn't replace a live upstream of another one.
+    ///
     /// A stop without a start time, which control VMs of the build before send, is about the
     /// incarnation that is known when the stop arrives. In the initial state of a stream it is older
     /// than that and may be about an earlier incarnation, so it is ignored.
@@ -154,6 +156,10 @@
             }
             return true;
         };
+        let is_live_elsewhere = !known.has_ended() && known.announced.service != announced.service;
+        if is_live_elsewhere && !is_defined(self.defined_services.as_ref(), &announced.service) {
+            return false;
+        }
         let location = |u: &Upstream| (u.announced.incarnation, u.announced.address);
         let (token, old_location) = (known.token, location(known));
         let (service, domain) = (
@@ -327,8 +333,7 @@
 
     /// Reports whether a plan has defined the service of `upstream`, or there is no plan yet.
     fn is_defined(&self, upstream: &Upstream) -> bool {
-        let defined = self.defined_services.as_ref();
-        defined.is_none_or(|services| services.contains(&upstream.announced.service))
+        is_defined(self.defined_services.as_ref(), &upstream.announced.service)
     }
 
     /// Reports whether another live upstream of a defined service with a later start has the address of
@@ -419,6 +424,11 @@
     }
 }
 
+/// Reports whether `service` is one of the defined services, or none are defined yet.
+fn is_defined(services: Option<&BTreeSet<Arc<str>>>, service: &Arc<str>) -> bool {
+    services.is_none_or(|services| services.contains(service))
+}
+
 /// Adds an upstream to the group of its service and failure domain.
 fn add_member(services: &mut BTreeMap<Arc<str>, Members>, announced: &Announced) {
     let service = Arc::clone(&announced.service);
--- a/crates/policy/tests/token_directory.rs
+++ b/crates/policy/tests/token_directory.rs
@@ -387,3 +387,32 @@
         assert!(directory.has_successor(1));
     }
 }
+
+/// Guards against a live upstream that gets no flows, because an announcement of a service that no plan
+/// defines came under its id.
+#[test]
+fn upstream_of_an_undefined_service_does_not_replace_a_live_one() {
+    let defined = |names: &[&str]| names.iter().map(|n| Arc::from(*n)).collect::<Vec<_>>();
+    for odd_started_ms in [1_000, 2_000] {
+        let odd = Announced {
+            service: "ghost".into(),
+            sequence: 99,
+            ..started_at(1, odd_started_ms)
+        };
+        let mut directory = Directory::default();
+        directory.define_services(defined(&["booking"]));
+        directory.announce(at(0), control_vm(1), started_at(1, 1_000), 0);
+        assert!(!directory.announce(at(1), control_vm(2), odd.clone(), 0));
+        assert!(accepts_flows(&directory, 2, 1));
+        let known = &directory.get(1).unwrap().announced;
+        assert_eq!(*known, started_at(1, 1_000));
+        // The id may belong to another service once the upstream has stopped.
+        directory.announce(at(3), control_vm(1), stop_of(&started_at(1, 1_000)), 0);
+        let next = Announced {
+            service: "ghost".into(),
+            ..started_at(1, 3_000)
+        };
+        assert!(directory.announce(at(4), control_vm(2), next.clone(), 0));
+        assert_eq!(directory.get(1).unwrap().announced, next);
+    }
+}
