A stop resets flows only where no later incarnation can have been missed

The stop alone now justifies resets only if this VM knew the incarnation as live and hears all known control VMs. Otherwise packets are forwarded, and a probe decides once a client waits for an answer: refused, the waiting clients are reset at once.

Failed before: stop_alone_resets_no_flows_while_a_control_vm_has_yet_to_be_heard, stop_of_an_upstream_that_was_never_known_as_live_resets_nothing_by_itself.

--- a/crates/policy/src/token/directory/upstream.rs
+++ b/crates/policy/src/token/directory/upstream.rs
@@ -58,6 +58,8 @@
     pub warm_at: Instant,
     /// Time when this VM first learned that the upstream has stopped.
     pub gone_at: Option<Instant>,
+    /// Whether this VM has known the upstream before its stop.
+    pub was_live: bool,
     /// Control VMs that receive announcements of the upstream.
     pub(super) claims: BTreeSet<SocketAddr>,
     pub(super) presence: Presence,
@@ -72,6 +74,7 @@
             token: token_of(announced.incarnation.id),
             warm_at: warm_at(now, &announced, age_ms),
             gone_at: (announced.phase == Phase::Gone).then_some(now),
+            was_live: announced.phase != Phase::Gone,
             claims: BTreeSet::new(),
             presence: Presence::Claimed,
             is_barred: false,
--- a/crates/policy/src/token/gateway/packet.rs
+++ b/crates/policy/src/token/gateway/packet.rs
@@ -199,11 +199,7 @@
             };
             return Decision::new(action, Reason::UnknownToken);
         };
-        let is_stopped = upstream.announced.phase == Phase::Gone
-            && upstream
-                .gone_at
-                .is_some_and(|at| now.ms_since(at) >= STOP_GRACE_MS);
-        if is_stopped {
+        if self.has_surely_stopped(now, upstream) {
             self.flows.remove(&segment.key);
             let action = match segment.kind {
                 Kind::Reset => Action::Drop,
@@ -221,6 +217,16 @@
         decision
     }
 
+    /// Reports whether `upstream` has stopped, long enough ago and without a later incarnation that this
+    /// VM may have missed. If a control VM has yet to be heard, or this VM never knew the upstream as
+    /// live, it may have started again since; a probe decides once a client waits for it.
+    fn has_surely_stopped(&self, now: Instant, upstream: &Upstream) -> bool {
+        let (open, synced) = self.directory.control_stream_counts();
+        let hears_all = synced >= open.max(self.control_addresses().len());
+        let is_over = |at: Instant| now.ms_since(at) >= STOP_GRACE_MS;
+        hears_all && upstream.was_live && upstream.gone_at.is_some_and(is_over)
+    }
+
     /// Decides on a packet with data of an open flow whose upstream was found down. `forward` is the
     /// action for an upstream that is up.
     fn decide_at_down(
--- a/crates/policy/tests/token_outdated_health.rs
+++ b/crates/policy/tests/token_outdated_health.rs
@@ -172,3 +172,79 @@
     assert!(is_forwarded(send_request(&mut gateway, ms + 2, 2)));
     assert_eq!(due_probes(&mut gateway, ms + 2), [1]);
 }
+
+/// Guards against flows of a live upstream that are reset by a VM which has just started, or has lost its
+/// streams: it hears of the stop of an earlier incarnation before the control VM that hears the later
+/// one.
+#[test]
+fn stop_alone_resets_no_flows_while_a_control_vm_has_yet_to_be_heard() {
+    let stopped = Announced {
+        phase: Phase::Gone,
+        ..announcement(1, "a")
+    };
+    let successor = Announced {
+        incarnation: Incarnation {
+            id: 1,
+            started_ms: 2_000,
+        },
+        ..announcement(1, "a")
+    };
+    for was_known_before in [false, true] {
+        let mut gateway = match was_known_before {
+            true => gateway(&[(1, "a")]),
+            false => gateway(&[]),
+        };
+        gateway.add_control_stream(control_vm(2));
+        gateway.announce(at(SETTLED_MS), control_vm(1), stopped.clone(), 0);
+        let ms = SETTLED_MS + 3_000;
+        assert!(is_forwarded(send_request(&mut gateway, ms, 1)));
+        // The client gets no answer, and the upstream accepts the probe.
+        assert!(is_forwarded(send_request(&mut gateway, ms + 200, 1)));
+        assert_eq!(due_probes(&mut gateway, ms + 200), [1]);
+        gateway.record_probe(at(ms + 202), 1, ProbeOutcome::Accepted);
+        assert!(is_forwarded(send_request(&mut gateway, ms + 600, 1)));
+        gateway.announce(at(ms + 700), control_vm(2), successor.clone(), 0);
+        gateway.mark_control_stream_synced(at(ms + 700), control_vm(2));
+        assert!(is_forwarded(send_request(&mut gateway, ms + 1_400, 1)));
+    }
+}
+
+#[test]
+fn waiting_clients_of_a_stopped_upstream_are_reset_once_it_refuses_a_probe() {
+    let stopped = Announced {
+        phase: Phase::Gone,
+        ..announcement(1, "a")
+    };
+    let mut gateway = gateway(&[(1, "a")]);
+    gateway.add_control_stream(control_vm(2));
+    gateway.announce(at(SETTLED_MS), control_vm(1), stopped, 0);
+    let ms = SETTLED_MS + 3_000;
+    send_request(&mut gateway, ms, 1);
+    send_request(&mut gateway, ms + 200, 1);
+    assert_eq!(due_probes(&mut gateway, ms + 200), [1]);
+    gateway.record_probe(at(ms + 202), 1, ProbeOutcome::Refused);
+    assert_eq!(gateway.take_pending_resets().len(), 1);
+    assert_eq!(send_request(&mut gateway, ms + 300, 2), RESET);
+    // Once all control VMs are heard, the stop alone is enough.
+    gateway.mark_control_stream_synced(at(ms + 400), control_vm(2));
+    let decision = send_request(&mut gateway, ms + 500, 3);
+    assert_eq!(decision, (Action::Reset, Reason::Stopped));
+}
+
+/// A VM that never knew the incarnation as live hears of its stop long after. The upstream may have
+/// started again since.
+#[test]
+fn stop_of_an_upstream_that_was_never_known_as_live_resets_nothing_by_itself() {
+    let mut gateway = gateway(&[]);
+    let stopped = Announced {
+        phase: Phase::Gone,
+        ..announcement(1, "a")
+    };
+    gateway.announce(at(SETTLED_MS), control_vm(1), stopped, 60_000);
+    let ms = SETTLED_MS + 3_000;
+    assert!(is_forwarded(send_request(&mut gateway, ms, 1)));
+    send_request(&mut gateway, ms + 200, 1);
+    assert_eq!(due_probes(&mut gateway, ms + 200), [1]);
+    gateway.record_probe(at(ms + 202), 1, ProbeOutcome::Refused);
+    assert_eq!(gateway.take_pending_resets().len(), 1);
+}
