--- a/crates/control/src/api.rs
+++ b/crates/control/src/api.rs
@@ -99,7 +99,8 @@
     async fn leave(&self, id: u64) -> Result<(), Unavailable> {
         self.check_reach()?;
         let (stopping, source) = self.find_stopping(id).await;
-        let started_ms = stopping.as_ref().map(|a| a.incarnation.started_ms);
+        // 0 if no VM knows the incarnation.
+        let started_ms = stopping.as_ref().map_or(0, |a| a.incarnation.started_ms);
         let outcome = stopping.map(|last| {
             self.update_announcements(|announcements, now_ms| {
                 announcements.record_stop(now_ms, last)
@@ -108,7 +109,7 @@
         metrics::counter!("oriole_upstream_stops_total", "source" => source.as_str()).increment(1);
         log::info!(
             target: "desk",
-            "event=upstream id={id:x} started={started_ms:?} phase=Gone source={} outcome={outcome:?}",
+            "event=upstream id={id:x} started={started_ms} phase=Gone source={} outcome={outcome:?}",
             source.as_str()
         );
         Ok(())
--- a/crates/control/src/upstream_lookup.rs
+++ b/crates/control/src/upstream_lookup.rs
@@ -30,9 +30,8 @@
 
 /// A question for some of the entry VMs.
 #[derive(Debug, Clone)]
-pub struct Question {
-    /// Identity of the upstream.
-    pub id: u64,
+struct Question {
+    id: u64,
     /// Numbers of the streams whose entry VMs are asked.
     asked: Arc<BTreeSet<u64>>,
 }
--- a/crates/standin/tests/gateway/builds.rs
+++ b/crates/standin/tests/gateway/builds.rs
@@ -27,6 +27,7 @@
                 | ToEntry::Peers(_)
                 | ToEntry::AnnouncedGroups(_)
                 | ToEntry::RecalledGroups(_)
+                | ToEntry::FindUpstream { .. }
         );
         assert!(!is_unknown_to_older, "{message:?}");
         if matches_wanted(&message) {
