Copies of opening packets wait for a probe before another upstream gets them

Cause: reopen_flow took an upstream that had answered nobody within 200 ms for one that didn't get the packet, and placed the copy anew before the probe that it scheduled at the same moment had a result. Now the copy is held until then, 0.1 s at most; an upstream that accepts gets it, once, and any other result, a late one included, moves the flow on as before.

--- a/crates/entry/src/gateway/driver.rs
+++ b/crates/entry/src/gateway/driver.rs
@@ -234,6 +234,7 @@
             );
         }
         state.send_pending_resets(&self.socket);
+        self.with_wakeups(&mut state, |state| state.retry_held(&self.socket));
         for report in state.gateway.take_probe_reports(now) {
             let queued_at = Clock::now();
             // Sending fails if no stream to a control VM is open; the report is then dropped.
@@ -243,6 +244,12 @@
         self.probes_changed.notify_one();
     }
 
+    /// Decides again on the packets that wait, because a probe takes long.
+    pub fn retry_held(&self) {
+        let mut state = self.state.borrow_mut();
+        self.with_wakeups(&mut state, |state| state.retry_held(&self.socket));
+    }
+
     /// Handles what changes only with time, logs outlier changes and publishes the metrics.
     pub fn tick(&self) {
         let mut state = self.state.borrow_mut();
--- a/crates/policy/src/token/decision.rs
+++ b/crates/policy/src/token/decision.rs
@@ -33,10 +33,15 @@
     Token,
     /// The packet opened a flow, which was placed.
     Placed,
-    /// The packet repeats an opening packet, and the upstream has answered other clients since.
+    /// The packet repeats an opening packet, and the upstream has answered other clients or accepted a
+    /// probe since.
     Repeated,
-    /// The packet repeats an opening packet, and the upstream has answered no client since.
+    /// The packet repeats an opening packet, and the upstream has answered no client since: it accepted
+    /// no probe either, or left two copies without an answer.
     MovedOn,
+    /// The packet repeats an opening packet, and a probe of the upstream, which has answered no client
+    /// since, has no result yet.
+    Probing,
     /// The packet repeats an opening packet, and the plan in force no longer leads to the service of
     /// the upstream.
     Rerouted,
@@ -64,11 +69,12 @@
 
 impl Reason {
     /// All reasons.
-    pub const ALL: [Self; 15] = [
+    pub const ALL: [Self; 16] = [
         Self::Token,
         Self::Placed,
         Self::Repeated,
         Self::MovedOn,
+        Self::Probing,
         Self::Rerouted,
         Self::NoPlan,
         Self::NoRoute,
@@ -90,6 +96,7 @@
             Self::Placed => "placed",
             Self::Repeated => "repeated",
             Self::MovedOn => "moved-on",
+            Self::Probing => "probing",
             Self::Rerouted => "rerouted",
             Self::NoPlan => "no-plan",
             Self::NoRoute => "no-route",
--- a/crates/policy/src/token/flow.rs
+++ b/crates/policy/src/token/flow.rs
@@ -28,6 +28,9 @@
     pub(super) seen_at: Instant,
     /// Whether the client has completed opening the flow with an upstream.
     pub(super) is_open: bool,
+    /// Whether a copy of the opening packet was sent to the upstream because the upstream had accepted a
+    /// probe.
+    pub(super) is_repeated: bool,
     /// Whether the client has ended the flow.
     pub(super) is_over: bool,
     /// Whether a request is pending: the client sent data and has acknowledged nothing new since.
@@ -90,6 +93,7 @@
             is_placed: false,
             seen_at: now,
             is_open: false,
+            is_repeated: false,
             is_over: false,
             has_pending_request: false,
             is_before_first_request: true,
--- a/crates/policy/src/token/gateway/packet.rs
+++ b/crates/policy/src/token/gateway/packet.rs
@@ -33,6 +33,10 @@
 /// later opening packet begins another flow from the same port.
 const OPENING_MS: u64 = 2_000;
 
+/// Time in milliseconds after the first opening packet of a flow up to which a copy waits for a probe. A
+/// later copy goes to another upstream, also if the probe could not start.
+const MAX_UNPROBED_MS: u64 = 500;
+
 /// Time in milliseconds, from the first synced control VM, after which a fresh VM regards its
 /// directory as complete.
 const SETTLE_MS: u64 = 1_000;
@@ -73,8 +77,8 @@
     ///
     /// An upstream where the flow is open gets the copy. So does one that has answered other clients
     /// since, because a packet was lost: if two upstreams answered, the client could keep the token of
-    /// the wrong upstream. Otherwise another upstream gets the copy. The plan in force decides where a
-    /// flow that is not open may go.
+    /// the wrong upstream. One that has answered nobody gets one copy if it accepts a probe. Otherwise
+    /// another upstream gets the copy. The plan in force decides where a flow that is not open may go.
     fn reopen_flow(&mut self, now: Instant, key: Key, targets: &[Target], flow: Flow) -> Decision {
         let id = flow.upstream;
         let waited_ms = now.ms_since(flow.opened_at);
@@ -99,14 +103,32 @@
                 }
                 decision
             }
+            Some(upstream) if self.accepts_flows(now, upstream) && !flow.is_repeated => {
+                let forward = forward_to(upstream);
+                if self.health.was_reached_since(id, flow.opened_at) {
+                    self.flows.entry(key).and_modify(|f| f.is_repeated = true);
+                    return Decision::new(forward, Reason::Repeated);
+                }
+                self.health.record_unanswered(now, id, flow.opened_at);
+                match self.health.awaits_probe(now, id) && waited_ms < MAX_UNPROBED_MS {
+                    true => Decision::new(Action::Hold, Reason::Probing),
+                    false => self.move_on(now, key, targets, flow),
+                }
+            }
             _ => {
                 self.health.record_unanswered(now, id, flow.opened_at);
-                self.record_latency(now, id, Some(waited_ms));
-                self.place_flow(now, key, targets, Some(id), Reason::MovedOn)
+                self.move_on(now, key, targets, flow)
             }
         }
     }
 
+    /// Places a flow whose upstream has not answered at another upstream.
+    fn move_on(&mut self, now: Instant, key: Key, targets: &[Target], flow: Flow) -> Decision {
+        let id = flow.upstream;
+        self.record_latency(now, id, Some(now.ms_since(flow.opened_at)));
+        self.place_flow(now, key, targets, Some(id), Reason::MovedOn)
+    }
+
     /// Reports whether packets of open flows are forwarded to `upstream`.
     fn keeps_flows(&self, upstream: &Upstream) -> bool {
         let id = upstream.announced.incarnation.id;
--- a/crates/policy/src/token/health.rs
+++ b/crates/policy/src/token/health.rs
@@ -21,6 +21,10 @@
 /// Maximum number of probes that run at the same time.
 const MAX_RUNNING_PROBES: usize = 8;
 
+/// Time in milliseconds after the start of a probe for which opening packets wait for its result. An
+/// upstream that lives accepts a connection much sooner.
+pub const MAX_PROBE_WAIT_MS: u64 = 100;
+
 /// Time in milliseconds for which a VM ignores reports of reachable upstreams. The time starts when
 /// the VM can't reach an upstream that another VM of its failure domain has reached, as the VM may
 /// be isolated.
@@ -423,6 +427,14 @@
         answered || is_up && upstream.status_probe_at.is_some_and(|at| at > time)
     }
 
+    /// Reports whether a client's probe of the upstream is scheduled, or began so short a time ago that
+    /// it is worth waiting for.
+    #[must_use]
+    pub fn awaits_probe(&self, now: Instant, id: u64) -> bool {
+        let upstream = self.upstreams.get(&id);
+        upstream.is_some_and(|upstream| upstream.awaits_probe(now))
+    }
+
     /// Removes upstreams that are no longer in the directory.
     pub fn retain(&mut self, directory: &Directory) {
         self.upstreams.retain(|id, _| directory.get(*id).is_some());
--- a/crates/policy/src/token/health/upstream.rs
+++ b/crates/policy/src/token/health/upstream.rs
@@ -4,7 +4,7 @@
 
 use model::routing::ProbeOutcome;
 
-use super::{HealthChange, HealthStatus, ProbeReason, ProbeResult};
+use super::{HealthChange, HealthStatus, MAX_PROBE_WAIT_MS, ProbeReason, ProbeResult};
 use crate::time::Instant;
 
 /// Interval in milliseconds before the first further probe of a down upstream. The interval doubles
@@ -120,6 +120,12 @@
         self.is_outdated || self.status == HealthStatus::Unconfirmed
     }
 
+    /// Reports whether a client's probe is scheduled, or began less than [`MAX_PROBE_WAIT_MS`] ago.
+    pub(super) fn awaits_probe(&self, now: Instant) -> bool {
+        let is_late = |(at, _): (Instant, _)| now.ms_since(at) >= MAX_PROBE_WAIT_MS;
+        self.status == HealthStatus::Unconfirmed && !self.running_probe.is_some_and(is_late)
+    }
+
     /// Applies the result of a probe that started at `started_at`.
     pub(super) fn apply_result(
         &mut self,
