--- a/review/harness/cases.rs
+++ b/review/harness/cases.rs
@@ -2,6 +2,7 @@
 
 use std::{
     net::SocketAddr,
+    sync::atomic::{AtomicUsize, Ordering},
     thread::sleep,
     time::{Duration, Instant},
 };
@@ -10,7 +11,7 @@
     client::{End, Flow, RESET_WINDOW},
     http, ms,
     proxy::Link,
-    server::{Run, Server},
+    server::{Run, Server, WARMUP_PER_S},
     World,
 };
 
@@ -20,9 +21,11 @@
 const EVACUATION_MS: u64 = 5_000;
 /// `warmupS`, in milliseconds.
 const WARMUP_MS: u64 = 2_000;
-/// Requests that a cold server may get in one second: `warmupPerS` (4) x `warmupBurstFactor` (1.5) +
+/// Requests that a cold server may get in one second: `warmupPerS` x `warmupBurstFactor` (1.5) +
 /// `warmupTolerance` (5).
-const COLD_LIMIT: usize = 11;
+const COLD_LIMIT: usize = WARMUP_PER_S as usize * 3 / 2 + 5;
+/// Time that clients wait for an answer, in milliseconds.
+const DEADLINE_MS: u64 = 1_500;
 
 const WARM: u64 = 0;
 
@@ -177,26 +180,32 @@
     most
 }
 
-/// Sends flows with one request each, one every 5 ms, for `time`.
+/// Sends flows with one request each, one every 5 ms, for `time`, and records how many have no answer.
 fn send_requests(world: &World, edges: &[SocketAddr], time: Duration) -> Result<(), String> {
     let client = world.client()?;
     let route = world.route();
     let start = Instant::now();
+    let unanswered = AtomicUsize::new(0);
+    let mut sent = 0;
     std::thread::scope(|scope| {
-        let mut n = 0;
         while start.elapsed() < time {
-            let edge = edges[n % edges.len()];
-            n += 1;
-            let client = &client;
+            let edge = edges[sent % edges.len()];
+            sent += 1;
+            let (client, unanswered) = (&client, &unanswered);
             scope.spawn(move || {
-                if let Ok(mut flow) = client.open(edge, route) {
-                    client.request(&mut flow, edge, edge, 1_000, 1_200);
-                    client.close(flow, edge);
+                let Ok(mut flow) = client.open(edge, route) else {
+                    return;
+                };
+                if client.request(&mut flow, edge, edge, 600, DEADLINE_MS) != End::Answered {
+                    unanswered.fetch_add(1, Ordering::SeqCst);
                 }
+                client.close(flow, edge);
             });
             sleep(ms(5));
         }
     });
+    let unanswered = unanswered.load(Ordering::SeqCst);
+    world.record.line(&format!("flows: {sent}, requests on open flows that had no answer: {unanswered}"));
     Ok(())
 }
 
--- a/review/harness/main.rs
+++ b/review/harness/main.rs
@@ -62,12 +62,13 @@
     pub fn put_config(&self, version: u64) -> Result<(), String> {
         let body = format!(
             "{{\"version\":{version},\"routes\":[{{\"name\":\"r-1\",\"host\":\"{}\",\"prefix\":\"/{ROUTE_PORT}/\",\
-             \"routeType\":\"safe\",\"timeoutMs\":1200,\"targetLatencyMs\":200,\"priority\":2,\
+             \"routeType\":\"unsafe\",\"timeoutMs\":1500,\"targetLatencyMs\":200,\"priority\":2,\
              \"service\":\"booking\",\"maxAttempts\":2}}],\"services\":[{{\"name\":\"booking\",\
              \"healthPath\":\"/healthz\",\"maxFlows\":2000,\"protocol\":\"h1\",\"tlsEnabled\":false,\
-             \"warmupS\":2.0,\"warmupPerS\":4.0}}],\"limits\":{{\"maxHeaderBytes\":16384,\
+             \"warmupS\":2.0,\"warmupPerS\":{}.0}}],\"limits\":{{\"maxHeaderBytes\":16384,\
              \"maxBodyBytes\":262144,\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000}}}}",
-            self.net.ip(200)
+            self.net.ip(200),
+            server::WARMUP_PER_S
         );
         self.order("PUT", "/api/config", &body, &[1, 2, 3], 15_000)
     }
--- a/review/harness/server.rs
+++ b/review/harness/server.rs
@@ -1,7 +1,7 @@
 //! A stand-in for one lifetime of a server, as `PROTOCOL.md` describes servers.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, VecDeque},
     io::{Read, Write},
     net::{SocketAddr, SocketAddrV4, TcpListener, TcpStream, UdpSocket},
     sync::{
@@ -24,6 +24,8 @@
 const SEGMENT: usize = 1_200;
 /// Packets in flight.
 const WINDOW: usize = 16;
+/// Requests that a cold server works off in a second (`warmupPerS`); the others wait in its queue.
+pub const WARMUP_PER_S: u64 = 4;
 
 #[derive(Debug, Clone)]
 pub struct Settings {
@@ -77,12 +79,14 @@
     sent: u32,
     acked: u32,
     progress: Instant,
+    /// Answers that the server works on, with the times when they are ready and their lengths.
+    pending: VecDeque<(Instant, u32)>,
 }
 
 impl Server {
     pub fn start(settings: Settings, record: Record) -> Result<Self, String> {
         let udp = UdpSocket::bind(settings.address).map_err(|e| e.to_string())?;
-        udp.set_read_timeout(Some(Duration::from_millis(20))).map_err(|e| e.to_string())?;
+        udp.set_read_timeout(Some(Duration::from_millis(5))).map_err(|e| e.to_string())?;
         let tcp = TcpListener::bind(settings.address).map_err(|e| e.to_string())?;
         tcp.set_nonblocking(true).map_err(|e| e.to_string())?;
         let is_alive = Arc::new(AtomicBool::new(true));
@@ -286,6 +290,8 @@
 ) {
     let mut flows: BTreeMap<(SocketAddrV4, SocketAddrV4), Flow> = BTreeMap::new();
     let mut buffer = [0; 2048];
+    // Time when the cold server has worked off the requests so far.
+    let mut cold_free_at = Instant::now();
     let mut next_seq: u32 = (settings.id as u32).wrapping_mul(2_654_435_761);
     while alive.load(Ordering::SeqCst) {
         if let Ok((length, _)) = udp.recv_from(&mut buffer) {
@@ -314,6 +320,7 @@
                         sent: 0,
                         acked: 0,
                         progress: Instant::now(),
+                        pending: VecDeque::new(),
                     }
                 });
                 flow.echo = packet.echo;
@@ -362,10 +369,15 @@
                 flow.expected = flow.expected.wrapping_add(packet.data.len() as u32);
                 let word = |at: usize| u32::from_le_bytes(packet.data[at..at + 4].try_into().unwrap());
                 let (request, wanted) = (word(0), word(4));
-                flow.length += wanted;
-                flow.progress = Instant::now();
+                let now = Instant::now();
                 let mut shared = shared.lock().unwrap();
-                let is_cold = shared.cold_until.is_some_and(|until| Instant::now() < until);
+                let is_cold = shared.cold_until.is_some_and(|until| now < until);
+                if is_cold {
+                    cold_free_at = cold_free_at.max(now) + Duration::from_millis(1_000 / WARMUP_PER_S);
+                    flow.pending.push_back((cold_free_at, wanted));
+                } else {
+                    flow.pending.push_back((now, wanted));
+                }
                 shared.runs.push(Run {
                     at_ms: record.ms(),
                     request,
@@ -385,6 +397,11 @@
             }
         }
         for ((client, route), flow) in &mut flows {
+            while flow.pending.front().is_some_and(|(ready_at, _)| *ready_at <= Instant::now()) {
+                let answer = flow.pending.pop_front();
+                flow.length += answer.map_or(0, |(_, length)| length);
+                flow.progress = Instant::now();
+            }
             if flow.acked < flow.sent && flow.progress.elapsed() > Duration::from_millis(200) {
                 flow.sent = flow.acked;
                 flow.progress = Instant::now();
