--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -5,4 +5,4 @@
 for program in target/release/oriole-control target/release/oriole-entry target/review-2/case; do
   [ -x "$program" ] || { echo "missing: $program"; exit 2; }
 done
-exec target/review-2/case late-stop review/8/record.txt
+exec target/review-2/case moved-copy review/8/record.txt
--- a/review/harness/cases.rs
+++ b/review/harness/cases.rs
@@ -9,6 +9,7 @@
 
 use crate::{
     client::{End, Flow, RESET_WINDOW},
+    fabric::Fabric,
     http, ms,
     proxy::Link,
     server::{Run, Server, WARMUP_PER_S},
@@ -29,6 +30,16 @@
 
 const WARM: u64 = 0;
 
+/// Edge machines at the end, and the time between two that are added.
+const EDGES: u8 = 8;
+const ADD_EVERY_MS: u64 = 2_500;
+/// New flows a second; each has so many requests with so long pauses.
+const FLOWS_PER_S: u64 = 400;
+const REQUESTS_OF_A_FLOW: usize = 3;
+const PAUSE_MS: u64 = 120;
+/// One of so many SYN+ACKs is lost (`lossy` takes 0.025).
+const LOSES_EVERY: usize = 40;
+
 /// Requests on the flow that moves, and length of each answer in bytes.
 const REQUESTS: usize = 25;
 const ANSWER_BYTES: u32 = 4_000;
@@ -268,6 +279,70 @@
     Ok(most_cold(world, &added) > COLD_LIMIT)
 }
 
+/// Edge machines are added while a few SYN+ACKs are lost: copies of SYNs go through other machines, and to
+/// other servers.
+pub fn moved_copy(world: &mut World) -> Result<bool, String> {
+    world.put_config(7)?;
+    let all = world.controls(&[1, 2, 3]);
+    let mut servers = Vec::new();
+    for n in 0..12_u8 {
+        let zone = if n % 2 == 0 { "zone-a" } else { "zone-b" };
+        servers.push(world.lossy_server(0xa1 + u64::from(n), zone, 21 + n, all.clone(), WARM, LOSES_EVERY)?);
+    }
+    let first = if world.has_trouble { 2 } else { EDGES };
+    for n in 1..=first {
+        world.edge(n, "zone-a")?;
+    }
+    let fabric = Fabric::start(world.net, (1..=EDGES).collect(), world.record.clone());
+    sleep(ms(CONTACT_WINDOW_MS));
+    let client = world.client()?;
+    let route = world.route();
+    let ended = std::sync::Mutex::new(Vec::new());
+    let start = Instant::now();
+    let mut added = first;
+    let mut sent = 0_u64;
+    let time = ms(2_000 + u64::from(EDGES - 2) * ADD_EVERY_MS);
+    std::thread::scope(|scope| {
+        while start.elapsed() < time {
+            let due = 2 + (start.elapsed().as_millis() as u64 / ADD_EVERY_MS) as u8;
+            if added < EDGES && due > added {
+                added += 1;
+                world.system.start_edge(added, "zone-a")?;
+            }
+            sent += 1;
+            let (client, fabric, ended) = (&client, &fabric, &ended);
+            scope.spawn(move || {
+                let end = client.run_flow(fabric, route, REQUESTS_OF_A_FLOW, PAUSE_MS, DEADLINE_MS);
+                ended.lock().unwrap().push(end);
+            });
+            let next = start + Duration::from_micros(sent * 1_000_000 / FLOWS_PER_S);
+            sleep(next.saturating_duration_since(Instant::now()));
+        }
+        Ok::<_, String>(())
+    })?;
+    let opened: Vec<_> = servers.iter().flat_map(Server::opened).collect();
+    let ended = ended.into_inner().map_err(|e| e.to_string())?;
+    let count = |wanted: End| {
+        let ended = ended.iter().flatten();
+        let ended = ended.filter(|(client, seq, end)| *end == wanted && opened.contains(&(*client, *seq)));
+        ended.count()
+    };
+    let foreign = count(End::ServerReset);
+    world.record.line(&format!(
+        "nodes: {}, flows: {sent}, not opened: {}, answered: {}, reset by another server: {foreign}, reset by the \
+         system: {}, without an answer: {}",
+        fabric.nodes(),
+        ended.iter().filter(|end| end.is_none()).count(),
+        count(End::Answered),
+        count(End::SystemReset),
+        count(End::Deadline)
+    ));
+    match fabric.nodes() == usize::from(EDGES) {
+        true => Ok(foreign + count(End::SystemReset) > 0),
+        false => Err("not all edge machines are in rotation".to_owned()),
+    }
+}
+
 /// A flow moves to another edge machine; when its server crashes, the first machine sends a reset with a
 /// sequence number from long before.
 pub fn old_reset(world: &mut World) -> Result<bool, String> {
--- a/review/harness/client.rs
+++ b/review/harness/client.rs
@@ -13,6 +13,7 @@
 };
 
 use crate::{
+    fabric::Fabric,
     packet::{Packet, ACK, FIN, RST, SYN},
     record::Record,
 };
@@ -210,6 +211,145 @@
         }
     }
 
+    /// Opens a flow through the routers and sends `requests` requests of 600 bytes, one after the other
+    /// with a pause of `pause_ms`. All packets carry the last `echo` that was received on the flow. Returns
+    /// how the last request ended, and `seq` of the flow's server; none if the flow didn't open.
+    pub fn run_flow(
+        &self,
+        fabric: &Fabric,
+        route: SocketAddrV4,
+        requests: usize,
+        pause_ms: u64,
+        deadline_ms: u64,
+    ) -> Option<(SocketAddrV4, u32, End)> {
+        let port = self.ports.fetch_add(1, Ordering::SeqCst) as u16;
+        let source = SocketAddrV4::new(self.address, port);
+        let (sender, queue) = channel();
+        self.queues.lock().unwrap().insert(port, sender);
+        let ended = self.run_queue(fabric, (source, route), queue, requests, (pause_ms, deadline_ms));
+        self.queues.lock().unwrap().remove(&port);
+        ended
+    }
+
+    fn run_queue(
+        &self,
+        fabric: &Fabric,
+        (source, route): (SocketAddrV4, SocketAddrV4),
+        queue: Receiver<Packet>,
+        requests: usize,
+        (pause_ms, deadline_ms): (u64, u64),
+    ) -> Option<(SocketAddrV4, u32, End)> {
+        let edge = || fabric.node(source, route);
+        let first = u32::from(source.port()) * 65_537;
+        let start = Instant::now();
+        let mut copies = 0;
+        let opener = edge()?;
+        self.send_syn(opener, source, route, first, 0);
+        let answer = loop {
+            let next = COPIES_MS.get(copies).copied().unwrap_or(OPEN_LIMIT_MS);
+            match queue.recv_timeout(Duration::from_millis(next).saturating_sub(start.elapsed())) {
+                Ok(packet) if packet.flags & RST != 0 => return None,
+                Ok(packet) if packet.flags & (SYN | ACK) == SYN | ACK => break packet,
+                Ok(_) => {}
+                Err(_) if copies < COPIES_MS.len() => {
+                    copies += 1;
+                    let other = edge()?;
+                    self.record.line(&format!(
+                        "client {source} sends copy {copies} of its SYN, through {} node",
+                        if other == opener { "the same" } else { "another" }
+                    ));
+                    self.send_syn(other, source, route, first, copies as u32);
+                }
+                Err(_) => return None,
+            }
+        };
+        let mut flow = Flow {
+            source,
+            route,
+            seq: first.wrapping_add(1),
+            ack: answer.seq.wrapping_add(1),
+            echo: answer.echo,
+            server_seq: answer.seq,
+            queue,
+        };
+        self.send(edge()?, &flow.packet(ACK, Vec::new()));
+        let mut end = End::Answered;
+        for n in 0..requests {
+            if n > 0 {
+                end = self.pause(&mut flow, Duration::from_millis(pause_ms));
+            }
+            if end == End::Answered {
+                end = self.ask(&mut flow, &edge, deadline_ms);
+            }
+            if end != End::Answered {
+                break;
+            }
+        }
+        if end == End::Answered {
+            self.send(edge()?, &flow.packet(FIN | ACK, Vec::new()));
+        }
+        Some((source, flow.server_seq, end))
+    }
+
+    /// Receives packets during a pause.
+    fn pause(&self, flow: &mut Flow, time: Duration) -> End {
+        let start = Instant::now();
+        while let Ok(packet) = flow.queue.recv_timeout(time.saturating_sub(start.elapsed())) {
+            if packet.flags & RST != 0 {
+                return self.note_reset(flow, &packet);
+            }
+            flow.echo = packet.echo;
+        }
+        End::Answered
+    }
+
+    /// Sends a request and receives the answer.
+    fn ask(&self, flow: &mut Flow, edge: &impl Fn() -> Option<SocketAddr>, deadline_ms: u64) -> End {
+        const LENGTH: u32 = 600;
+        let number = self.requests.fetch_add(1, Ordering::SeqCst) + 1;
+        let data = [number.to_le_bytes(), LENGTH.to_le_bytes()].concat();
+        let sequence = flow.seq;
+        flow.seq = flow.seq.wrapping_add(data.len() as u32);
+        let end = flow.ack.wrapping_add(LENGTH);
+        let start = Instant::now();
+        let mut repeat = Duration::from_millis(200);
+        let mut sent_at: Option<Instant> = None;
+        while start.elapsed() < Duration::from_millis(deadline_ms) {
+            if sent_at.is_none_or(|at| at.elapsed() >= repeat) {
+                if sent_at.is_some() {
+                    repeat = (repeat * 2).min(Duration::from_millis(1_600));
+                }
+                sent_at = Some(Instant::now());
+                let packet = Packet {
+                    seq: sequence,
+                    ..flow.packet(ACK, data.clone())
+                };
+                if let Some(edge) = edge() {
+                    self.send(edge, &packet);
+                }
+            }
+            let wait = sent_at.map_or(repeat, |at| repeat.saturating_sub(at.elapsed()));
+            match flow.queue.recv_timeout(wait) {
+                Ok(packet) if packet.flags & RST != 0 => return self.note_reset(flow, &packet),
+                Ok(packet) => {
+                    flow.echo = packet.echo;
+                    if packet.flags & SYN == 0 && packet.seq == flow.ack {
+                        flow.ack = flow.ack.wrapping_add(packet.data.len() as u32);
+                    }
+                    if flow.ack == end {
+                        if let Some(edge) = edge() {
+                            self.send(edge, &flow.packet(ACK, Vec::new()));
+                        }
+                        return End::Answered;
+                    }
+                }
+                Err(_) => {}
+            }
+        }
+        self.record.line(&format!("client {} gives up request {number}", flow.source));
+        End::Deadline
+    }
+
     /// Waits for a reset on an idle flow.
     pub fn watch(&self, flow: &mut Flow, limit: Duration) -> Option<Packet> {
         let start = Instant::now();
--- a/review/harness/main.rs
+++ b/review/harness/main.rs
@@ -7,6 +7,7 @@
 
 mod cases;
 mod client;
+mod fabric;
 mod http;
 mod packet;
 mod proxy;
@@ -110,6 +111,19 @@
         host: u8,
         controls: Vec<std::net::SocketAddr>,
         cold_ms: u64,
+    ) -> Result<Server, String> {
+        self.lossy_server(id, zone, host, controls, cold_ms, 0)
+    }
+
+    /// Starts a server like [`Self::server`] that loses the first SYN+ACK of one of `loses_every` flows.
+    pub fn lossy_server(
+        &self,
+        id: u64,
+        zone: &'static str,
+        host: u8,
+        controls: Vec<std::net::SocketAddr>,
+        cold_ms: u64,
+        loses_every: usize,
     ) -> Result<Server, String> {
         let settings = server::Settings {
             id,
@@ -119,6 +133,7 @@
             client_port: self.net.fabric_port,
             controls,
             cold_ms,
+            loses_every,
         };
         Server::start(settings, self.record.clone())
     }
@@ -162,6 +177,7 @@
         "late-stop" => cases::late_stop(&mut world),
         "cold-join" => cases::cold_join(&mut world),
         "cold-again" => cases::cold_again(&mut world),
+        "moved-copy" => cases::moved_copy(&mut world),
         "old-reset" => cases::old_reset(&mut world),
         _ => Err(format!("unknown case {name}")),
     }?;
--- a/review/harness/server.rs
+++ b/review/harness/server.rs
@@ -21,6 +21,9 @@
 
 /// Time that a caller of `control` waits for an answer.
 const CALL_MS: u64 = 1_000;
+/// Time after which a SYN+ACK is sent again; the interval doubles up to [`MAX_REPEAT`].
+const FIRST_REPEAT: Duration = Duration::from_millis(200);
+const MAX_REPEAT: Duration = Duration::from_millis(1_600);
 const SEGMENT: usize = 1_200;
 /// Packets in flight.
 const WINDOW: usize = 16;
@@ -39,6 +42,9 @@
     pub controls: Vec<SocketAddr>,
     /// Time for which the server is cold after its start, in milliseconds.
     pub cold_ms: u64,
+    /// Of so many flows one loses its first SYN+ACK on the way to the client; 0 if none does. With losses,
+    /// the server sends SYN+ACKs again that aren't acknowledged.
+    pub loses_every: usize,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -57,6 +63,8 @@
     /// Time of the last acknowledged heartbeat, and whether it said that the server drains.
     acked: Option<(Instant, bool)>,
     runs: Vec<Run>,
+    /// Clients and `seq` of the flows whose handshake has ended.
+    opened: Vec<(SocketAddrV4, u32)>,
     stream: Option<TcpStream>,
 }
 
@@ -79,6 +87,8 @@
     sent: u32,
     acked: u32,
     progress: Instant,
+    /// Time at which an unacknowledged SYN+ACK is sent again, and the interval after that.
+    repeat: (Instant, Duration),
     /// Answers that the server works on, with the times when they are ready and their lengths.
     pending: VecDeque<(Instant, u32)>,
 }
@@ -157,6 +167,11 @@
         self.shared().runs.clone()
     }
 
+    /// Returns clients and `seq` of the flows whose handshake has ended.
+    pub fn opened(&self) -> Vec<(SocketAddrV4, u32)> {
+        self.shared().opened.clone()
+    }
+
     /// Sends `DELETE` on the connection of the heartbeats without waiting for the answer, as long as
     /// `limit_ms`, and ends the process: flows are gone, and the connection is closed in order.
     pub fn leave(mut self, limit_ms: u64) {
@@ -292,6 +307,7 @@
     let mut buffer = [0; 2048];
     // Time when the cold server has worked off the requests so far.
     let mut cold_free_at = Instant::now();
+    let mut opening: usize = 0;
     let mut next_seq: u32 = (settings.id as u32).wrapping_mul(2_654_435_761);
     while alive.load(Ordering::SeqCst) {
         if let Ok((length, _)) = udp.recv_from(&mut buffer) {
@@ -309,7 +325,9 @@
                 continue;
             }
             if packet.flags & SYN != 0 {
+                let mut is_first = false;
                 let flow = flows.entry(key).or_insert_with(|| {
+                    is_first = true;
                     next_seq = next_seq.wrapping_add(1_000_003);
                     Flow {
                         seq: next_seq,
@@ -320,22 +338,18 @@
                         sent: 0,
                         acked: 0,
                         progress: Instant::now(),
+                        repeat: (Instant::now() + FIRST_REPEAT, FIRST_REPEAT * 2),
                         pending: VecDeque::new(),
                     }
                 });
                 flow.echo = packet.echo;
                 record.line(&format!("server i-{:x} SYN from {}", settings.id, packet.src));
-                let answer = Packet {
-                    seq: flow.seq,
-                    ack: flow.expected,
-                    echo: flow.echo,
-                    flags: SYN | ACK,
-                    dst: packet.src,
-                    src: packet.dst,
-                    sum: Packet::OWN_SUM,
-                    data: Vec::new(),
-                };
-                send(udp, settings, &answer);
+                opening += usize::from(is_first);
+                if is_first && settings.loses_every > 0 && opening % settings.loses_every == 0 {
+                    record.line(&format!("lost: SYN+ACK of i-{:x} to {}", settings.id, packet.src));
+                    continue;
+                }
+                send(udp, settings, &syn_ack(flow, key));
                 continue;
             }
             let Some(flow) = flows.get_mut(&key) else {
@@ -363,8 +377,25 @@
                     flow.progress = Instant::now();
                 }
                 flow.acked = acked;
+                if !flow.is_open {
+                    shared.lock().unwrap().opened.push((packet.src, flow.seq));
+                }
                 flow.is_open = true;
             }
+            if settings.loses_every > 0 && !flow.is_open {
+                record.line(&format!(
+                    "server i-{:x} RST to {}: packet acknowledges another server",
+                    settings.id, packet.src
+                ));
+                let reset = Packet {
+                    seq: packet.ack,
+                    ack: 0,
+                    ..flow_packet(flow, &packet, RST, Vec::new())
+                };
+                send(udp, settings, &reset);
+                flows.remove(&key);
+                continue;
+            }
             if !packet.data.is_empty() && packet.seq == flow.expected && packet.data.len() >= 8 {
                 flow.expected = flow.expected.wrapping_add(packet.data.len() as u32);
                 let word = |at: usize| u32::from_le_bytes(packet.data[at..at + 4].try_into().unwrap());
@@ -397,6 +428,12 @@
             }
         }
         for ((client, route), flow) in &mut flows {
+            if settings.loses_every > 0 && !flow.is_open && flow.repeat.0 <= Instant::now() {
+                record.line(&format!("server i-{:x} repeats its SYN+ACK to {client}", settings.id));
+                send(udp, settings, &syn_ack(flow, (*client, *route)));
+                flow.repeat.0 += flow.repeat.1;
+                flow.repeat.1 = (flow.repeat.1 * 2).min(MAX_REPEAT);
+            }
             while flow.pending.front().is_some_and(|(ready_at, _)| *ready_at <= Instant::now()) {
                 let answer = flow.pending.pop_front();
                 flow.length += answer.map_or(0, |(_, length)| length);
@@ -425,6 +462,19 @@
     }
 }
 
+fn syn_ack(flow: &Flow, (client, route): (SocketAddrV4, SocketAddrV4)) -> Packet {
+    Packet {
+        seq: flow.seq,
+        ack: flow.expected,
+        echo: flow.echo,
+        flags: SYN | ACK,
+        dst: client,
+        src: route,
+        sum: Packet::OWN_SUM,
+        data: Vec::new(),
+    }
+}
+
 fn flow_packet(flow: &Flow, packet: &Packet, flags: u8, data: Vec<u8>) -> Packet {
     Packet {
         seq: flow.seq.wrapping_add(1 + flow.sent),
